Lay the build, the core slice, the checks and the design page

Cause: the project had no code; slices that are written side by side need fixed interfaces first. Change: CMake skeleton with one library and one Criterion program per slice, core (clock, ids, codec, events, in-memory fault network), formatter, linter and documentation checks, docs/design.md.

--- /dev/null
+++ b/src/core/Codec.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "absl/status/statusor.h"
+#include "core/Ids.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace briarspar::core {
+
+using Json = nlohmann::json;
+
+/// Bounds on CBOR that comes from outside the process.
+struct CodecLimits {
+  size_t MaxBytes = 16 * 1024 * 1024; ///< Longest accepted message, in bytes.
+  size_t MaxDepth = 32;               ///< Deepest accepted nesting of maps and arrays.
+};
+
+/// Encodes a JSON value as CBOR.
+std::string encodeCbor(const Json &value);
+
+/// Decodes CBOR. Returns InvalidArgument for malformed bytes and ResourceExhausted beyond the
+/// limits; it never throws.
+absl::StatusOr<Json> decodeCbor(std::string_view bytes, const CodecLimits &limits = {});
+
+/// Decodes CBOR into a type with a `from_json` function. Missing or mistyped members give
+/// InvalidArgument.
+template <class T>
+absl::StatusOr<T> decodeCborAs(std::string_view bytes, const CodecLimits &limits = {}) {
+  absl::StatusOr<Json> value = decodeCbor(bytes, limits);
+  if (!value.ok())
+    return value.status();
+  try {
+    return value->get<T>();
+  } catch (const nlohmann::json::exception &e) {
+    return absl::InvalidArgumentError(e.what());
+  }
+}
+
+template <class Tag> void to_json(Json &j, const StringId<Tag> &id) { j = id.Value; }
+template <class Tag> void from_json(const Json &j, StringId<Tag> &id) { j.get_to(id.Value); }
+template <class Tag> void to_json(Json &j, const NumberId<Tag> &id) { j = id.Value; }
+template <class Tag> void from_json(const Json &j, NumberId<Tag> &id) { j.get_to(id.Value); }
+
+} // namespace briarspar::core
--- /dev/null
+++ b/src/core/EventCatalogue.h
@@ -0,0 +1,44 @@
+#pragma once
+
+// Number, name and meaning of every logged event. docs/EVENTS.md lists the same rows, and a check
+// in CI compares the two. Each slice has a range of 100 numbers; a number is never reused.
+#define BRIARSPAR_EVENTS(X)                                                                        \
+  /* daemon */                                                                                     \
+  X(100, ProcessStarted, "process started")                                                        \
+  X(101, ProcessStopping, "process received a stop signal and drains")                             \
+  X(102, ProcessStopped, "process stopped")                                                        \
+  X(103, SettingsInvalid, "settings were rejected")                                                \
+  /* agreement */                                                                                  \
+  X(200, BecameLeader, "replica became leader")                                                    \
+  X(201, LostLeadership, "replica stopped being leader")                                           \
+  X(202, StorageFailed, "log storage failed; the voter stopped acknowledging")                     \
+  /* config */                                                                                     \
+  X(300, ConfigApplied, "configuration version applied")                                           \
+  X(301, CommandConflict, "command conflicted with another command")                               \
+  /* lease */                                                                                      \
+  X(400, LeaseLost, "serving lease expired")                                                       \
+  X(401, LeaseGained, "serving lease granted")                                                     \
+  /* membership */                                                                                 \
+  X(500, VmStateChanged, "state of a VM changed")                                                  \
+  /* auth */                                                                                       \
+  X(600, KeyRejected, "request carried no valid key")                                              \
+  /* quota */                                                                                      \
+  X(700, QuotaRefused, "customer exceeded its rate")                                               \
+  /* idempotency */                                                                                \
+  X(800, ClaimCommitted, "request id claimed")                                                     \
+  X(801, ClaimUnknown, "outcome of a claimed request is unknown")                                  \
+  /* balance */                                                                                    \
+  X(900, TargetUnhealthy, "target marked unhealthy")                                               \
+  X(901, RequestQuarantined, "request refused because it ended target processes")                  \
+  /* moves */                                                                                      \
+  X(1000, MoveStarted, "move started")                                                             \
+  X(1001, MoveStep, "move advanced one step")                                                      \
+  X(1002, MoveDone, "move completed")                                                              \
+  X(1003, MoveTakenBack, "move was taken back")                                                    \
+  /* transport */                                                                                  \
+  X(1100, PeerConnected, "connection to a peer opened")                                            \
+  X(1101, PeerDisconnected, "connection to a peer closed")                                         \
+  X(1102, PeerMessageRejected, "message from a peer was rejected")                                 \
+  /* forwarding */                                                                                 \
+  X(1200, RequestFinished, "request finished")                                                     \
+  X(1201, RequestRefused, "request refused without running")
--- /dev/null
+++ b/src/core/testing/Property.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <utility>
+
+namespace briarspar::core::testing {
+
+/// Runs a rapidcheck property inside a Criterion test. rapidcheck prints the counterexample and the
+/// seed when the property fails; the RC_PARAMS environment variable sets the seed and the number of
+/// cases.
+template <class Property> void checkProperty(const std::string &name, Property &&property) {
+  cr_assert(rc::check(name, std::forward<Property>(property)), "property failed: %s", name.c_str());
+}
+
+} // namespace briarspar::core::testing
