--- /dev/null
+++ b/src/forwarding/TargetClient.cpp
@@ -0,0 +1,162 @@
+#include "forwarding/TargetClient.h"
+
+#include "absl/strings/numbers.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace briarspar::forwarding {
+
+TargetAddress parseTargetAddress(std::string_view text) {
+  TargetAddress address;
+  size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos)
+    return address;
+  int port = 0;
+  std::string digits(text.substr(colon + 1));
+  if (!absl::SimpleAtoi(digits, &port) || port <= 0 || port > 65535)
+    return address;
+  address.Host = std::string(text.substr(0, colon));
+  address.Port = port;
+  return address;
+}
+
+void Cancellation::cancel() {
+  std::lock_guard<std::mutex> lock(Mutex);
+  Requested = true;
+  if (Running)
+    Running->stop();
+}
+
+bool Cancellation::isCanceled() const {
+  std::lock_guard<std::mutex> lock(Mutex);
+  return Requested;
+}
+
+bool Cancellation::attach(httplib::Client *client) {
+  std::lock_guard<std::mutex> lock(Mutex);
+  Running = client;
+  return !Requested;
+}
+
+void Cancellation::detach() {
+  std::lock_guard<std::mutex> lock(Mutex);
+  Running = nullptr;
+}
+
+TargetClientPool::TargetClientPool(const core::Clock &clock, const TargetClientSettings &settings)
+    : Clock(clock), Settings(settings) {}
+
+TargetClientPool::~TargetClientPool() = default;
+
+size_t TargetClientPool::idleConnections() const {
+  std::lock_guard<std::mutex> lock(Mutex);
+  size_t n = 0;
+  for (const auto &[address, idle] : IdleByTarget)
+    n += idle.size();
+  return n;
+}
+
+std::unique_ptr<httplib::Client> TargetClientPool::acquire(const TargetAddress &address,
+                                                           bool fresh) {
+  if (!fresh) {
+    std::lock_guard<std::mutex> lock(Mutex);
+    std::deque<Idle> &idle = IdleByTarget[address];
+    // The most recently used connection is the least likely to have been closed by the target.
+    while (!idle.empty()) {
+      Idle last = std::move(idle.back());
+      idle.pop_back();
+      if (Clock.now() - last.Since < Settings.MaxIdle)
+        return std::move(last.Client);
+      idle.clear();
+    }
+  }
+  auto client = std::make_unique<httplib::Client>(address.Host, address.Port);
+  client->set_keep_alive(true);
+  client->set_tcp_nodelay(true);
+  client->set_decompress(false);
+  client->set_follow_location(false);
+  return client;
+}
+
+void TargetClientPool::giveBack(const TargetAddress &address,
+                                std::unique_ptr<httplib::Client> client) {
+  std::lock_guard<std::mutex> lock(Mutex);
+  std::deque<Idle> &idle = IdleByTarget[address];
+  idle.push_back({std::move(client), Clock.now()});
+  if (idle.size() > Settings.MaxIdlePerTarget)
+    idle.pop_front();
+}
+
+TargetAnswer TargetClientPool::exchange(const TargetAddress &address, const TargetRequest &request,
+                                        core::Time deadline, Cancellation *cancellation) {
+  TargetAnswer answer;
+  if (Clock.now() >= deadline)
+    return answer;
+  std::unique_ptr<httplib::Client> client = acquire(address, request.FreshConnection);
+  if (cancellation && !cancellation->attach(client.get())) {
+    cancellation->detach();
+    return answer;
+  }
+  answer = run(*client, request, deadline);
+  if (cancellation) {
+    cancellation->detach();
+    if (cancellation->isCanceled() && answer.Status != ExchangeStatus::NotSent &&
+        answer.Status != ExchangeStatus::Answered)
+      answer.Status = ExchangeStatus::Canceled;
+  }
+  bool canceled = cancellation && cancellation->isCanceled();
+  if (answer.Status == ExchangeStatus::Answered && !canceled)
+    giveBack(address, std::move(client));
+  return answer;
+}
+
+TargetAnswer TargetClientPool::run(httplib::Client &client, const TargetRequest &request,
+                                   core::Time deadline) {
+  TargetAnswer answer;
+  core::Duration left = deadline - Clock.now();
+  core::Duration connect = std::min(left, Settings.ConnectTimeout);
+  client.set_connection_timeout(std::chrono::milliseconds(connect.Ms));
+  client.set_read_timeout(std::chrono::milliseconds(left.Ms));
+  client.set_write_timeout(std::chrono::milliseconds(left.Ms));
+
+  httplib::Request out;
+  out.method = request.Method;
+  out.path = request.PathAndQuery;
+  out.headers = request.Headers;
+  out.body = request.Body;
+  bool tooLarge = false;
+  bool late = false;
+  // The library's read timeout applies to each read, so the deadline is checked at each part as
+  // well.
+  out.content_receiver = [&](const char *data, size_t n, uint64_t, uint64_t) {
+    tooLarge = answer.Body.size() + n > Settings.MaxAnswerBytes;
+    late = Clock.now() >= deadline;
+    if (tooLarge || late)
+      return false;
+    answer.Body.append(data, n);
+    return true;
+  };
+  httplib::Result result = client.send(out);
+  if (result) {
+    answer.Status = ExchangeStatus::Answered;
+    answer.HttpStatus = result->status;
+    answer.Headers = std::move(result->headers);
+    return answer;
+  }
+  answer.Body.clear();
+  bool neverConnected = result.error() == httplib::Error::Connection ||
+                        result.error() == httplib::Error::ConnectionTimeout ||
+                        result.error() == httplib::Error::BindIPAddress;
+  if (neverConnected)
+    answer.Status = ExchangeStatus::NotSent;
+  else if (tooLarge)
+    answer.Status = ExchangeStatus::TooLarge;
+  else if (late || Clock.now() >= deadline)
+    answer.Status = ExchangeStatus::TimedOut;
+  else
+    answer.Status = ExchangeStatus::Broken;
+  return answer;
+}
+
+} // namespace briarspar::forwarding
--- /dev/null
+++ b/src/observability/EventLog.cpp
@@ -0,0 +1,86 @@
+#include "observability/EventLog.h"
+
+#include <boost/log/core.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <boost/log/utility/setup/file.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <iostream>
+
+namespace briarspar::observability {
+
+namespace {
+
+int64_t wallClockMs() {
+  using namespace std::chrono;
+  return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+}
+
+void openLog(const std::string &file) {
+  namespace logging = boost::log;
+  logging::add_common_attributes();
+  if (file.empty())
+    logging::add_console_log(std::cerr, logging::keywords::format = "%TimeStamp% %Message%");
+  else
+    logging::add_file_log(logging::keywords::file_name = file, logging::keywords::auto_flush = true,
+                          logging::keywords::open_mode = std::ios_base::app,
+                          logging::keywords::format = "%TimeStamp% %Message%");
+}
+
+void writeLine(const TimelineEntry &entry) {
+  // A logger of its own per thread avoids the lock of a shared one.
+  thread_local boost::log::sources::logger logger;
+  BOOST_LOG(logger) << static_cast<int>(entry.Id) << ' ' << core::eventName(entry.Id) << ' '
+                    << entry.Vm << ' ' << entry.Details.dump();
+}
+
+} // namespace
+
+void to_json(core::Json &j, const TimelineEntry &entry) {
+  j = {{"sequence", entry.Sequence},
+       {"wall_ms", entry.WallMs},
+       {"vm", entry.Vm},
+       {"event", static_cast<int>(entry.Id)},
+       {"name", core::eventName(entry.Id)},
+       {"details", entry.Details}};
+}
+
+EventLog::EventLog(core::VmId vm, const EventLogSettings &settings)
+    : Vm(std::move(vm)), MaxEntries(settings.MaxEntries) {
+  openLog(settings.File);
+}
+
+void EventLog::emit(const core::Event &event) {
+  TimelineEntry entry;
+  entry.WallMs = wallClockMs();
+  entry.Vm = Vm;
+  entry.Id = event.Id;
+  entry.Details = event.Details;
+  {
+    std::lock_guard<std::mutex> lock(Mutex);
+    entry.Sequence = ++LastSequence;
+    Entries.push_back(entry);
+    if (Entries.size() > MaxEntries)
+      Entries.pop_front();
+  }
+  // Per-request events stay on the time line only; one log line a request would dominate the load.
+  if (event.Id != core::EventId::RequestFinished)
+    writeLine(entry);
+}
+
+std::vector<TimelineEntry> EventLog::since(uint64_t sequence, size_t limit) const {
+  std::lock_guard<std::mutex> lock(Mutex);
+  auto it = std::lower_bound(
+      Entries.begin(), Entries.end(), sequence + 1,
+      [](const TimelineEntry &entry, uint64_t value) { return entry.Sequence < value; });
+  std::vector<TimelineEntry> out;
+  for (; it != Entries.end() && out.size() < limit; ++it)
+    out.push_back(*it);
+  return out;
+}
+
+} // namespace briarspar::observability
