--- a/src/forwarding/TargetClient.cpp
+++ b/src/forwarding/TargetClient.cpp
@@ -7,6 +7,20 @@
 
 namespace briarspar::forwarding {
 
+namespace {
+
+/// True if the end of the answer can be told from a connection that was cut: its length is known, it
+/// is chunked, or it has no body by definition.
+bool isFramed(const TargetRequest &request, const httplib::Response &response) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  return response.has_header("Content-Length") || response.has_header("Transfer-Encoding") ||
+         request.Method == "HEAD" || response.status == NoContent ||
+         response.status == NotModified;
+}
+
+} // namespace
+
 TargetAddress parseTargetAddress(std::string_view text) {
   TargetAddress address;
   size_t colon = text.rfind(':');
@@ -98,7 +112,9 @@
     cancellation->detach();
     return answer;
   }
+  bool reused = client->is_socket_open() != 0;
   answer = run(*client, request, deadline);
+  answer.ReusedConnection = reused;
   if (cancellation) {
     cancellation->detach();
     if (cancellation->isCanceled() && answer.Status != ExchangeStatus::NotSent &&
@@ -138,6 +154,11 @@
     return true;
   };
   httplib::Result result = client.send(out);
+  if (result && !isFramed(request, *result)) {
+    answer.Body.clear();
+    answer.Status = ExchangeStatus::Broken;
+    return answer;
+  }
   if (result) {
     answer.Status = ExchangeStatus::Answered;
     answer.HttpStatus = result->status;
--- a/src/forwarding/TargetClient.h
+++ b/src/forwarding/TargetClient.h
@@ -50,6 +50,7 @@
 struct TargetAnswer {
   ExchangeStatus Status = ExchangeStatus::NotSent;
   int HttpStatus = 0;
+  bool ReusedConnection = false; ///< The connection had carried an earlier exchange.
   httplib::Headers Headers;
   std::string Body;
 };
--- /dev/null
+++ b/src/forwarding/tests/HttpServerTest.cpp
@@ -0,0 +1,96 @@
+#include "forwarding/HttpServer.h"
+#include "core/testing/Property.h"
+#include "forwarding/Problem.h"
+
+#include <atomic>
+#include <memory>
+#include <thread>
+#include <vector>
+
+using namespace briarspar;
+using namespace briarspar::forwarding;
+
+namespace {
+
+struct Fixture {
+  explicit Fixture(HttpServerSettings settings = {})
+      : Server(settings, [this](const httplib::Request &req, httplib::Response &res) {
+          ++Handled;
+          res.set_content(req.body, "text/plain");
+        }) {
+    cr_assert(Server.start().ok());
+  }
+
+  httplib::Client client() const { return httplib::Client("127.0.0.1", Server.port()); }
+
+  std::atomic<int> Handled{0};
+  HttpServer Server;
+};
+
+} // namespace
+
+/// Guards against a body beyond the bound that takes memory or reaches the handler.
+Test(HttpServer, largeBodyIsRefusedAsNotRun) {
+  HttpServerSettings settings;
+  settings.MaxBodyBytes = 1000;
+  Fixture f(settings);
+  auto result = f.client().Post("/x", std::string(5000, 'x'), "text/plain");
+  cr_assert(result);
+  cr_assert_eq(result->status, 413);
+  cr_assert(result->get_header_value("Briarspar-Outcome") == "not-run");
+  cr_assert_eq(f.Handled.load(), 0);
+}
+
+/// Guards against two framings of one body, from which two parsers read different requests.
+Test(HttpServer, conflictingLengthsAreRefused) {
+  Fixture f;
+  httplib::Headers headers{{"Content-Length", "3"}, {"Content-Length", "4"}};
+  httplib::Request req;
+  req.method = "POST";
+  req.path = "/x";
+  req.headers = headers;
+  req.body = "abcd";
+  auto result = f.client().send(req);
+  cr_assert(!result || result->status == 400);
+  cr_assert_eq(f.Handled.load(), 0);
+}
+
+/// Guards against many callers at once that see refused or reset connections.
+Test(HttpServer, manyCallersAtOnceAreAllAnswered) {
+  HttpServerSettings settings;
+  settings.MaxConnections = 128;
+  Fixture f(settings);
+  std::atomic<int> good{0};
+  std::vector<std::thread> callers;
+  for (int n = 0; n < 100; ++n)
+    callers.emplace_back([&] {
+      auto result = f.client().Post("/x", "body", "text/plain");
+      good += result && result->body == "body" ? 1 : 0;
+    });
+  for (std::thread &it : callers)
+    it.join();
+  cr_assert_eq(good.load(), 100);
+}
+
+/// Guards against a connection beyond the bound that waits without an answer.
+Test(HttpServer, connectionBeyondTheBoundIsRefused) {
+  HttpServerSettings settings;
+  settings.MaxConnections = 1;
+  Fixture f(settings);
+  httplib::Client first("127.0.0.1", f.Server.port());
+  first.set_keep_alive(true);
+  cr_assert_eq(first.Get("/x")->status, 200);
+  auto second = f.client().Get("/x");
+  cr_assert(second);
+  cr_assert_eq(second->status, 503);
+  cr_assert(second->get_header_value("Briarspar-Outcome") == "not-run");
+}
+
+/// Guards against a refusal code without a row, or two codes with one name.
+Test(Problem, everyCodeHasARow) {
+  std::vector<std::string_view> names;
+  for (int n = 0; n <= static_cast<int>(RefusalCode::OutcomeUnknown); ++n)
+    names.push_back(refusalInfo(static_cast<RefusalCode>(n)).Name);
+  std::sort(names.begin(), names.end());
+  cr_assert(std::adjacent_find(names.begin(), names.end()) == names.end());
+}
--- /dev/null
+++ b/src/forwarding/tests/TargetClientTest.cpp
@@ -0,0 +1,182 @@
+#include "forwarding/TargetClient.h"
+#include "core/testing/Property.h"
+#include "forwarding/HttpServer.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace briarspar;
+using namespace briarspar::forwarding;
+
+namespace {
+
+/// A target that answers each connection with fixed raw bytes and then closes it.
+class RawTarget {
+public:
+  explicit RawTarget(std::string reply, int holdMs = 0) : Reply(std::move(reply)), HoldMs(holdMs) {
+    Listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(Listener, reinterpret_cast<sockaddr *>(&address), sizeof address);
+    ::listen(Listener, 16);
+    socklen_t n = sizeof address;
+    ::getsockname(Listener, reinterpret_cast<sockaddr *>(&address), &n);
+    Port = ntohs(address.sin_port);
+    Worker = std::thread([this] { serve(); });
+  }
+
+  ~RawTarget() {
+    Stopping = true;
+    ::shutdown(Listener, SHUT_RDWR);
+    Worker.join();
+    ::close(Listener);
+  }
+
+  TargetAddress address() const { return {"127.0.0.1", Port}; }
+  int connections() const { return Connections; }
+
+private:
+  void serve() {
+    while (!Stopping) {
+      int sock = ::accept(Listener, nullptr, nullptr);
+      if (sock < 0)
+        return;
+      ++Connections;
+      char buf[4096];
+      (void)::recv(sock, buf, sizeof buf, 0);
+      (void)::send(sock, Reply.data(), Reply.size(), MSG_NOSIGNAL);
+      if (HoldMs > 0)
+        std::this_thread::sleep_for(std::chrono::milliseconds(HoldMs));
+      ::close(sock);
+    }
+  }
+
+  std::string Reply;
+  int HoldMs;
+  int Listener = -1;
+  int Port = 0;
+  std::atomic<bool> Stopping{false};
+  std::atomic<int> Connections{0};
+  std::thread Worker;
+};
+
+struct Fixture {
+  core::SteadyClock Clock;
+  TargetClientPool Pool{Clock, {}};
+
+  TargetAnswer get(const TargetAddress &address, core::Duration limit = {5000}) {
+    TargetRequest request;
+    request.Method = "GET";
+    request.PathAndQuery = "/x";
+    return Pool.exchange(address, request, Clock.now() + limit);
+  }
+};
+
+constexpr const char *WholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+
+} // namespace
+
+Test(TargetClient, wholeAnswerIsReturned) {
+  RawTarget target(WholeAnswer);
+  Fixture f;
+  TargetAnswer answer = f.get(target.address());
+  cr_assert(answer.Status == ExchangeStatus::Answered);
+  cr_assert(answer.Body == "hello");
+}
+
+/// Guards against an answer that ends early and is passed on as whole.
+Test(TargetClient, cutAnswerIsReported) {
+  RawTarget byLength("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello");
+  RawTarget byChunks("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+  Fixture f;
+  cr_assert(f.get(byLength.address()).Status == ExchangeStatus::Broken);
+  cr_assert(f.get(byChunks.address()).Status == ExchangeStatus::Broken);
+  cr_assert_eq(f.Pool.idleConnections(), 0);
+}
+
+/// Guards against an answer without a length, whose end cannot be told from a cut.
+Test(TargetClient, answerWithoutLengthIsReportedAsCut) {
+  RawTarget target("HTTP/1.1 200 OK\r\n\r\nhello");
+  Fixture f;
+  cr_assert(f.get(target.address()).Status == ExchangeStatus::Broken);
+}
+
+/// Guards against a claim that nothing was sent when the target may have run the request.
+Test(TargetClient, closedWithoutAnswerMayHaveRun) {
+  RawTarget target("");
+  Fixture f;
+  cr_assert(f.get(target.address()).Status == ExchangeStatus::Broken);
+}
+
+/// Guards against a refused connection that is reported as a possible run.
+Test(TargetClient, refusedConnectionSentNothing) {
+  TargetAddress address;
+  {
+    RawTarget target("");
+    address = target.address();
+  }
+  Fixture f;
+  cr_assert(f.get(address).Status == ExchangeStatus::NotSent);
+}
+
+/// Guards against a late answer that reaches the next request on a reused connection.
+Test(TargetClient, timedOutConnectionIsNotReused) {
+  RawTarget target("", 400);
+  Fixture f;
+  cr_assert(f.get(target.address(), {50}).Status == ExchangeStatus::TimedOut);
+  cr_assert_eq(f.Pool.idleConnections(), 0);
+}
+
+/// Guards against a target that sends slowly and holds a request past its deadline.
+Test(TargetClient, tooLargeAnswerIsReported) {
+  std::string body(9 * 1024 * 1024, 'x');
+  RawTarget target("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                   "\r\n\r\n" + body);
+  Fixture f;
+  cr_assert(f.get(target.address()).Status == ExchangeStatus::TooLarge);
+}
+
+/// Guards against a hedge or a departed caller that cannot end a running exchange.
+Test(TargetClient, cancelEndsARunningExchange) {
+  RawTarget target("", 3000);
+  Fixture f;
+  Cancellation cancellation;
+  TargetRequest request;
+  request.Method = "GET";
+  request.PathAndQuery = "/x";
+  std::thread canceller([&] {
+    while (target.connections() == 0)
+      std::this_thread::yield();
+    cancellation.cancel();
+  });
+  TargetAnswer answer = f.Pool.exchange(target.address(), request,
+                                        f.Clock.now() + core::Duration{2500}, &cancellation);
+  canceller.join();
+  cr_assert(answer.Status == ExchangeStatus::Canceled);
+}
+
+/// Guards against a connection for every request, and against reuse where a request must be fresh.
+Test(TargetClient, connectionsAreReusedUnlessFreshIsAsked) {
+  HttpServerSettings settings;
+  HttpServer server(settings, [](const httplib::Request &, httplib::Response &res) {
+    res.set_content("ok", "text/plain");
+  });
+  cr_assert(server.start().ok());
+  Fixture f;
+  TargetAddress address{"127.0.0.1", server.port()};
+  cr_assert_not(f.get(address).ReusedConnection);
+  cr_assert(f.get(address).ReusedConnection);
+  TargetRequest fresh;
+  fresh.Method = "GET";
+  fresh.PathAndQuery = "/x";
+  fresh.FreshConnection = true;
+  cr_assert_not(
+      f.Pool.exchange(address, fresh, f.Clock.now() + core::Duration{5000}).ReusedConnection);
+}
--- a/src/observability/EventLog.cpp
+++ b/src/observability/EventLog.cpp
@@ -31,6 +31,12 @@
                           logging::keywords::format = "%TimeStamp% %Message%");
 }
 
+/// Events of single requests stay on the time line; a log line for each would dominate the load.
+bool isPerRequest(core::EventId id) {
+  return id == core::EventId::RequestFinished || id == core::EventId::RequestRefused ||
+         id == core::EventId::KeyRejected;
+}
+
 void writeLine(const TimelineEntry &entry) {
   // A logger of its own per thread avoids the lock of a shared one.
   thread_local boost::log::sources::logger logger;
@@ -67,8 +73,7 @@
     if (Entries.size() > MaxEntries)
       Entries.pop_front();
   }
-  // Per-request events stay on the time line only; one log line a request would dominate the load.
-  if (event.Id != core::EventId::RequestFinished)
+  if (!isPerRequest(event.Id))
     writeLine(entry);
 }
 
