--- /dev/null
+++ b/src/config/Command.h
@@ -0,0 +1,208 @@
+#pragma once
+
+#include "absl/status/statusor.h"
+#include "config/Records.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace briarspar::config {
+
+struct CreateCustomer {
+  core::CustomerId Id;
+  uint64_t Rate = 0;  ///< Requests per second.
+  uint64_t Burst = 0; ///< Requests.
+  uint32_t Weight = 1;
+};
+
+/// Changes the members that are set.
+struct UpdateCustomer {
+  core::CustomerId Id;
+  std::optional<uint64_t> Rate;
+  std::optional<uint64_t> Burst;
+  std::optional<uint32_t> Weight;
+};
+
+/// The id of the new key is `k` and the configuration version.
+struct CreateKey {
+  core::CustomerId Customer;
+  KeyDigest Digest{};
+};
+
+struct WithdrawKey {
+  core::KeyId Id;
+};
+
+struct CreateRoute {
+  core::RouteId Id;
+  std::string PathPrefix;
+  RouteAccess Access = RouteAccess::Keyed;
+  RouteSemantics Semantics = RouteSemantics::Once;
+  core::Duration Deadline;
+};
+
+struct DeleteRoute {
+  core::RouteId Id;
+};
+
+struct AddTarget {
+  core::TargetId Id;
+  core::RouteId Route;
+  std::string Address;
+  core::VersionId Version;
+  uint32_t Slots = 0;
+  core::RegionId Region;
+  core::DomainId Domain;
+};
+
+/// Only a draining target can be deleted.
+struct DeleteTarget {
+  core::TargetId Id;
+};
+
+struct SetCap {
+  CapId Id;
+  uint32_t Permille = 0;
+  core::Duration Per;
+};
+
+struct StartDrain {
+  DrainKind Kind = DrainKind::Target;
+  std::string Name;
+  core::Duration By; ///< 0: no limit.
+};
+
+struct UpdateDrain {
+  DrainId Id;
+  DrainState State = DrainState::Running;
+  std::string Reason;
+};
+
+/// Removes a drain, done or not; what it covered gets work again.
+struct CancelDrain {
+  DrainKind Kind = DrainKind::Target;
+  std::string Name;
+};
+
+/// The id of the new shift is `s` and the configuration version.
+struct StartShift {
+  std::string From;
+  std::string To;
+  uint32_t Permille = 0;
+  core::Duration By;
+};
+
+struct UpdateShift {
+  core::MoveId Id;
+  MoveState State = MoveState::Running;
+  std::string Reason;
+  uint32_t ShiftedPermille = 0;
+  std::string Progress;
+};
+
+/// The id of the new move is `m` and the configuration version.
+struct StartMove {
+  core::RouteId Route;
+  core::VersionId To;
+  core::Duration By;
+};
+
+/// A step of the move controller. State Done makes the new version the route's current version.
+struct UpdateMove {
+  core::MoveId Id;
+  MoveState State = MoveState::Running;
+  std::string Reason;
+  uint32_t SharePermille = 0;
+  std::string Progress;
+};
+
+/// Asks for a version move or a shift to be taken back. The share of a version move becomes 0 at
+/// once; a shift returns within its cap, step by step.
+struct CancelMove {
+  core::MoveId Id;
+};
+
+/// Adds a VM or replaces its record. A VM proposes it only if its record differs from its settings,
+/// so that a failure domain that returns causes no changes.
+struct PutVm {
+  core::VmId Id;
+  std::string ControlAddress;
+  std::string TrafficAddress;
+  core::RegionId Region;
+  core::DomainId Domain;
+};
+
+struct RemoveVm {
+  core::VmId Id;
+};
+
+using Change =
+    std::variant<CreateCustomer, UpdateCustomer, CreateKey, WithdrawKey, CreateRoute, DeleteRoute,
+                 AddTarget, DeleteTarget, SetCap, StartDrain, UpdateDrain, CancelDrain, StartShift,
+                 UpdateShift, StartMove, UpdateMove, CancelMove, PutVm, RemoveVm>;
+
+/// Longest accepted command id, operator name and record name, in bytes.
+constexpr size_t MaxNameBytes = 64;
+/// Longest accepted reason, in bytes.
+constexpr size_t MaxReasonBytes = 512;
+/// Longest accepted opaque progress of a move or shift, in bytes.
+constexpr size_t MaxProgressBytes = 16 * 1024;
+
+struct Command {
+  std::string Id;       ///< Chosen by the sender; a resend carries the same id.
+  std::string Operator; ///< Who sent it.
+  /// Version that the sender expects the record to have (the Changed.Version of the record); 0:
+  /// any. For a change that creates a record under a generated id, it is the version of the record
+  /// that the change is about: the customer of a key, the route of a move, the latest shift with
+  /// the same source.
+  core::ConfigVersion Expected;
+  Change What;
+  /// Log time at which the leader proposed the command; drains, shifts and moves start at it.
+  core::Time ProposedAt{};
+};
+
+struct Outcome {
+  enum Kind : uint8_t { Accepted, Conflict, Invalid };
+
+  Kind What = Invalid;
+  core::ConfigVersion At; ///< Configuration version after the command.
+  std::string Winner;     ///< Conflict: the id of the command that came first, if it is known.
+  std::string Reason;     ///< Conflict and Invalid: one sentence.
+  std::string Subject;    ///< Accepted: the id of the record created or changed.
+  /// The outcome belongs to an earlier command with the same id. It is set in the answer only.
+  bool Replayed = false;
+};
+template <> struct EnumNames<Outcome::Kind> {
+  static constexpr std::array<std::string_view, 3> Values{"accepted", "conflict", "invalid"};
+};
+
+/// The new value of a record, or its removal.
+struct RecordEdit {
+  RecordKind Kind = RecordKind::Customer;
+  std::string Id;
+  std::optional<AnyRecord> Value; ///< nullopt: the record was removed.
+};
+
+/// The difference between two configuration versions. Edits hold whole records, so a delta also
+/// applies to every version between From and To.
+struct Delta {
+  core::ConfigVersion From;
+  core::ConfigVersion To;
+  std::vector<RecordEdit> Edits; ///< At most one for each record.
+  uint64_t Digest = 0;           ///< Digest of the records at To.
+};
+
+/// CBOR forms. Decoding returns InvalidArgument or ResourceExhausted for bytes that are not one
+/// whole message; it never throws. It checks the form only; ConfigStore::apply checks the content.
+std::string encode(const Command &command);
+std::string encode(const Outcome &outcome);
+std::string encode(const Delta &delta);
+absl::StatusOr<Command> decodeCommand(std::string_view bytes);
+absl::StatusOr<Outcome> decodeOutcome(std::string_view bytes);
+absl::StatusOr<Delta> decodeDelta(std::string_view bytes);
+
+} // namespace briarspar::config
