--- a/src/config/Records.h
+++ b/src/config/Records.h
@@ -229,14 +229,17 @@
 };
 
 /// Returns the table of records of type R.
-template <class R> RecordTable<R> &tableOf(Records &records) {
-  RecordTable<R> *found = nullptr;
-  records.forEachTable([&](auto &table) {
+template <class R> const RecordTable<R> &tableOf(const Records &records) {
+  const RecordTable<R> *found = nullptr;
+  records.forEachTable([&](const auto &table) {
     if constexpr (std::is_same_v<std::decay_t<decltype(table)>, RecordTable<R>>)
       found = &table;
   });
   return *found;
 }
+template <class R> RecordTable<R> &tableOf(Records &records) {
+  return const_cast<RecordTable<R> &>(tableOf<R>(std::as_const(records)));
+}
 
 /// Returns the record with this id, or null.
 template <class R> const R *find(const RecordTable<R> &table, const decltype(R::Id) &id) {
