--- /dev/null
+++ b/src/config/ChangeApplier.cpp
@@ -0,0 +1,576 @@
+#include "config/ChangeApplier.h"
+
+#include "config/Encoding.h"
+#include "config/Text.h"
+#include "config/Validation.h"
+
+#include <algorithm>
+
+namespace briarspar::config {
+
+namespace {
+
+constexpr int64_t MaxRate = 1'000'000'000;
+constexpr int64_t MaxWeight = 1'000'000;
+constexpr int64_t MaxSlots = 1'000'000;
+constexpr int64_t MaxPermille = 1000;
+/// A claim of a request id is kept for 24 h; a longer deadline would outlive it.
+constexpr int64_t MaxDeadlineMs = int64_t{3600} * 1000;
+constexpr int64_t MaxPeriodMs = int64_t{366} * 24 * 3600 * 1000;
+/// The cap of this name limits every shift, so no place may have it.
+constexpr std::string_view CapOfAllShifts = "all";
+
+template <class R> constexpr RecordKind kindOf() {
+  return static_cast<RecordKind>(AnyRecord(std::in_place_type<R>).index());
+}
+
+/// Returns the first text that is not empty.
+std::string firstOf(std::initializer_list<std::string> texts) {
+  auto it =
+      std::find_if(texts.begin(), texts.end(), [](const auto &text) { return !text.empty(); });
+  return it == texts.end() ? std::string() : *it;
+}
+
+template <class R> std::string describe(const decltype(R::Id) &id) {
+  return concat(nameOf(kindOf<R>()), " ", id.Value);
+}
+
+/// Thousandths of traffic on the new side after an update to this state.
+uint32_t shareIn(MoveState state, uint32_t requested, uint32_t whenDone) {
+  if (state == MoveState::Done)
+    return whenDone;
+  return state == MoveState::TakenBack ? 0 : requested;
+}
+
+} // namespace
+
+ChangeApplier::ChangeApplier(const ConfigStore &store, const Command &command)
+    : Store(store), Current(store.records()),
+      Request(command), Next{store.version().next(), command.Id} {}
+
+Outcome ChangeApplier::decide() { return std::visit(*this, Request.What); }
+
+Outcome ChangeApplier::accepted(std::string subject) const {
+  Outcome outcome;
+  outcome.What = Outcome::Accepted;
+  outcome.Subject = std::move(subject);
+  return outcome;
+}
+
+Outcome ChangeApplier::invalid(std::string reason) const {
+  Outcome outcome;
+  outcome.What = Outcome::Invalid;
+  outcome.Reason = std::move(reason);
+  return outcome;
+}
+
+Outcome ChangeApplier::conflict(std::string winner, std::string reason) const {
+  Outcome outcome;
+  outcome.What = Outcome::Conflict;
+  outcome.Winner = std::move(winner);
+  outcome.Reason = std::move(reason);
+  return outcome;
+}
+
+bool ChangeApplier::isExpected(std::string_view what, const Stamp &stamp, Outcome &failure) const {
+  if (Request.Expected.Value == 0 || Request.Expected == stamp.Version)
+    return true;
+  failure = conflict(stamp.Command, concat(what, " has version ", stamp.Version.Value, ", not ",
+                                           Request.Expected.Value));
+  return false;
+}
+
+Outcome ChangeApplier::missing(RecordKind kind, const std::string &id) const {
+  auto it = Store.Removals.find({kind, id});
+  std::string what = concat(nameOf(kind), " ", id);
+  if (it == Store.Removals.end()) {
+    std::string reason = concat(what, " does not exist");
+    return Request.Expected.Value == 0 ? invalid(reason) : conflict("", reason);
+  }
+  const Stamp &removed = it->second;
+  std::string reason = concat(what, " was removed by command ", removed.Command, " at version ",
+                              removed.Version.Value);
+  return Request.Expected.Value == 0 ? invalid(reason) : conflict(removed.Command, reason);
+}
+
+template <class R>
+const R *ChangeApplier::subject(const decltype(R::Id) &id, Outcome &failure) const {
+  const R *record = find(tableOf<R>(Current), id);
+  if (record == nullptr) {
+    failure = missing(kindOf<R>(), id.Value);
+    return nullptr;
+  }
+  return isExpected(describe<R>(id), record->Changed, failure) ? record : nullptr;
+}
+
+template <class R> bool ChangeApplier::isFree(const decltype(R::Id) &id, Outcome &failure) const {
+  if (const R *record = find(tableOf<R>(Current), id)) {
+    failure = conflict(record->Changed.Command, concat(describe<R>(id), " exists already"));
+    return false;
+  }
+  if (Request.Expected.Value == 0)
+    return true;
+  failure = missing(kindOf<R>(), id.Value);
+  return false;
+}
+
+template <class R>
+bool ChangeApplier::mayReplace(const decltype(R::Id) &id, Outcome &failure) const {
+  if (find(tableOf<R>(Current), id) != nullptr)
+    return subject<R>(id, failure) != nullptr;
+  return isFree<R>(id, failure);
+}
+
+template <class R> void ChangeApplier::put(R record) {
+  record.Changed = Next;
+  std::string id = record.Id.Value;
+  Edits.push_back({kindOf<R>(), std::move(id), AnyRecord(std::move(record))});
+}
+
+template <class R> void ChangeApplier::remove(const decltype(R::Id) &id) {
+  Edits.push_back({kindOf<R>(), id.Value, std::nullopt});
+}
+
+Outcome ChangeApplier::operator()(const CreateCustomer &change) {
+  Outcome failure;
+  if (!isFree<CustomerRecord>(change.Id, failure))
+    return failure;
+  std::string wrong = firstOf({checkName("customer name", change.Id.Value),
+                               checkRange("rate", static_cast<int64_t>(change.Rate), 1, MaxRate),
+                               checkRange("burst", static_cast<int64_t>(change.Burst), 1, MaxRate),
+                               checkRange("weight", change.Weight, 1, MaxWeight)});
+  if (!wrong.empty())
+    return invalid(wrong);
+  put(CustomerRecord{change.Id, change.Rate, change.Burst, change.Weight, {}});
+  return accepted(change.Id.Value);
+}
+
+Outcome ChangeApplier::operator()(const UpdateCustomer &change) {
+  Outcome failure;
+  const auto *old = subject<CustomerRecord>(change.Id, failure);
+  if (old == nullptr)
+    return failure;
+  if (!change.Rate && !change.Burst && !change.Weight)
+    return invalid("the update sets none of rate, burst and weight");
+  CustomerRecord record = *old;
+  record.Rate = change.Rate.value_or(record.Rate);
+  record.Burst = change.Burst.value_or(record.Burst);
+  record.Weight = change.Weight.value_or(record.Weight);
+  std::string wrong = firstOf({checkRange("rate", static_cast<int64_t>(record.Rate), 1, MaxRate),
+                               checkRange("burst", static_cast<int64_t>(record.Burst), 1, MaxRate),
+                               checkRange("weight", record.Weight, 1, MaxWeight)});
+  if (!wrong.empty())
+    return invalid(wrong);
+  put(record);
+  return accepted(change.Id.Value);
+}
+
+Outcome ChangeApplier::operator()(const CreateKey &change) {
+  Outcome failure;
+  const auto *customer = subject<CustomerRecord>(change.Customer, failure);
+  if (customer == nullptr)
+    return failure;
+  if (change.Digest == KeyDigest{})
+    return invalid("the key has no digest");
+  for (const auto &[id, key] : Current.Keys)
+    if (key.Digest == change.Digest)
+      return invalid(concat("key ", id.Value, " has the same digest"));
+  KeyRecord key{core::KeyId(concat("k", Next.Version.Value)), change.Customer, change.Digest, {}};
+  put(key);
+  put(*customer);
+  return accepted(key.Id.Value);
+}
+
+Outcome ChangeApplier::operator()(const WithdrawKey &change) {
+  Outcome failure;
+  if (subject<KeyRecord>(change.Id, failure) == nullptr)
+    return failure;
+  remove<KeyRecord>(change.Id);
+  return accepted(change.Id.Value);
+}
+
+Outcome ChangeApplier::operator()(const CreateRoute &change) {
+  Outcome failure;
+  if (!isFree<RouteRecord>(change.Id, failure))
+    return failure;
+  std::string wrong =
+      firstOf({checkName("route name", change.Id.Value), checkPathPrefix(change.PathPrefix),
+               checkRange("deadline in ms", change.Deadline.Ms, 1, MaxDeadlineMs)});
+  if (!wrong.empty())
+    return invalid(wrong);
+  for (const auto &[id, route] : Current.Routes)
+    if (route.PathPrefix == change.PathPrefix)
+      return invalid(concat("route ", id.Value, " has the same path"));
+  put(RouteRecord{
+      change.Id, change.PathPrefix, change.Access, change.Semantics, change.Deadline, {}, {}});
+  return accepted(change.Id.Value);
+}
+
+Outcome ChangeApplier::operator()(const DeleteRoute &change) {
+  Outcome failure;
+  if (subject<RouteRecord>(change.Id, failure) == nullptr)
+    return failure;
+  for (const auto &[id, target] : Current.Targets)
+    if (target.Route == change.Id)
+      return invalid(concat("target ", id.Value, " serves the route; delete it first"));
+  if (const MoveRecord *move = runningMove(Current, change.Id))
+    return invalid(concat("move ", move->Id.Value, " of the route has not ended"));
+  remove<RouteRecord>(change.Id);
+  return accepted(change.Id.Value);
+}
+
+std::string ChangeApplier::checkPlace(const core::RegionId &region,
+                                      const core::DomainId &domain) const {
+  std::string wrong =
+      firstOf({checkName("region", region.Value), checkName("domain", domain.Value)});
+  if (!wrong.empty())
+    return wrong;
+  if (region.Value == CapOfAllShifts || domain.Value == CapOfAllShifts)
+    return concat("no region or domain may be named ", CapOfAllShifts);
+  if (region.Value == domain.Value)
+    return "region and domain have the same name";
+  auto check = [&](const auto &table) {
+    for (const auto &[id, record] : table) {
+      if (record.Domain == domain && record.Region != region)
+        return concat("domain ", domain.Value, " is in region ", record.Region.Value);
+      if (record.Domain.Value == region.Value || record.Region.Value == domain.Value)
+        return concat("a region and a domain would both be named ",
+                      record.Domain.Value == region.Value ? region.Value : domain.Value);
+    }
+    return std::string();
+  };
+  return firstOf({check(Current.Targets), check(Current.Vms)});
+}
+
+Outcome ChangeApplier::operator()(const AddTarget &change) {
+  Outcome failure;
+  if (!isFree<TargetRecord>(change.Id, failure))
+    return failure;
+  std::string wrong = firstOf(
+      {checkName("target name", change.Id.Value), checkAddress("address", change.Address),
+       checkName("version", change.Version.Value), checkRange("slots", change.Slots, 1, MaxSlots),
+       checkPlace(change.Region, change.Domain)});
+  if (!wrong.empty())
+    return invalid(wrong);
+  const RouteRecord *route = find(Current.Routes, change.Route);
+  if (route == nullptr)
+    return invalid(concat("route ", change.Route.Value, " does not exist"));
+  // Two records of one worker would grant its slots twice.
+  for (const auto &[id, target] : Current.Targets)
+    if (target.Address == change.Address)
+      return invalid(concat("target ", id.Value, " has the same address"));
+  put(TargetRecord{change.Id,
+                   change.Route,
+                   change.Address,
+                   change.Version,
+                   change.Slots,
+                   change.Region,
+                   change.Domain,
+                   TargetState::Active,
+                   {}});
+  if (route->Current.empty()) {
+    RouteRecord served = *route;
+    served.Current = change.Version;
+    put(served);
+  }
+  return accepted(change.Id.Value);
+}
+
+Outcome ChangeApplier::operator()(const DeleteTarget &change) {
+  Outcome failure;
+  const auto *target = subject<TargetRecord>(change.Id, failure);
+  if (target == nullptr)
+    return failure;
+  if (!isDraining(Current, *target))
+    return invalid(concat("target ", change.Id.Value, " is active; drain it first"));
+  remove<TargetRecord>(change.Id);
+  DrainId drain = drainId(DrainKind::Target, change.Id.Value);
+  if (find(Current.Drains, drain) != nullptr)
+    remove<DrainRecord>(drain);
+  return accepted(change.Id.Value);
+}
+
+Outcome ChangeApplier::operator()(const SetCap &change) {
+  Outcome failure;
+  if (!mayReplace<CapRecord>(change.Id, failure))
+    return failure;
+  std::string wrong = firstOf({checkName("cap name", change.Id.Value),
+                               checkRange("permille", change.Permille, 1, MaxPermille),
+                               checkRange("period in ms", change.Per.Ms, 1, MaxPeriodMs)});
+  if (!wrong.empty())
+    return invalid(wrong);
+  put(CapRecord{change.Id, change.Permille, change.Per, {}});
+  return accepted(change.Id.Value);
+}
+
+bool ChangeApplier::isPlace(const std::string &name) const {
+  auto isIn = [&](const auto &table) {
+    return std::any_of(table.begin(), table.end(), [&](const auto &it) {
+      return it.second.Region.Value == name || it.second.Domain.Value == name;
+    });
+  };
+  return isIn(Current.Targets) || isIn(Current.Vms);
+}
+
+Outcome ChangeApplier::touchDrained(DrainKind kind, const std::string &name, TargetState state) {
+  Outcome failure = accepted("");
+  if (kind == DrainKind::Target) {
+    if (const auto *target = subject<TargetRecord>(core::TargetId(name), failure)) {
+      TargetRecord record = *target;
+      record.State = state;
+      put(record);
+    }
+  } else if (kind == DrainKind::Vm) {
+    if (const auto *vm = subject<VmRecord>(core::VmId(name), failure))
+      put(*vm);
+  } else if (!isPlace(name)) {
+    failure = invalid(concat(nameOf(kind), " ", name, " holds no target and no VM"));
+  }
+  return failure;
+}
+
+Outcome ChangeApplier::operator()(const StartDrain &change) {
+  DrainId id = drainId(change.Kind, change.Name);
+  Outcome outcome;
+  bool ofPlace = change.Kind == DrainKind::Domain || change.Kind == DrainKind::Region;
+  if (ofPlace && !isFree<DrainRecord>(id, outcome))
+    return outcome;
+  outcome = touchDrained(change.Kind, change.Name, TargetState::Draining);
+  if (outcome.What != Outcome::Accepted)
+    return outcome;
+  if (const DrainRecord *drain = find(Current.Drains, id))
+    return conflict(drain->Changed.Command, concat("drain ", id.Value, " exists already"));
+  if (std::string wrong = checkRange("time in ms", change.By.Ms, 0, MaxPeriodMs); !wrong.empty())
+    return invalid(wrong);
+  put(DrainRecord{
+      id, change.Kind, change.Name, change.By, Request.ProposedAt, DrainState::Running, "", {}});
+  return accepted(id.Value);
+}
+
+Outcome ChangeApplier::operator()(const UpdateDrain &change) {
+  Outcome failure;
+  const auto *drain = subject<DrainRecord>(change.Id, failure);
+  if (drain == nullptr)
+    return failure;
+  if (std::string wrong = checkReason(change.Reason); !wrong.empty())
+    return invalid(wrong);
+  if (drain->State == DrainState::Done)
+    return invalid(concat("drain ", change.Id.Value, " is done"));
+  DrainRecord record = *drain;
+  record.State = change.State;
+  record.Reason = change.Reason;
+  put(record);
+  return accepted(change.Id.Value);
+}
+
+Outcome ChangeApplier::operator()(const CancelDrain &change) {
+  DrainId id = drainId(change.Kind, change.Name);
+  Outcome outcome;
+  bool ofPlace = change.Kind == DrainKind::Domain || change.Kind == DrainKind::Region;
+  if (ofPlace && subject<DrainRecord>(id, outcome) == nullptr)
+    return outcome;
+  if (!ofPlace) {
+    outcome = touchDrained(change.Kind, change.Name, TargetState::Active);
+    if (outcome.What != Outcome::Accepted)
+      return outcome;
+    if (find(Current.Drains, id) == nullptr)
+      return invalid(concat(nameOf(change.Kind), " ", change.Name, " is not draining"));
+  }
+  remove<DrainRecord>(id);
+  return accepted(id.Value);
+}
+
+std::string ChangeApplier::checkCaps(const StartShift &change) const {
+  for (const std::string &name : {change.From, change.To, std::string(CapOfAllShifts)}) {
+    const CapRecord *cap = find(Current.Caps, CapId(name));
+    if (cap == nullptr)
+      continue;
+    // Permille is at most 1,000 and periods are at most 366 days, so the products fit.
+    int64_t needed = change.Permille * cap->Per.Ms;
+    if (needed > cap->Permille * change.By.Ms)
+      return concat("cap ", name, " does not allow it: the shift needs ",
+                    (needed + cap->Permille - 1) / cap->Permille, " ms");
+  }
+  return {};
+}
+
+Outcome ChangeApplier::operator()(const StartShift &change) {
+  const ShiftRecord *last = nullptr;
+  for (const auto &[id, shift] : Current.Shifts)
+    if (shift.From == change.From && (!last || last->Changed.Version < shift.Changed.Version))
+      last = &shift;
+  Outcome failure;
+  if (last != nullptr &&
+      !isExpected(concat("the latest shift from ", change.From), last->Changed, failure))
+    return failure;
+  if (last == nullptr && Request.Expected.Value != 0)
+    return conflict("", concat("no shift from ", change.From, " exists"));
+  for (const auto &[id, shift] : Current.Shifts)
+    if (shift.From == change.From && !isFinal(shift.State))
+      return conflict(shift.Changed.Command, concat("shift ", id.Value, " has not ended"));
+  for (const std::string &name : {change.From, change.To})
+    if (!isPlace(name))
+      return invalid(concat("no region or domain is named ", name));
+  std::string wrong =
+      firstOf({change.From == change.To ? "source and destination are the same" : "",
+               checkRange("permille", change.Permille, 1, MaxPermille),
+               checkRange("time in ms", change.By.Ms, 1, MaxPeriodMs)});
+  if (wrong.empty())
+    wrong = checkCaps(change);
+  if (!wrong.empty())
+    return invalid(wrong);
+  ShiftRecord shift;
+  shift.Id = core::MoveId(concat("s", Next.Version.Value));
+  shift.From = change.From;
+  shift.To = change.To;
+  shift.Permille = change.Permille;
+  shift.By = change.By;
+  shift.StartedAt = Request.ProposedAt;
+  put(shift);
+  return accepted(shift.Id.Value);
+}
+
+template <class R, class U>
+Outcome ChangeApplier::updateProgress(const R &record, const U &update) {
+  if (isFinal(record.State))
+    return invalid(concat(describe<R>(record.Id), " has ended: ", nameOf(record.State)));
+  if (record.State == MoveState::TakingBack && update.State != MoveState::TakingBack &&
+      update.State != MoveState::TakenBack)
+    return invalid(concat(describe<R>(record.Id), " is being taken back"));
+  if (update.Progress.size() > MaxProgressBytes)
+    return invalid(concat("progress is longer than ", MaxProgressBytes, " bytes"));
+  if (std::string wrong = checkReason(update.Reason); !wrong.empty())
+    return invalid(wrong);
+  R next = record;
+  next.State = update.State;
+  next.Reason = update.Reason;
+  next.Progress = update.Progress;
+  if constexpr (std::is_same_v<R, ShiftRecord>) {
+    if (update.ShiftedPermille > record.Permille)
+      return invalid("the shifted part is larger than the shift");
+    next.ShiftedPermille = shareIn(update.State, update.ShiftedPermille, record.Permille);
+  } else {
+    if (update.SharePermille > MaxPermille)
+      return invalid("the share is larger than 1000 permille");
+    next.SharePermille = shareIn(update.State, update.SharePermille, MaxPermille);
+  }
+  put(next);
+  if (isFinal(update.State))
+    pruneFinished<R>(record.Id);
+  return accepted(record.Id.Value);
+}
+
+template <class R> void ChangeApplier::pruneFinished(const core::MoveId &justFinished) {
+  std::vector<const R *> finished;
+  for (const auto &[id, record] : tableOf<R>(Current))
+    if (isFinal(record.State) && id != justFinished)
+      finished.push_back(&record);
+  std::sort(finished.begin(), finished.end(),
+            [](const R *a, const R *b) { return a->Changed.Version < b->Changed.Version; });
+  size_t total = finished.size() + 1;
+  for (size_t n = 0; n < finished.size() && total > Store.Settings.FinishedMoves; ++n, --total)
+    remove<R>(finished[n]->Id);
+}
+
+Outcome ChangeApplier::operator()(const UpdateShift &change) {
+  Outcome failure;
+  const auto *shift = subject<ShiftRecord>(change.Id, failure);
+  return shift == nullptr ? failure : updateProgress(*shift, change);
+}
+
+Outcome ChangeApplier::operator()(const StartMove &change) {
+  Outcome failure;
+  const auto *route = subject<RouteRecord>(change.Route, failure);
+  if (route == nullptr)
+    return failure;
+  if (const MoveRecord *move = runningMove(Current, change.Route))
+    return conflict(move->Changed.Command,
+                    concat("move ", move->Id.Value, " of the route has not ended"));
+  if (route->Current == change.To)
+    return invalid(concat("version ", change.To.Value, " serves the route already"));
+  bool hasTarget = std::any_of(Current.Targets.begin(), Current.Targets.end(), [&](const auto &it) {
+    const TargetRecord &target = it.second;
+    return target.Route == change.Route && target.Version == change.To &&
+           !isDraining(Current, target);
+  });
+  if (!hasTarget)
+    return invalid(concat("no active target of the route has version ", change.To.Value));
+  if (std::string wrong = checkRange("time in ms", change.By.Ms, 1, MaxPeriodMs); !wrong.empty())
+    return invalid(wrong);
+  MoveRecord move;
+  move.Id = core::MoveId(concat("m", Next.Version.Value));
+  move.Route = change.Route;
+  move.From = route->Current;
+  move.To = change.To;
+  move.By = change.By;
+  move.StartedAt = Request.ProposedAt;
+  put(move);
+  put(*route);
+  return accepted(move.Id.Value);
+}
+
+Outcome ChangeApplier::operator()(const UpdateMove &change) {
+  Outcome failure;
+  const auto *move = subject<MoveRecord>(change.Id, failure);
+  if (move == nullptr)
+    return failure;
+  Outcome outcome = updateProgress(*move, change);
+  const RouteRecord *route = find(Current.Routes, move->Route);
+  if (outcome.What == Outcome::Accepted && change.State == MoveState::Done && route != nullptr) {
+    RouteRecord record = *route;
+    record.Current = move->To;
+    put(record);
+  }
+  return outcome;
+}
+
+Outcome ChangeApplier::operator()(const CancelMove &change) {
+  Outcome failure;
+  auto takeBack = [&](const auto *record) {
+    if (record->State != MoveState::Running)
+      return invalid(
+          concat(change.Id.Value, " cannot be cancelled; its state is ", nameOf(record->State)));
+    auto next = *record;
+    next.State = MoveState::TakingBack;
+    next.Reason = concat("cancelled by ", Request.Operator);
+    if constexpr (std::is_same_v<decltype(next), MoveRecord>)
+      next.SharePermille = 0;
+    put(next);
+    return accepted(change.Id.Value);
+  };
+  if (find(Current.Shifts, change.Id) != nullptr) {
+    const auto *shift = subject<ShiftRecord>(change.Id, failure);
+    return shift == nullptr ? failure : takeBack(shift);
+  }
+  const auto *move = subject<MoveRecord>(change.Id, failure);
+  return move == nullptr ? failure : takeBack(move);
+}
+
+Outcome ChangeApplier::operator()(const PutVm &change) {
+  Outcome failure;
+  if (!mayReplace<VmRecord>(change.Id, failure))
+    return failure;
+  std::string wrong = firstOf({checkName("VM name", change.Id.Value),
+                               checkAddress("control address", change.ControlAddress),
+                               checkAddress("traffic address", change.TrafficAddress)});
+  if (wrong.empty())
+    wrong = checkPlace(change.Region, change.Domain);
+  if (!wrong.empty())
+    return invalid(wrong);
+  put(VmRecord{
+      change.Id, change.ControlAddress, change.TrafficAddress, change.Region, change.Domain, {}});
+  return accepted(change.Id.Value);
+}
+
+Outcome ChangeApplier::operator()(const RemoveVm &change) {
+  Outcome failure;
+  if (subject<VmRecord>(change.Id, failure) == nullptr)
+    return failure;
+  remove<VmRecord>(change.Id);
+  DrainId drain = drainId(DrainKind::Vm, change.Id.Value);
+  if (find(Current.Drains, drain) != nullptr)
+    remove<DrainRecord>(drain);
+  return accepted(change.Id.Value);
+}
+
+} // namespace briarspar::config
--- /dev/null
+++ b/src/config/ChangeApplier.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "config/ConfigStore.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace briarspar::config {
+
+/// Decides one command against the records and collects the edits that it makes. It changes nothing
+/// itself; ConfigStore commits the edits of an accepted command.
+class ChangeApplier {
+public:
+  ChangeApplier(const ConfigStore &store, const Command &command);
+
+  /// Decides the command. Outcome::At is not set.
+  Outcome decide();
+
+  std::vector<RecordEdit> takeEdits() { return std::move(Edits); }
+
+  Outcome operator()(const CreateCustomer &change);
+  Outcome operator()(const UpdateCustomer &change);
+  Outcome operator()(const CreateKey &change);
+  Outcome operator()(const WithdrawKey &change);
+  Outcome operator()(const CreateRoute &change);
+  Outcome operator()(const DeleteRoute &change);
+  Outcome operator()(const AddTarget &change);
+  Outcome operator()(const DeleteTarget &change);
+  Outcome operator()(const SetCap &change);
+  Outcome operator()(const StartDrain &change);
+  Outcome operator()(const UpdateDrain &change);
+  Outcome operator()(const CancelDrain &change);
+  Outcome operator()(const StartShift &change);
+  Outcome operator()(const UpdateShift &change);
+  Outcome operator()(const StartMove &change);
+  Outcome operator()(const UpdateMove &change);
+  Outcome operator()(const CancelMove &change);
+  Outcome operator()(const PutVm &change);
+  Outcome operator()(const RemoveVm &change);
+
+private:
+  Outcome accepted(std::string subject) const;
+  Outcome invalid(std::string reason) const;
+  Outcome conflict(std::string winner, std::string reason) const;
+
+  /// Returns the record that the command is about. If it is missing, or is not at the expected
+  /// version, returns null and sets `failure`.
+  template <class R> const R *subject(const decltype(R::Id) &id, Outcome &failure) const;
+  /// True if no record has this id and the command expects none; otherwise sets `failure`.
+  template <class R> bool isFree(const decltype(R::Id) &id, Outcome &failure) const;
+  /// True if the record is absent and none is expected, or is at the expected version.
+  template <class R> bool mayReplace(const decltype(R::Id) &id, Outcome &failure) const;
+  bool isExpected(std::string_view what, const Stamp &stamp, Outcome &failure) const;
+  Outcome missing(RecordKind kind, const std::string &id) const;
+
+  template <class R> void put(R record);
+  template <class R> void remove(const decltype(R::Id) &id);
+  template <class R> void pruneFinished(const core::MoveId &justFinished);
+  template <class R, class U> Outcome updateProgress(const R &record, const U &update);
+
+  /// Marks what the drain covers as changed, so that its version moves with the drain.
+  Outcome touchDrained(DrainKind kind, const std::string &name, TargetState state);
+  std::string checkPlace(const core::RegionId &region, const core::DomainId &domain) const;
+  bool isPlace(const std::string &name) const;
+  std::string checkCaps(const StartShift &change) const;
+
+  const ConfigStore &Store;
+  const Records &Current;
+  const Command &Request;
+  Stamp Next; ///< Stamp of the records that the command changes.
+  std::vector<RecordEdit> Edits;
+};
+
+} // namespace briarspar::config
--- a/src/config/ConfigStore.h
+++ b/src/config/ConfigStore.h
@@ -3,6 +3,7 @@
 #include "absl/status/status.h"
 #include "config/Command.h"
 #include "config/Records.h"
+#include "core/Codec.h"
 
 #include <cstdint>
 #include <deque>
@@ -86,7 +87,9 @@
   void commit(std::vector<RecordEdit> edits, const std::string &commandId);
   void remember(const Command &command, uint64_t fingerprint, const Outcome &outcome);
   void rememberRemoval(const RecordKey &key, const Stamp &stamp);
-  void trimHistory();
+  void recordHistory(std::vector<RecordEdit> edits);
+  absl::Status restoreCommands(const core::Json &j);
+  absl::Status restoreRemovals(const core::Json &j);
 
   ConfigStoreSettings Settings;
   Records Current;
@@ -97,7 +100,8 @@
   std::map<RecordKey, Stamp> Removals;
   std::deque<std::pair<RecordKey, core::ConfigVersion>> RemovalOrder;
   std::deque<HistoryEntry> History;
-  size_t HistorySize = 0; ///< Bytes of all entries.
+  size_t HistorySize = 0;          ///< Bytes of all entries.
+  core::ConfigVersion HistoryBase; ///< Deltas reach back to this version.
 };
 
 } // namespace briarspar::config
