Follow configuration deltas at a VM

Cause: a VM gets deltas late, twice, out of order or not at all, and its version must never decrease. Change: ConfigReplica applies overlapping deltas, reports gaps, and asks for the full state on a digest mismatch; a full state below its version is refused.

--- /dev/null
+++ b/src/config/ConfigReplica.cpp
@@ -0,0 +1,32 @@
+#include "config/ConfigReplica.h"
+#include "config/Text.h"
+
+namespace briarspar::config {
+
+ConfigReplica::Step ConfigReplica::receive(const Delta &delta) {
+  if (Mismatch)
+    return Step::NeedFullState;
+  core::ConfigVersion before = version();
+  absl::Status status = Store.applyDelta(delta);
+  if (absl::IsFailedPrecondition(status))
+    return Step::Gap;
+  if (!status.ok()) {
+    Mismatch = true;
+    return Step::NeedFullState;
+  }
+  return version() > before ? Step::Applied : Step::Unchanged;
+}
+
+absl::Status ConfigReplica::receiveFullState(std::string_view bytes) {
+  ConfigStore next;
+  if (absl::Status status = next.restore(bytes); !status.ok())
+    return status;
+  if (next.version() < version())
+    return absl::FailedPreconditionError(concat("full state has version ", next.version().Value,
+                                                "; the version here is already ", version().Value));
+  Store = std::move(next);
+  Mismatch = false;
+  return absl::OkStatus();
+}
+
+} // namespace briarspar::config
