Declare the interfaces of the agreement slice

Other slices build against the replica, its messages and its storage before the implementation is there. The headers compile alone; nothing is linked yet.

--- /dev/null
+++ b/src/agreement/Replica.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "agreement/Actions.h"
+#include "agreement/LogStorage.h"
+#include "agreement/RandomSource.h"
+#include "agreement/ReplicaSettings.h"
+#include "agreement/StateMachine.h"
+#include "core/Clock.h"
+
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace briarspar::agreement {
+
+struct ReplicaParts;
+
+/// One voter or learner of an agreement group, as a deterministic state machine. It owns no thread,
+/// socket or clock. Not thread-safe: one thread makes all calls, with times that never decrease.
+/// After every call that takes a time the embedder calls `take` and carries out the actions.
+class Replica {
+public:
+  /// Loads the stored state. The state machine must be empty; it is restored from the snapshot.
+  /// The references must outlive the replica. Returns the storage's error, or DataLoss when the
+  /// stored state is inconsistent.
+  static absl::StatusOr<std::unique_ptr<Replica>> open(const ReplicaSettings &settings,
+                                                       LogStorage &storage, StateMachine &machine,
+                                                       RandomSource &random, core::Time now);
+
+  ~Replica();
+  Replica(const Replica &) = delete;
+  Replica &operator=(const Replica &) = delete;
+
+  /// Processes a message from another replica. Messages for another group or identity are ignored.
+  void receive(const Envelope &envelope, core::Time now);
+
+  /// Advances timers. To be called at least every 50 ms.
+  void tick(core::Time now);
+
+  /// Appends a command and returns its index; the result follows in `take`. Returns Unavailable
+  /// when this replica is not the leader or its storage failed, InvalidArgument for a command that
+  /// is too long, and ResourceExhausted when too many proposals are pending.
+  absl::StatusOr<core::LogIndex> propose(std::string_view command, core::Time now);
+
+  /// Adds a voter, first as a learner; the leader makes it a voter when it has caught up. Returns
+  /// Unavailable when not the leader, FailedPrecondition while another change is in progress or an
+  /// older identity of the VM is still a member, and InvalidArgument for an identity that was used
+  /// before.
+  absl::Status addVoter(const VoterId &id, core::Time now);
+
+  /// Removes a voter or learner. Returns Unavailable when not the leader, FailedPrecondition while
+  /// another change is in progress or when it is the last voter, and NotFound for a non-member.
+  absl::Status removeVoter(const VoterId &id, core::Time now);
+
+  /// Returns whether this replica believes itself the leader. Authority needs the lease as well.
+  bool isLeader() const;
+
+  /// Returns whether no other replica can be leader at `now`.
+  bool holdsLeaderLease(core::Time now) const;
+
+  /// Returns OK when the local state machine holds every command that was acknowledged anywhere
+  /// before `now`: this replica holds the lease and has committed an entry of its own term.
+  /// Returns Unavailable otherwise.
+  absl::Status canRead(core::Time now) const;
+
+  /// Returns the leader that this replica last heard from in its term.
+  std::optional<VoterId> leaderHint() const;
+
+  /// Writes and syncs everything that was appended since the last call, then returns the messages
+  /// and results that relied on it. Several proposals before one call share one sync.
+  Actions take();
+
+  const VoterId &self() const;
+  Role role() const;
+  core::Term term() const;
+  core::LogIndex commitIndex() const;
+  core::LogIndex lastIndex() const;
+
+  /// Returns the newest configuration in the log, committed or not.
+  const Configuration &configuration() const;
+
+  /// Returns the error that stopped this replica, or OK.
+  absl::Status health() const;
+
+private:
+  explicit Replica(std::unique_ptr<ReplicaParts> parts);
+
+  std::unique_ptr<ReplicaParts> Parts;
+};
+
+} // namespace briarspar::agreement
