Implement the replica, its log storage and its messages

Election, follower and leader replication, membership change and applying are separate classes over one shared state; take() makes one sync for everything since the last call and releases the messages and results after it. The log file is a sequence of checksummed records that carry the durable length at the time of writing, so that recovery tells a torn tail from damage to synced records.

--- /dev/null
+++ b/src/agreement/FileLogStorage.cpp
@@ -0,0 +1,294 @@
+#include "agreement/FileLogStorage.h"
+
+#include "absl/strings/str_cat.h"
+#include "agreement/Cbor.h"
+#include "agreement/RecordFile.h"
+
+#include <utility>
+
+namespace briarspar::agreement {
+
+using core::Json;
+
+namespace {
+
+std::string identityPath(const std::string &folder) { return folder + "/identity"; }
+std::string snapshotPath(const std::string &folder) { return folder + "/snapshot"; }
+std::string logPath(const std::string &folder) { return folder + "/log"; }
+
+std::string identityPayload(const Identity &owner) {
+  return core::encodeCbor({{"group", owner.Group.Value}, {"self", voterIdJson(owner.Self)}});
+}
+
+Identity readIdentity(const Json &j) {
+  return {GroupId(readText(j, "group")), readVoterId(j, "self")};
+}
+
+std::string hardStatePayload(const HardState &state) {
+  Json vote = state.Vote ? voterIdJson(*state.Vote) : Json();
+  return core::encodeCbor({{"term", state.Current.Value}, {"vote", std::move(vote)}});
+}
+
+HardState readHardState(const Json &j) {
+  HardState state;
+  state.Current = core::Term(readNumber(j, "term"));
+  if (!j.at("vote").is_null())
+    state.Vote = readVoterId(j, "vote");
+  return state;
+}
+
+std::string snapshotPayload(const Snapshot &snapshot) {
+  return core::encodeCbor({{"index", snapshot.Index.Value},
+                           {"term", snapshot.InTerm.Value},
+                           {"members", configurationJson(snapshot.Members)}});
+}
+
+Snapshot readSnapshotHead(const Json &j) {
+  Snapshot snapshot;
+  snapshot.Index = core::LogIndex(readNumber(j, "index"));
+  snapshot.InTerm = core::Term(readNumber(j, "term"));
+  snapshot.Members = readConfiguration(j.at("members"));
+  return snapshot;
+}
+
+absl::Status writeAll(File &file, std::string_view bytes) {
+  while (!bytes.empty()) {
+    absl::StatusOr<size_t> n = file.write(bytes);
+    if (!n.ok())
+      return n.status();
+    if (*n == 0 || *n > bytes.size())
+      return absl::DataLossError(absl::StrCat("short write: ", bytes.size(), " bytes remain"));
+    bytes.remove_prefix(*n);
+  }
+  return absl::OkStatus();
+}
+
+/// Writes a synced temporary file and renames it to `path`. Returns the open file.
+absl::StatusOr<std::unique_ptr<File>> replaceFile(FileSystem &files, const std::string &folder,
+                                                  const std::string &path,
+                                                  std::string_view content) {
+  std::string temporary = path + ".new";
+  absl::StatusOr<std::unique_ptr<File>> file = files.create(temporary);
+  if (!file.ok())
+    return file.status();
+  absl::Status status = writeAll(**file, content);
+  if (status.ok())
+    status = (*file)->sync();
+  if (status.ok())
+    status = files.rename(temporary, path);
+  if (status.ok())
+    status = files.syncFolder(folder);
+  if (!status.ok())
+    return status;
+  return file;
+}
+
+std::string logContent(const HardState &state, absl::Span<const Entry> entries) {
+  std::string content;
+  appendRecord(content, hardStatePayload(state), 0);
+  for (const Entry &entry : entries)
+    appendRecord(content, core::encodeCbor(entryJson(entry)), 0);
+  return content;
+}
+
+absl::Status asDataLoss(const absl::Status &status, const std::string &path) {
+  return absl::DataLossError(absl::StrCat(path, ": ", status.message()));
+}
+
+/// Reads a file whose records were all synced before it got its name.
+absl::StatusOr<std::vector<std::string_view>> readSynced(std::string_view content,
+                                                         const std::string &path, size_t count) {
+  absl::StatusOr<std::vector<std::string_view>> records = readRecords(content);
+  if (!records.ok())
+    return asDataLoss(records.status(), path);
+  if (records->size() != count)
+    return absl::DataLossError(absl::StrCat(path, ": a record is missing or damaged"));
+  return records;
+}
+
+absl::Status addEntry(std::vector<Entry> &entries, Entry entry) {
+  while (!entries.empty() && entries.back().Index >= entry.Index)
+    entries.pop_back();
+  if (!entries.empty() && entries.back().Index.next() != entry.Index)
+    return absl::DataLossError("log entries are not contiguous");
+  entries.push_back(std::move(entry));
+  return absl::OkStatus();
+}
+
+/// Applies one log record, which is a hard state or an entry.
+absl::Status addLogRecord(StoredState &state, std::string_view payload) {
+  absl::StatusOr<Json> j = core::decodeCbor(payload);
+  if (!j.ok())
+    return j.status();
+  try {
+    if (!j->is_object() || !j->contains("vote"))
+      return addEntry(state.Entries, readEntry(*j));
+    state.Election = readHardState(*j);
+    return absl::OkStatus();
+  } catch (const nlohmann::json::exception &e) {
+    return absl::DataLossError(e.what());
+  }
+}
+
+absl::Status loadSnapshot(FileSystem &files, const std::string &folder, StoredState &state) {
+  std::string path = snapshotPath(folder);
+  absl::StatusOr<std::string> content = files.read(path);
+  if (absl::IsNotFound(content.status()))
+    return absl::OkStatus();
+  if (!content.ok())
+    return content.status();
+  absl::StatusOr<std::vector<std::string_view>> records = readSynced(*content, path, 2);
+  if (!records.ok())
+    return records.status();
+  absl::StatusOr<Snapshot> snapshot = decodeWith((*records)[0], readSnapshotHead);
+  if (!snapshot.ok())
+    return asDataLoss(snapshot.status(), path);
+  snapshot->Data = std::string((*records)[1]);
+  state.Base = *std::move(snapshot);
+  return absl::OkStatus();
+}
+
+absl::Status loadLog(FileSystem &files, const std::string &folder, StoredState &state) {
+  std::string path = logPath(folder);
+  absl::StatusOr<std::string> content = files.read(path);
+  if (!content.ok())
+    return asDataLoss(content.status(), path);
+  absl::StatusOr<std::vector<std::string_view>> records = readRecords(*content);
+  if (!records.ok())
+    return asDataLoss(records.status(), path);
+  if (records->empty())
+    return absl::DataLossError(absl::StrCat(path, ": the first record is damaged"));
+  for (std::string_view payload : *records)
+    if (absl::Status status = addLogRecord(state, payload); !status.ok())
+      return asDataLoss(status, path);
+  return absl::OkStatus();
+}
+
+} // namespace
+
+absl::Status FileLogStorage::initialize(FileSystem &files, const std::string &folder,
+                                        const Identity &owner, const Configuration *first) {
+  if (first != nullptr && !first->isVoter(owner.Self))
+    return absl::InvalidArgumentError("the first configuration does not list this voter");
+  if (absl::Status status = files.createFolder(folder); !status.ok())
+    return status;
+  absl::StatusOr<std::unique_ptr<FolderLock>> lock = files.lockFolder(folder);
+  if (!lock.ok())
+    return lock.status();
+  absl::StatusOr<std::string> existing = files.read(identityPath(folder));
+  if (existing.ok())
+    return absl::AlreadyExistsError(absl::StrCat(folder, " is initialized"));
+  if (!absl::IsNotFound(existing.status()))
+    return existing.status();
+  std::vector<Entry> entries;
+  if (first != nullptr)
+    entries.push_back(bootstrapEntry(*first));
+  absl::StatusOr<std::unique_ptr<File>> log =
+      replaceFile(files, folder, logPath(folder), logContent({}, entries));
+  if (!log.ok())
+    return log.status();
+  // The identity comes last: a folder without it counts as empty.
+  std::string content;
+  appendRecord(content, identityPayload(owner), 0);
+  return replaceFile(files, folder, identityPath(folder), content).status();
+}
+
+absl::StatusOr<std::unique_ptr<FileLogStorage>> FileLogStorage::open(FileSystem &files,
+                                                                     const std::string &folder) {
+  std::string path = identityPath(folder);
+  absl::StatusOr<std::string> content = files.read(path);
+  if (!content.ok())
+    return content.status();
+  absl::StatusOr<std::vector<std::string_view>> records = readSynced(*content, path, 1);
+  if (!records.ok())
+    return records.status();
+  absl::StatusOr<Identity> owner = decodeWith(records->front(), readIdentity);
+  if (!owner.ok())
+    return asDataLoss(owner.status(), path);
+  absl::StatusOr<std::unique_ptr<FolderLock>> lock = files.lockFolder(folder);
+  if (!lock.ok())
+    return lock.status();
+  return std::unique_ptr<FileLogStorage>(
+      new FileLogStorage(files, folder, *std::move(owner), *std::move(lock)));
+}
+
+FileLogStorage::FileLogStorage(FileSystem &files, std::string folder, Identity owner,
+                               std::unique_ptr<FolderLock> lock)
+    : Files(files), Folder(std::move(folder)), Owner(std::move(owner)), Lock(std::move(lock)) {}
+
+absl::StatusOr<StoredState> FileLogStorage::load() {
+  if (!Failure.ok())
+    return Failure;
+  StoredState state;
+  state.Owner = Owner;
+  if (absl::Status status = loadSnapshot(Files, Folder, state); !status.ok())
+    return status;
+  if (absl::Status status = loadLog(Files, Folder, state); !status.ok())
+    return status;
+  if (absl::Status status = replaceLog(state.Election, state.Entries); !status.ok())
+    return fail(status);
+  return state;
+}
+
+absl::Status FileLogStorage::saveHardState(const HardState &state) {
+  appendRecord(Pending, hardStatePayload(state), SyncedBytes);
+  return Failure;
+}
+
+absl::Status FileLogStorage::append(absl::Span<const Entry> entries) {
+  for (const Entry &entry : entries)
+    appendRecord(Pending, core::encodeCbor(entryJson(entry)), SyncedBytes);
+  return Failure;
+}
+
+absl::Status FileLogStorage::sync() {
+  if (!Failure.ok())
+    return Failure;
+  if (Log == nullptr)
+    return fail(absl::FailedPreconditionError("the storage is not loaded"));
+  if (absl::Status status = writePending(); !status.ok())
+    return fail(status);
+  return absl::OkStatus();
+}
+
+absl::Status FileLogStorage::writePending() {
+  if (absl::Status status = writeAll(*Log, Pending); !status.ok())
+    return status;
+  if (absl::Status status = Log->sync(); !status.ok())
+    return status;
+  SyncedBytes += Pending.size();
+  Pending.clear();
+  return absl::OkStatus();
+}
+
+absl::Status FileLogStorage::saveSnapshot(const Snapshot &snapshot, const HardState &state,
+                                          absl::Span<const Entry> kept) {
+  if (!Failure.ok())
+    return Failure;
+  std::string content;
+  appendRecord(content, snapshotPayload(snapshot), 0);
+  appendRecord(content, snapshot.Data, 0);
+  absl::Status status = replaceFile(Files, Folder, snapshotPath(Folder), content).status();
+  // Only then may the log lose the entries that the snapshot replaces.
+  if (status.ok())
+    status = replaceLog(state, kept);
+  return status.ok() ? status : fail(status);
+}
+
+absl::Status FileLogStorage::replaceLog(const HardState &state, absl::Span<const Entry> entries) {
+  std::string content = logContent(state, entries);
+  absl::StatusOr<std::unique_ptr<File>> file = replaceFile(Files, Folder, logPath(Folder), content);
+  if (!file.ok())
+    return file.status();
+  Log = *std::move(file);
+  Pending.clear();
+  SyncedBytes = content.size();
+  return absl::OkStatus();
+}
+
+absl::Status FileLogStorage::fail(absl::Status status) {
+  Failure = status;
+  return status;
+}
+
+} // namespace briarspar::agreement
--- /dev/null
+++ b/src/agreement/FileSystem.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace briarspar::agreement {
+
+/// An open file that is written from start to end. Closed by the destructor.
+class File {
+public:
+  virtual ~File() = default;
+
+  /// Writes at the end and returns the number of bytes written, which may be less than asked.
+  /// Returns ResourceExhausted when the disk is full.
+  virtual absl::StatusOr<size_t> write(std::string_view bytes) = 0;
+
+  /// Makes the content durable.
+  virtual absl::Status sync() = 0;
+};
+
+/// Holds the exclusive use of a data folder until it is destroyed.
+class FolderLock {
+public:
+  virtual ~FolderLock() = default;
+};
+
+/// The file operations that FileLogStorage needs. Tests replace it by one that fails.
+class FileSystem {
+public:
+  virtual ~FileSystem() = default;
+
+  /// Creates a folder if it is missing; its parent must exist.
+  virtual absl::Status createFolder(const std::string &path) = 0;
+
+  /// Returns FailedPrecondition when another process holds the lock.
+  virtual absl::StatusOr<std::unique_ptr<FolderLock>> lockFolder(const std::string &path) = 0;
+
+  /// Creates an empty file, replacing an older one.
+  virtual absl::StatusOr<std::unique_ptr<File>> create(const std::string &path) = 0;
+
+  /// Returns the whole content, or NotFound.
+  virtual absl::StatusOr<std::string> read(const std::string &path) = 0;
+
+  /// Replaces `to` by `from` atomically. Durable after `syncFolder`.
+  virtual absl::Status rename(const std::string &from, const std::string &to) = 0;
+
+  /// Makes creations and renames in a folder durable.
+  virtual absl::Status syncFolder(const std::string &path) = 0;
+};
+
+} // namespace briarspar::agreement
--- /dev/null
+++ b/src/agreement/LeaderReplication.cpp
@@ -0,0 +1,235 @@
+#include "agreement/LeaderReplication.h"
+
+#include "core/Hash.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace briarspar::agreement {
+
+namespace {
+
+// Times are truncated to milliseconds on both sides, which can make a remote span up to 2 ms
+// shorter than measured here.
+constexpr core::Duration ClockResolutionMargin{2};
+
+// A time before every real one: nothing was acknowledged.
+constexpr core::Time Never{std::numeric_limits<int64_t>::min() / 2};
+
+} // namespace
+
+void LeaderReplication::start() {
+  StartedAt = State.Now;
+  SyncedIndex = core::LogIndex();
+  SyncedAt = Never;
+  Peers.clear();
+  StartIndex = State.appendOwn(EntryKind::NoOperation, "");
+  State.Leader = State.self();
+  refreshPeers();
+}
+
+void LeaderReplication::refreshPeers() {
+  const Configuration &members = State.Log.configuration();
+  for (auto it = Peers.begin(); it != Peers.end();)
+    it = members.contains(it->first) ? std::next(it) : Peers.erase(it);
+  auto add = [this](const VoterId &id) {
+    if (id == State.self() || Peers.count(id) != 0)
+      return;
+    Peer &peer = Peers[id];
+    peer.Next = State.Log.lastIndex();
+    peer.AckedSentAt = Never;
+    sendTo(id, peer);
+  };
+  for (const VoterId &id : members.Voters)
+    add(id);
+  for (const VoterId &id : members.Learners)
+    add(id);
+}
+
+void LeaderReplication::tick() {
+  for (auto &[id, peer] : Peers)
+    if (State.Now - peer.LastSent >= State.Settings.Heartbeat)
+      sendTo(id, peer);
+}
+
+void LeaderReplication::checkQuorum() {
+  core::Time limit = std::max(quorumAckedAt(), StartedAt) + leaseLength();
+  if (State.Now >= limit)
+    State.becomeFollower(State.term());
+}
+
+core::Duration LeaderReplication::leaseLength() const {
+  return core::shortenForClockRate(State.Settings.MinElectionTimeout) - ClockResolutionMargin;
+}
+
+core::Time LeaderReplication::quorumAckedAt() const {
+  auto ackedAt = [this](const VoterId &id) {
+    if (id == State.self())
+      return SyncedAt;
+    auto it = Peers.find(id);
+    return it == Peers.end() ? Never : it->second.AckedSentAt;
+  };
+  return quorumValue<core::Time>(State.Log.configuration(), ackedAt);
+}
+
+bool LeaderReplication::holdsLease(core::Time now) const {
+  return State.isLeader() && now < quorumAckedAt() + leaseLength();
+}
+
+bool LeaderReplication::hasCommittedOwnTerm() const { return State.Commit >= StartIndex; }
+
+bool LeaderReplication::isCaughtUp(const VoterId &id) const {
+  auto it = Peers.find(id);
+  if (it == Peers.end())
+    return false;
+  bool recent = State.Now - it->second.AckedSentAt < State.Settings.MinElectionTimeout;
+  return recent && it->second.Match >= State.Commit;
+}
+
+void LeaderReplication::onSynced() {
+  SyncedIndex = State.Log.lastIndex();
+  SyncedAt = State.Now;
+  advanceCommit();
+}
+
+void LeaderReplication::advanceCommit() {
+  auto matchOf = [this](const VoterId &id) {
+    if (id == State.self())
+      return SyncedIndex;
+    auto it = Peers.find(id);
+    return it == Peers.end() ? core::LogIndex() : it->second.Match;
+  };
+  core::LogIndex held = quorumValue<core::LogIndex>(State.Log.configuration(), matchOf);
+  // Entries of earlier terms are committed only together with one of this term: a quorum that
+  // holds them may still elect a leader that lacks them.
+  if (held < StartIndex || held <= State.Commit)
+    return;
+  Apply.advance(held);
+  bool removed = State.Log.configurationIndex() <= State.Commit &&
+                 !State.Log.configuration().isVoter(State.self());
+  if (State.isLeader() && removed) {
+    for (auto &[id, peer] : Peers)
+      sendTo(id, peer);
+    State.becomeFollower(State.term());
+  }
+}
+
+LeaderReplication::Peer *LeaderReplication::answeringPeer(const VoterId &from, core::Term term,
+                                                          core::Time sentAt) {
+  if (term > State.term()) {
+    State.becomeFollower(term);
+    return nullptr;
+  }
+  auto it = Peers.find(from);
+  if (!State.isLeader() || term != State.term() || sentAt > State.Now || it == Peers.end())
+    return nullptr;
+  it->second.AckedSentAt = std::max(it->second.AckedSentAt, sentAt);
+  return &it->second;
+}
+
+void LeaderReplication::onAppendAnswer(const VoterId &from, const AppendAnswer &m) {
+  Peer *peer = answeringPeer(from, m.InTerm, m.SentAt);
+  if (peer == nullptr || m.Match > State.Log.lastIndex())
+    return;
+  if (!m.Success) {
+    onRejected(from, *peer, m);
+    return;
+  }
+  peer->Match = std::max(peer->Match, m.Match);
+  peer->Next = std::max(peer->Next, peer->Match.next());
+  if (peer->How == Mode::Probe)
+    peer->How = Mode::Replicate;
+  advanceCommit();
+}
+
+void LeaderReplication::onRejected(const VoterId &from, Peer &peer, const AppendAnswer &m) {
+  // Answers to earlier appends are stale when a later one succeeded or another probe is out.
+  bool stale = peer.How == Mode::Snapshot || m.PreviousIndex <= peer.Match ||
+               (peer.How == Mode::Probe && m.PreviousIndex.next() != peer.Next);
+  if (stale)
+    return;
+  peer.How = Mode::Probe;
+  peer.Next = std::max(std::min(m.Match.next(), m.PreviousIndex), peer.Match.next());
+  sendTo(from, peer);
+}
+
+void LeaderReplication::sendTo(const VoterId &id, Peer &peer) {
+  peer.LastSent = State.Now;
+  bool known = peer.Next > State.Log.boundary();
+  if (!known && peer.How != Mode::Snapshot)
+    startSnapshot(peer);
+  if (peer.How == Mode::Snapshot)
+    sendChunk(id, peer);
+  else
+    sendAppend(id, peer);
+}
+
+bool LeaderReplication::windowIsOpen(const Peer &peer) const {
+  return peer.Next.Value - peer.Match.Value <= State.Settings.MaxInflightEntries;
+}
+
+void LeaderReplication::sendAppend(const VoterId &id, Peer &peer) {
+  Append m;
+  m.InTerm = State.term();
+  m.PreviousIndex = core::LogIndex(peer.Next.Value - 1);
+  m.PreviousTerm = *State.Log.termAt(m.PreviousIndex);
+  m.Commit = State.Commit;
+  m.SentAt = State.Now;
+  if (peer.How == Mode::Probe || windowIsOpen(peer))
+    m.Entries = State.Log.slice(peer.Next, State.Settings.MaxInflightEntries,
+                                State.Settings.MaxAppendBytes);
+  if (peer.How == Mode::Replicate)
+    peer.Next = core::LogIndex(peer.Next.Value + m.Entries.size());
+  State.send(id, std::move(m));
+}
+
+void LeaderReplication::sendNewEntries() {
+  for (auto &[id, peer] : Peers)
+    while (peer.How == Mode::Replicate && peer.Next <= State.Log.lastIndex() && windowIsOpen(peer))
+      sendTo(id, peer);
+}
+
+void LeaderReplication::startSnapshot(Peer &peer) {
+  peer.How = Mode::Snapshot;
+  peer.Outgoing = State.Base;
+  peer.Digest = core::hash64(peer.Outgoing->Data);
+  peer.Offset = 0;
+}
+
+void LeaderReplication::sendChunk(const VoterId &id, Peer &peer) {
+  const Snapshot &snapshot = *peer.Outgoing;
+  InstallSnapshot m;
+  m.InTerm = State.term();
+  m.Index = snapshot.Index;
+  m.IndexTerm = snapshot.InTerm;
+  m.Members = snapshot.Members;
+  m.TotalBytes = snapshot.Data.size();
+  m.Digest = peer.Digest;
+  m.Offset = peer.Offset;
+  m.Data = snapshot.Data.substr(peer.Offset, State.Settings.SnapshotChunkBytes);
+  m.SentAt = State.Now;
+  State.send(id, std::move(m));
+}
+
+void LeaderReplication::onInstallSnapshotAnswer(const VoterId &from,
+                                                const InstallSnapshotAnswer &m) {
+  Peer *peer = answeringPeer(from, m.InTerm, m.SentAt);
+  if (peer == nullptr || peer->How != Mode::Snapshot || m.Index != peer->Outgoing->Index)
+    return;
+  if (m.Installed) {
+    peer->Match = std::max(peer->Match, m.Index);
+    peer->Next = peer->Match.next();
+    peer->How = Mode::Probe;
+    peer->Outgoing.reset();
+    advanceCommit();
+    sendTo(from, *peer);
+    return;
+  }
+  // A repeated answer to a duplicated chunk must not start a second stream of chunks.
+  if (m.NextOffset == peer->Offset || m.NextOffset > peer->Outgoing->Data.size())
+    return;
+  peer->Offset = m.NextOffset;
+  sendTo(from, *peer);
+}
+
+} // namespace briarspar::agreement
--- /dev/null
+++ b/src/agreement/MemoryLogStorage.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "agreement/LogStorage.h"
+
+#include <functional>
+#include <vector>
+
+namespace briarspar::agreement {
+
+/// LogStorage in memory, for tests and measurements. Writes count only after `sync`, as on disk.
+class MemoryLogStorage final : public LogStorage {
+public:
+  /// As FileLogStorage::initialize.
+  MemoryLogStorage(const Identity &owner, const Configuration *first);
+
+  /// Drops the writes since the last sync, as the end of the process or a power loss does, and
+  /// clears an injected failure.
+  void crash();
+
+  /// Makes all later calls return `status`.
+  void setFailure(absl::Status status) { Failure = std::move(status); }
+
+  /// Returns the number of successful syncs.
+  size_t syncCount() const { return Syncs; }
+
+  /// Returns what a crash would leave.
+  const StoredState &durable() const { return Durable; }
+
+  absl::StatusOr<StoredState> load() override;
+  absl::Status saveHardState(const HardState &state) override;
+  absl::Status append(absl::Span<const Entry> entries) override;
+  absl::Status sync() override;
+  absl::Status saveSnapshot(const Snapshot &snapshot, const HardState &state,
+                            absl::Span<const Entry> kept) override;
+
+private:
+  StoredState Durable;
+  std::vector<std::function<void(StoredState &)>> Unsynced;
+  absl::Status Failure;
+  size_t Syncs = 0;
+};
+
+} // namespace briarspar::agreement
--- /dev/null
+++ b/src/agreement/ReplicaState.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "absl/status/status.h"
+#include "agreement/Actions.h"
+#include "agreement/LogBuffer.h"
+#include "agreement/LogStorage.h"
+#include "agreement/RandomSource.h"
+#include "agreement/ReplicaSettings.h"
+#include "agreement/StateMachine.h"
+#include "core/Clock.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace briarspar::agreement {
+
+/// What election, replication and membership change share, and the steps that more than one of them
+/// takes. The term, the vote and the log are changed only through the functions here, which keep
+/// the storage in step.
+struct ReplicaState {
+  ReplicaState(const ReplicaSettings &settings, LogStorage &storage, StateMachine &machine,
+               RandomSource &random)
+      : Settings(settings), Storage(storage), Machine(machine), Random(random) {}
+
+  const ReplicaSettings Settings;
+  LogStorage &Storage;
+  StateMachine &Machine;
+  RandomSource &Random;
+
+  Identity Owner;
+  HardState Hard;
+  LogBuffer Log;
+  std::shared_ptr<const Snapshot> Base; ///< Newest snapshot, or empty.
+
+  core::Time Now;
+  Role Part = Role::Follower;
+  std::optional<VoterId> Leader;
+  core::LogIndex Commit;
+  core::LogIndex Applied;
+  core::Time ElectionDeadline;  ///< When to campaign without word from a leader.
+  core::Time VotesBlockedUntil; ///< No vote before this time; a leader's lease may rely on it.
+  absl::Status Health;
+
+  bool SyncNeeded = false;
+  std::set<core::LogIndex> PendingProposals;
+  Actions Out; ///< Released by `take`, after a sync.
+
+  const VoterId &self() const { return Owner.Self; }
+  core::Term term() const { return Hard.Current; }
+  bool isLeader() const { return Part == Role::Leader; }
+
+  /// Moves `Now` forward.
+  void advance(core::Time now);
+
+  /// Queues a message; it is sent after the next sync.
+  void send(const VoterId &to, Message body);
+
+  /// Records a new term or vote.
+  void saveHardState(const HardState &hard);
+
+  /// Appends entries to the log and the storage. Their indexes follow the last one.
+  void append(std::vector<Entry> entries);
+
+  /// Appends one entry of the current term and returns its index.
+  core::LogIndex appendOwn(EntryKind kind, std::string data);
+
+  void setRole(Role role);
+
+  /// Becomes a follower, adopting a newer term if `term` is one. Pending proposals end as unknown.
+  void becomeFollower(core::Term term);
+
+  /// Sets a random time to campaign, between the two bounds from now.
+  void resetElectionDeadline(core::Duration shortest, core::Duration longest);
+
+  /// Stops the replica for good: it sends nothing more.
+  void fail(absl::Status status);
+
+  /// Records the outcome of all pending proposals as unknown.
+  void abandonProposals(std::string_view why);
+};
+
+/// Returns the largest value that a quorum of the voters has reached. `valueOf` gives the value of
+/// one voter.
+template <class Value, class ValueOf>
+Value quorumValue(const Configuration &configuration, const ValueOf &valueOf) {
+  std::vector<Value> values;
+  for (const VoterId &id : configuration.Voters)
+    values.push_back(valueOf(id));
+  std::sort(values.begin(), values.end());
+  return values.empty() ? Value() : values[values.size() - configuration.quorumSize()];
+}
+
+} // namespace briarspar::agreement
