--- /dev/null
+++ b/src/quota/Messages.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "absl/status/statusor.h"
+#include "core/Clock.h"
+#include "core/Codec.h"
+#include "core/Ids.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace briarspar::quota {
+
+/// A customer's rate in thousandths of a request per second.
+struct Rate {
+  int64_t MilliPerSecond = 0;
+
+  static constexpr Rate perSecond(int64_t n) { return {n * 1000}; }
+};
+
+/// A customer's burst in whole requests.
+struct Burst {
+  int64_t Requests = 0;
+};
+
+/// What became of one earlier grant. Reports are cumulative, so that duplicates are harmless.
+struct GrantReport {
+  core::Term Epoch;       ///< Of the grant.
+  uint64_t Sequence = 0;  ///< Of the request that the grant answered.
+  int64_t Used = 0;       ///< Requests admitted with it so far.
+  core::Duration LastUse; ///< Age of the last use when the report was sent.
+  bool Closed = false;    ///< Nothing more will be admitted with it; the rest is returned.
+};
+
+/// Demand and reports of one VM for one customer.
+struct CustomerDemand {
+  core::CustomerId Customer;
+  int64_t Wanted = 0; ///< Requests that wait or are expected until the answer arrives.
+  std::vector<GrantReport> Reports;
+};
+
+/// Sent by a VM to the owner of a group of customers.
+struct GrantRequest {
+  core::VmId Vm;
+  core::Incarnation Inc;
+  uint32_t Group = 0;              ///< Group of customers that the message is for.
+  uint64_t Sequence = 0;           ///< Increases with every request of one incarnation and group.
+  std::vector<uint64_t> Abandoned; ///< Requests whose answers the VM ignores from now on.
+  std::vector<CustomerDemand> Customers;
+};
+
+enum class GrantResult : uint8_t {
+  Ok = 0,
+  NotOwner = 1, ///< This replica does not own the group; ask another one.
+  Stale = 2,    ///< Duplicated or reordered request, or a fenced incarnation.
+};
+
+/// Prepaid requests of one customer.
+struct CustomerGrant {
+  core::CustomerId Customer;
+  bool Known = true;      ///< False: the owner has no limit for the customer.
+  bool Scarce = false;    ///< Report uses quickly and return what is not needed.
+  int64_t Tokens = 0;     ///< Requests that may be admitted.
+  core::Duration Delay;   ///< Usable only this long after the answer was received.
+  core::Duration Length;  ///< Expires this long after the request was sent.
+  core::Duration RetryIn; ///< With Tokens 0: when a token is expected.
+};
+
+struct GrantAnswer {
+  core::VmId Vm;
+  core::Incarnation Inc;
+  uint32_t Group = 0;
+  core::Term Epoch;      ///< Term of the owner.
+  uint64_t Sequence = 0; ///< Sequence of the request that is answered.
+  GrantResult Result = GrantResult::NotOwner;
+  std::vector<CustomerGrant> Customers;
+};
+
+/// CBOR form of the messages: arrays of members in the order of the structures.
+std::string encode(const GrantRequest &request);
+std::string encode(const GrantAnswer &answer);
+
+/// Decoding returns InvalidArgument for a malformed message and ResourceExhausted beyond the
+/// limits.
+absl::StatusOr<GrantRequest> decodeGrantRequest(std::string_view bytes,
+                                                const core::CodecLimits &limits = {});
+absl::StatusOr<GrantAnswer> decodeGrantAnswer(std::string_view bytes,
+                                              const core::CodecLimits &limits = {});
+
+} // namespace briarspar::quota
--- /dev/null
+++ b/src/quota/TokenBucket.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/Clock.h"
+#include "quota/Messages.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace briarspar::quota {
+
+/// Millionths of a request. A rate of one thousandth of a request per second adds exactly one of
+/// them per millisecond, so that refilling never rounds.
+constexpr int64_t MicroTokens = 1'000'000;
+
+/// A token bucket in exact integer arithmetic. Deductions may be dated back, down to the last one.
+class TokenBucket {
+public:
+  /// Starts empty at `at`.
+  TokenBucket(Rate rate, Burst burst, core::Time at) : Limit(rate), Depth(burst), At(at) {}
+
+  /// Content at `now` in micro-tokens; negative if more was deducted than the bucket held.
+  int64_t levelAt(core::Time now) const;
+
+  /// Deducts whole tokens as of `at`. A date before the last deduction counts as that date, which
+  /// gives the same or a lower level.
+  void deduct(int64_t tokens, core::Time at);
+
+  /// Changes rate and depth at `now`; the content is kept up to the new depth.
+  void setLimit(Rate rate, Burst burst, core::Time now);
+
+  /// First time at or after `now` at which the level reaches `level`; nothing if it never does.
+  std::optional<core::Time> timeOfLevel(int64_t level, core::Time now) const;
+
+  Rate rate() const { return Limit; }
+  Burst burst() const { return Depth; }
+
+private:
+  int64_t depth() const { return Depth.Requests * MicroTokens; }
+
+  Rate Limit;
+  Burst Depth;
+  int64_t Level = 0; ///< Micro-tokens at At.
+  core::Time At;
+};
+
+} // namespace briarspar::quota
