--- a/src/lease/LeaseHolder.h
+++ b/src/lease/LeaseHolder.h
@@ -33,7 +33,9 @@
   virtual uint64_t digest() const = 0;
 
   /// Puts the update in force, visible to traffic threads, before it returns. On an error nothing
-  /// has changed and the next renewal asks for the full state.
+  /// has changed. FailedPrecondition means that the update starts from another version than the
+  /// one in force, as after two renewals in flight; after any other error the next renewal asks for
+  /// the full state.
   virtual absl::Status apply(core::ConfigVersion to, uint64_t digest, std::string_view update) = 0;
 };
 
--- a/src/lease/Messages.h
+++ b/src/lease/Messages.h
@@ -30,6 +30,7 @@
   NotLeader = 1, ///< This replica holds no leader lease; ask another one.
   Fenced = 2,    ///< A newer incarnation of the VM exists; this process must stop serving.
   Busy = 3,      ///< Too many full states in this second; ask again after RetryAfter.
+  Stale = 4,     ///< Duplicated or reordered renewal; a newer one was answered.
 };
 
 /// Answer of the leader to one renewal.
--- a/src/membership/MembershipView.h
+++ b/src/membership/MembershipView.h
@@ -46,7 +46,8 @@
   bool Draining = false;
 };
 
-/// A change of a VM's state.
+/// A change of a VM's state. When a newer incarnation appears, the older one is reported Dead at
+/// once; what it holds under its serving lease must still be kept until that lease has ended.
 struct StateChange {
   core::Time At;
   core::VmId Vm;
@@ -107,6 +108,7 @@
     bool ListedLeaving = false;
     bool ListSeen = false; ///< A list arrived after the VM became known.
     VmState Recorded = VmState::Joining;
+    core::Incarnation RecordedInc;
     bool IsRecorded = false;
   };
 
@@ -114,6 +116,7 @@
   bool isDead(const Record &record, core::Time now) const;
   Record &recordOf(const core::VmId &vm, core::Time now);
   void record(const core::VmId &vm, Record &record, core::Time now);
+  void append(const StateChange &change);
 
   MembershipSettings Settings;
   std::map<core::VmId, Record> Records;
