--- /dev/null
+++ b/src/balance/CrashGuard.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "absl/status/statusor.h"
+#include "core/Clock.h"
+#include "core/Ids.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace briarspar::balance {
+
+/// Bounds of a CrashGuard.
+struct CrashGuardSettings {
+  uint32_t MaxCrashes = 2;                 ///< Target processes that one request may end.
+  uint32_t FingerprintsToBlameVersion = 3; ///< Different requests that crash a version.
+  core::Duration BlameWindow{60'000};      ///< Span in which they are counted.
+  core::Duration SameCrash{1000};          ///< Crashes of a target this close in time are one.
+  core::Duration Quarantine{600'000};      ///< How long a request stays refused.
+  size_t MaxEntries = 4096;                ///< Fingerprints remembered.
+  size_t MaxReportEntries = 256;           ///< Fingerprints per report.
+};
+
+/// Fingerprints of requests during which target processes ended. Reports may be merged repeatedly
+/// and in any order; a lost one is covered by the next.
+struct CrashReport {
+  struct Crash {
+    core::TargetId Target;
+    core::Duration Age;
+  };
+  struct Entry {
+    uint64_t Fingerprint = 0;
+    std::vector<Crash> Crashes;
+    std::optional<core::Duration> ClearedAge; ///< Crashes at least this old do not count.
+  };
+  std::vector<Entry> Entries;
+};
+
+std::string encode(const CrashReport &report);
+absl::StatusOr<CrashReport> decodeCrashReport(std::string_view bytes);
+
+/// Recognises requests that end target processes, over all VMs. Safe to call from any thread.
+///
+/// Before a VM answers the caller of a request that ended a process, or tries it on another target,
+/// it sends report() to the leader and waits for the acknowledgement, so that a resend through
+/// another VM finds the record.
+class CrashGuard {
+public:
+  explicit CrashGuard(const CrashGuardSettings &settings = {});
+
+  /// True when a request may be sent to a target.
+  bool admits(uint64_t fingerprint, core::Time now) const;
+
+  /// Takes the end of a target process while it ran a request. Returns the number of crash outcomes
+  /// to count against the version now: none while few different requests crash it, and with the one
+  /// that reaches the threshold also those withheld before.
+  uint32_t recordCrash(uint64_t fingerprint, const core::TargetId &target,
+                       const core::VersionId &version, core::Time now);
+
+  /// Takes a good answer. It clears a request that was in flight on a crashing target by chance.
+  void recordGood(uint64_t fingerprint, core::Time now);
+
+  /// Returns the latest crashes as a bounded report.
+  CrashReport report(core::Time now) const;
+
+  /// Adds a report of another VM or of the leader.
+  void merge(const CrashReport &report, core::Time now);
+
+  size_t size() const;
+
+private:
+  /// What is known about one fingerprint.
+  struct Record {
+    std::map<core::TargetId, std::vector<core::Time>> Crashes;
+    std::optional<core::Time> ClearedAt; ///< Crashes up to then do not count.
+    core::Time Latest;
+    size_t count() const;
+  };
+
+  /// Crash outcomes of a version that were not counted yet.
+  struct Blame {
+    std::map<uint64_t, core::Time> Fingerprints;
+    uint32_t Withheld = 0;
+  };
+
+  void add(uint64_t fingerprint, const core::TargetId &target, core::Time at);
+  void trim(core::Time now);
+  uint32_t blame(uint64_t fingerprint, const core::VersionId &version, core::Time now);
+
+  const CrashGuardSettings Settings;
+  mutable std::mutex Mutex;
+  std::map<uint64_t, Record> Entries;
+  std::map<core::VersionId, Blame> Versions;
+};
+
+} // namespace briarspar::balance
--- /dev/null
+++ b/src/balance/SlotLedger.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "absl/types/span.h"
+#include "balance/RegionBudget.h"
+#include "balance/SlotMessages.h"
+#include "core/Clock.h"
+#include "core/Ids.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace briarspar::balance {
+
+/// Timing and shares of a SlotLedger. Holders use the same term and deadline.
+struct SlotLedgerSettings {
+  core::Duration Term{3000};             ///< Validity of a holder's limits after its report.
+  core::Duration LongestDeadline{30000}; ///< Longest deadline of any route.
+  core::Duration RotationPeriod{2000};   ///< How often a remainder moves to other VMs.
+  uint32_t ReservePermille = 50;         ///< Share of a pool kept for VMs that hold nothing.
+  uint32_t DemandMarginPermille = 250;   ///< Slots granted beyond the demand.
+};
+
+/// A VM that may hold slots.
+struct VmInfo {
+  core::VmId Id;
+  Place Where;
+};
+
+/// Grants the slots of all targets to VMs. The sum of what VMs may have in flight on a target never
+/// exceeds its slots. Lives at the leader; not thread-safe.
+///
+/// The caller invokes report() and sends its answer only while it holds the leader lease.
+class SlotLedger {
+public:
+  explicit SlotLedger(const SlotLedgerSettings &settings = {});
+
+  /// Sets the VMs that may hold slots. VMs removed from the configuration stay in the list until
+  /// their lease and the longest deadline have passed.
+  void setVms(absl::Span<const VmInfo> vms);
+
+  /// Sets the targets. Slots granted on a removed or shrunk target are called back.
+  void setTargets(absl::Span<const TargetInfo> targets);
+
+  /// Capacity of regions and links; the ledger keeps the use in it.
+  RegionBudget &regions() { return Regions; }
+
+  /// Starts a term of office. No slot is granted until the wait of section 3 of the design is over
+  /// or every VM has reported.
+  void becomeLeader(core::Term term, core::Time now);
+
+  /// Ends the term of office. Reports get no answer.
+  void stepDown();
+
+  /// Takes a report and returns the answer; nothing for a report that is old, duplicated, addressed
+  /// to another leader, or from an unknown VM.
+  std::optional<SlotAnswer> report(const SlotReport &report, core::Time now);
+
+  /// Takes a VM out of the division of slots because its serving lease has ended. Its slots are
+  /// reclaimed when its last requests must have ended. A later report of the run revives it.
+  void vmExpired(const core::VmId &vm, core::Incarnation run, core::Time now);
+
+  /// Reclaims slots of silent VMs whose wait is over. report() does so too.
+  void tick(core::Time now);
+
+  /// True while slots of an earlier leader may be held by VMs that have not reported.
+  bool waitsForReports(core::Time now) const;
+
+  /// Upper bound on the requests in flight on a target.
+  uint32_t granted(const core::TargetId &target) const;
+
+private:
+  using SlotMap = std::map<core::TargetId, uint32_t>;
+
+  /// What one run of a VM holds.
+  struct Holding {
+    core::Incarnation Run;
+    uint64_t Sequence = 0;
+    core::Time LastReport;
+    core::Time CoveredFrom; ///< From then on earlier runs of the VM have no request in flight.
+    bool Expired = false;
+    SlotMap Granted;
+    std::map<PoolId, uint32_t> Demand;
+  };
+
+  /// Slots of an ended run, held back until its last requests have ended.
+  struct Remnant {
+    core::VmId Vm;
+    core::Time Until;
+    SlotMap Granted;
+  };
+
+  struct Vm {
+    Place Where;
+    std::optional<Holding> Current;
+  };
+
+  struct Pool {
+    std::vector<core::TargetId> Targets;
+    uint32_t Slots = 0;
+  };
+
+  void setGranted(const core::VmId &vm, SlotMap &granted, const core::TargetId &target, uint32_t n);
+  void clearGranted(const core::VmId &vm, SlotMap &granted);
+  void replaceRun(const core::VmId &id, Vm &vm, const SlotReport &report, core::Time now);
+  void takeHeld(const core::VmId &id, Holding &holding, const SlotMap &held);
+  std::map<core::VmId, uint32_t> divide(const PoolId &pool, uint32_t slots, core::Time now) const;
+  uint32_t wantedOf(const Holding &holding, const PoolId &pool) const;
+  void allocate(const core::VmId &id, Vm &vm, const PoolId &poolId, const Pool &pool,
+                SlotMap &limits, core::Time now);
+  void growBy(const core::VmId &id, Vm &vm, const Pool &pool, SlotMap &limits, uint32_t n);
+  void shrinkBy(const Vm &vm, const Pool &pool, SlotMap &limits, uint32_t n) const;
+  uint32_t freeOn(const core::TargetId &target) const;
+  int distance(const Place &from, const core::TargetId &target) const;
+  const core::RegionId &regionOfVm(const core::VmId &vm) const;
+
+  SlotLedgerSettings Settings;
+  bool Leading = false;
+  core::Term Term;
+  core::Time LeaderSince;
+  RegionBudget Regions;
+  std::map<core::VmId, Vm> Vms;
+  std::map<core::TargetId, TargetInfo> Targets;
+  std::map<PoolId, Pool> Pools;
+  std::map<core::TargetId, uint32_t> GrantedOn;
+  std::vector<Remnant> Remnants;
+};
+
+} // namespace briarspar::balance
--- /dev/null
+++ b/src/balance/TargetChooser.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "absl/types/span.h"
+#include "balance/SlotHolder.h"
+#include "balance/SlotMessages.h"
+#include "core/Clock.h"
+#include "core/Event.h"
+#include "core/Ids.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace briarspar::balance {
+
+/// Thresholds of passive health, ramp and load of a TargetChooser.
+struct TargetChooserSettings {
+  uint32_t FailuresToEject = 3;           ///< Failures in a row that eject a target.
+  uint32_t FailurePermilleToEject = 500;  ///< Share of failures that ejects a target.
+  uint32_t MinSamples = 10;               ///< Outcomes needed before the share counts.
+  core::Duration SampleWindow{10'000};    ///< Span over which the share is counted.
+  core::Duration FirstEjection{1000};     ///< Doubles with every further ejection.
+  core::Duration LongestEjection{30'000}; ///< Longest ejection.
+  core::Duration ProbeTimeout{5000};      ///< A probe without an outcome is given up.
+  uint32_t ProbesToRecover = 2;           ///< Good probes in a row that end an ejection.
+  uint32_t MaxEjectedPermille = 500;      ///< Beyond it a pool ignores ejections.
+  core::Duration Ramp{10'000};            ///< From the first request to full load.
+  uint32_t RampStartPermille = 100;       ///< Share of its slots used on a cold target.
+  core::Duration LoadFresh{2000};         ///< Load reports younger than this count fully.
+  core::Duration LoadStale{10'000};       ///< Load reports older than this do not count.
+};
+
+/// What is to be sent.
+struct RequestContext {
+  PoolId Pool;
+  absl::Span<const core::TargetId> Exclude; ///< Targets that this request has already used.
+};
+
+/// A chosen target. Its slot has been acquired; the caller releases it at the SlotSource.
+struct Choice {
+  core::TargetId Target;
+  core::VersionId Version;
+  bool Probe = false;       ///< The target is ejected and this request tests it.
+  bool OtherRegion = false; ///< The request leaves the VM's region.
+};
+
+/// The end of a request on a target.
+struct Outcome {
+  enum Kind : uint8_t {
+    Good,      ///< An answer that says nothing against the target.
+    Failed,    ///< An answer that blames the target, such as 500 or 503.
+    TimedOut,  ///< No answer within the deadline.
+    NoConnect, ///< The connection could not be opened.
+    Broken,    ///< The connection ended before the whole answer.
+    Cancelled, ///< Given up for reasons that say nothing about the target.
+  };
+  core::TargetId Target;
+  Kind What = Good;
+  core::Duration Latency;
+};
+
+/// Chooses a target for each request from this VM's own outcomes, its slots, the weights of the
+/// versions and the targets' load reports. Every member is safe to call from any thread.
+class TargetChooser {
+public:
+  /// `slots` outlives the chooser. `events` may be null.
+  TargetChooser(Place own, SlotSource &slots, const TargetChooserSettings &settings = {},
+                core::EventSink *events = nullptr);
+
+  /// Sets the targets. Targets that stay keep their health; new ones start cold.
+  void setTargets(absl::Span<const TargetInfo> targets, core::Time now);
+
+  /// Sets the shares of the versions of a pool. Versions without a share get nothing; a pool
+  /// without shares ignores versions. The share of a version is exceeded by at most one request.
+  void setVersionShares(const PoolId &pool, const std::map<core::VersionId, uint32_t> &shares);
+
+  /// Chooses a target and acquires its slot. Nothing when no target may take the request now.
+  std::optional<Choice> choose(const RequestContext &request, core::Time now);
+
+  /// Takes the end of a request.
+  void record(const Outcome &outcome, core::Time now);
+
+  /// Takes a load report: the target's own utilization, 0 (idle) to 1000 (full).
+  void recordLoad(const core::TargetId &target, uint32_t permille, core::Time now);
+
+  /// True when the target is ejected or being probed.
+  bool isEjected(const core::TargetId &target) const;
+
+private:
+  enum class Health : uint8_t { Up, Ejected };
+
+  struct Target {
+    TargetInfo Info;
+    Health State = Health::Up;
+    uint32_t FailuresInRow = 0;
+    uint32_t GoodProbes = 0;
+    uint32_t Ejections = 0;
+    uint32_t WindowGood = 0;
+    uint32_t WindowFailed = 0;
+    core::Time WindowStart;
+    core::Time EjectedUntil;
+    std::optional<core::Time> ProbeSince;
+    std::optional<core::Time> FirstUse; ///< Start of the ramp; none while it is cold and unused.
+    uint64_t LastChosen = 0;
+    uint32_t LoadPermille = 0;
+    std::optional<core::Time> LoadAt;
+  };
+
+  struct Pool {
+    std::vector<core::TargetId> Targets;
+    std::map<core::VersionId, uint32_t> Shares;
+    std::map<core::VersionId, int64_t> Credit; ///< In units of the sum of the shares.
+    uint64_t Choices = 0;
+  };
+
+  using TargetList = std::vector<Target *>;
+
+  TargetList candidates(Pool &pool, const RequestContext &request, const core::VersionId *version,
+                        core::Time now);
+  std::optional<Choice> chooseFrom(TargetList targets, core::Time now);
+  std::optional<Choice> chooseByVersion(Pool &pool, const RequestContext &request, core::Time now);
+  std::optional<Choice> tryProbe(const TargetList &targets, core::Time now);
+  Choice accept(Target &target, bool probe, core::Time now);
+  bool ignoresEjections(const Pool &pool) const;
+  int distance(const Target &target) const;
+  uint32_t rampPermille(const Target &target, core::Time now) const;
+  bool underRamp(const Target &target, core::Time now) const;
+  int64_t score(const Target &target, core::Time now) const;
+  int64_t reportedLoad(const Target &target, core::Time now) const;
+  void onGood(Target &target, core::Time now);
+  void onFailure(Target &target, core::Time now);
+  void eject(Target &target, core::Time now);
+
+  const Place Own;
+  SlotSource &Slots;
+  const TargetChooserSettings Settings;
+  core::EventSink *Events;
+
+  mutable std::mutex Mutex;
+  std::map<core::TargetId, Target> Targets;
+  std::map<PoolId, Pool> Pools;
+  uint64_t Counter = 0;
+};
+
+} // namespace briarspar::balance
