Implement the claim table and the claim coordinator

Non-idempotent requests must run at most once although claims, answers and callers' resends are lost, duplicated and reordered, and VMs pause, restart and lose their lease.

Attempts carry a number that is never used again, a completion is final, and a release leaves a short record that blocks its own delayed claim. The coordinator dispatches in one phase only and repeats completions and releases until they are acknowledged.

--- a/src/idempotency/ClaimCoordinator.h
+++ b/src/idempotency/ClaimCoordinator.h
@@ -132,35 +132,57 @@
   size_t openAttempts() const { return Attempts.size(); }
 
 private:
-  enum class Phase : uint8_t { Claiming, Waiting, Dispatched, Completing, Releasing };
+  enum class Phase : uint8_t {
+    Claiming,   ///< The claim is not answered yet.
+    Waiting,    ///< Another attempt holds the id; asks again until it ends.
+    Dispatched, ///< The request is with a target.
+    Completing, ///< The completion record is not acknowledged yet.
+    Releasing,  ///< The release is not acknowledged yet; never dispatches.
+  };
+
+  struct WaitingCaller {
+    CallerId Id = 0;
+    core::Time Until;
+  };
 
   struct Attempt {
     Phase Now = Phase::Claiming;
     RequestKey Key;
     uint64_t BodyFingerprint = 0;
     bool IdFromCaller = true;
-    core::Time Started;
     core::Time Deadline;
     core::Time NextSend;
     core::Duration Backoff;
-    std::vector<CallerId> Callers;
+    uint32_t ClaimsSent = 0;
+    std::vector<WaitingCaller> Callers;
     Completion Record;          ///< Set in phase Completing.
-    CallerReply ReplyToResends; ///< Set in phases Completing and Releasing.
+    CallerReply ReplyToResends; ///< Set in phase Completing.
   };
 
   using AttemptMap = std::map<uint64_t, Attempt>;
 
   void join(AttemptMap::iterator it, const RequestStart &request, core::Time now);
-  void onClaimAnswer(const ClaimAnswer &answer, core::Time now);
+  void onAnswer(std::monostate, core::Time now) {}
+  void onAnswer(const ClaimAnswer &answer, core::Time now);
+  void onAnswer(const CompletionAck &ack, core::Time now);
+  void onAnswer(const ReleaseAck &ack, core::Time now);
   void onOwned(AttemptMap::iterator it, core::Time now);
-  void onRefused(AttemptMap::iterator it, const CallerReply &reply);
+  void onRefused(AttemptMap::iterator it, const ClaimOutcome &outcome, core::Time now);
   void onInProgress(AttemptMap::iterator it, core::Time now);
-  void giveUp(AttemptMap::iterator it, core::Time now);
+  void beginCompletion(AttemptMap::iterator it, const DispatchResult &result, core::Time now);
   void beginRelease(AttemptMap::iterator it, const CallerReply &reply, core::Time now);
   void finish(AttemptMap::iterator it);
+  void tickOne(AttemptMap::iterator it, core::Time now);
+  void endWaits(Attempt &attempt, core::Time now);
   void replyAll(Attempt &attempt, const CallerReply &reply);
-  void sendCurrent(uint64_t number, Attempt &attempt, core::Time now);
-  void reply(CallerId caller, const CallerReply &what);
+  void sendCurrent(AttemptMap::iterator it, core::Time now);
+  ClaimCommand commandOf(uint64_t number, const Attempt &attempt, core::Time now) const;
+  CallerReply lateReply(const Attempt &attempt) const;
+  /// True until the attempt has been granted, refused or given up.
+  static bool isUndecided(const Attempt &attempt) {
+    return attempt.Now == Phase::Claiming || attempt.Now == Phase::Waiting;
+  }
+  static CallerReply refusal(bool idFromCaller, CallerReply::Reason why);
   AttemptId idOf(uint64_t number) const { return {Vm, Run, number}; }
 
   core::VmId Vm;
--- a/src/idempotency/ClaimTable.h
+++ b/src/idempotency/ClaimTable.h
@@ -80,19 +80,24 @@
 
   using EntryMap = std::map<RequestKey, Entry>;
 
-  ClaimOutcome outcomeOf(const Entry &entry, const Claim &claim) const;
-  bool hasRoomFor(const RequestKey &key) const;
-  Entry *find(const RequestKey &key, const AttemptId &attempt);
-  void setState(EntryMap::iterator it, State state, core::Time expiresAt, size_t charged);
+  static ClaimOutcome outcomeOf(const Entry &entry);
+  static bool isLaterRun(const AttemptId &later, const AttemptId &earlier);
+  static bool isBlocked(const Entry &released, const AttemptId &attempt);
+  static size_t baseBytes(const RequestKey &key);
+  ClaimOutcome own(const Claim &claim);
+  EntryMap::iterator find(const RequestKey &key, const AttemptId &attempt);
+  void setState(EntryMap::iterator it, State state, core::Duration lifetime);
   void erase(EntryMap::iterator it);
   void expireOne(EntryMap::iterator it);
-  static size_t baseBytes(const RequestKey &key);
+  void charge(EntryMap::iterator it);
+  bool insertRestored(const core::Json &row);
 
   ClaimTableSettings Settings;
   core::Time Latest{0};
   size_t Bytes = 0;
   EntryMap Entries;
   std::set<std::pair<int64_t, RequestKey>> ByExpiry;
+  std::set<std::pair<core::VmId, RequestKey>> Unfinished;
 };
 
 } // namespace briarspar::idempotency
