--- /dev/null
+++ b/src/daemon/ControlNode.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "daemon/LeaderSide.h"
+#include "daemon/VmSide.h"
+#include "daemon/VoterSide.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace briarspar::daemon {
+
+/// What a node needs to take part in the agreement group.
+struct VoterParts {
+  agreement::ReplicaSettings Settings;
+  agreement::LogStorage *Storage = nullptr;
+  agreement::RandomSource *Random = nullptr;
+  agreement::VoterId Identity;
+};
+
+/// All control state of one VM as one deterministic object: the voter and leader duties where the
+/// VM has a disk, and the VM's own duties. It owns no thread, socket, clock or random source. Not
+/// thread-safe; VmSide marks what traffic threads may call.
+class ControlNode {
+public:
+  /// `voter` is null for a VM without a disk. All references must outlive the node.
+  static absl::StatusOr<std::unique_ptr<ControlNode>>
+  create(const VmIdentity &identity, const VoterParts *voter, const core::Clock &clock,
+         core::EventSink &events, Sender sender, lease::LeaseHolder::Random random,
+         VmSideListener &listener);
+
+  /// Takes a message from another process.
+  void receive(const core::VmId &from, std::string_view kind, std::string_view bytes);
+
+  /// Runs all periodic duties. Call it every 5 to 10 ms.
+  void tick();
+
+  VmSide &vm() { return *Vm; }
+  /// Null at a VM without a disk.
+  VoterSide *voter() { return Voter.get(); }
+  LeaderSide *leader() { return Leader.get(); }
+
+  /// True while this node acts as the group's leader.
+  bool leads() const { return Voter && Voter->leads(Clock.now()); }
+
+private:
+  struct LocalMessage {
+    std::string Kind;
+    std::string Bytes;
+  };
+
+  ControlNode(const VmIdentity &identity, const core::Clock &clock, Sender sender)
+      : Identity(identity), Clock(clock), Remote(std::move(sender)) {}
+
+  void send(const core::VmId &to, std::string_view kind, std::string bytes);
+  void dispatch(const core::VmId &from, std::string_view kind, std::string_view bytes);
+  void deliverLocal();
+  void joinGroup(core::Time now);
+
+  VmIdentity Identity;
+  const core::Clock &Clock;
+  Sender Remote;
+  std::deque<LocalMessage> Local;
+  bool Delivering = false;
+  agreement::VoterId VoterIdentity;
+  core::Time NextJoin;
+  std::unique_ptr<VoterSide> Voter;
+  std::unique_ptr<LeaderSide> Leader;
+  std::unique_ptr<VmSide> Vm;
+};
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/GroupMachine.cpp
@@ -0,0 +1,236 @@
+#include "daemon/GroupMachine.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <type_traits>
+
+namespace briarspar::daemon {
+
+namespace {
+
+using core::Json;
+
+Json binary(const std::string &bytes) {
+  return Json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
+}
+
+std::string bytesOf(const Json &j) {
+  const auto &bytes = j.get_binary();
+  return std::string(bytes.begin(), bytes.end());
+}
+
+absl::StatusOr<LogCommand> readCommand(const Json &j) {
+  LogCommand command;
+  command.At.Ms = j.at("at").get<int64_t>();
+  if (j.contains("config")) {
+    absl::StatusOr<config::Command> what = config::decodeCommand(bytesOf(j["config"]));
+    if (!what.ok())
+      return what.status();
+    command.What = *std::move(what);
+  } else if (j.contains("claim")) {
+    absl::StatusOr<idempotency::ClaimCommand> what =
+        idempotency::decodeClaimCommand(bytesOf(j["claim"]));
+    if (!what.ok())
+      return what.status();
+    command.What = *std::move(what);
+  } else {
+    command.What = j.at("step").get<moves::MoveStep>();
+  }
+  return command;
+}
+
+moves::BasisPoints basisPoints(uint32_t permille) { return permille * 10; }
+
+moves::DrainScope scopeOf(config::DrainKind kind) {
+  switch (kind) {
+  case config::DrainKind::Target:
+    return moves::DrainScope::Target;
+  case config::DrainKind::Vm:
+    return moves::DrainScope::Vm;
+  case config::DrainKind::Domain:
+    return moves::DrainScope::Domain;
+  case config::DrainKind::Region:
+    return moves::DrainScope::Region;
+  }
+  return moves::DrainScope::Target;
+}
+
+config::MoveState stateOf(const moves::MoveRecord &record) {
+  switch (record.Phase) {
+  case moves::MovePhase::Moving:
+  case moves::MovePhase::Draining:
+    return config::MoveState::Running;
+  case moves::MovePhase::Returning:
+    return config::MoveState::TakingBack;
+  case moves::MovePhase::Done:
+    return config::MoveState::Done;
+  case moves::MovePhase::TakenBack:
+    return config::MoveState::TakenBack;
+  }
+  return config::MoveState::Running;
+}
+
+/// Time for a drain or move without a limit of its own.
+constexpr core::Duration DefaultMoveLimit = core::Duration::seconds(3600);
+
+core::Duration limitOr(core::Duration limit) { return limit.Ms > 0 ? limit : DefaultMoveLimit; }
+
+} // namespace
+
+std::string encode(const LogCommand &command) {
+  Json j = {{"at", command.At.Ms}};
+  if (const auto *what = std::get_if<config::Command>(&command.What))
+    j["config"] = binary(config::encode(*what));
+  else if (const auto *claim = std::get_if<idempotency::ClaimCommand>(&command.What))
+    j["claim"] = binary(idempotency::encode(*claim));
+  else
+    j["step"] = std::get<moves::MoveStep>(command.What);
+  return core::encodeCbor(j);
+}
+
+absl::StatusOr<LogCommand> decodeLogCommand(std::string_view bytes) {
+  absl::StatusOr<Json> j = core::decodeCbor(bytes);
+  if (!j.ok())
+    return j.status();
+  try {
+    return readCommand(*j);
+  } catch (const nlohmann::json::exception &e) {
+    return absl::InvalidArgumentError(e.what());
+  }
+}
+
+std::string GroupMachine::apply(core::LogIndex index, std::string_view bytes) {
+  absl::StatusOr<LogCommand> command = decodeLogCommand(bytes);
+  // The leader encoded the command itself; the same bytes fail on every replica alike.
+  if (!command.ok())
+    return "";
+  LogTime = std::max(LogTime, command->At);
+  if (auto *what = std::get_if<config::Command>(&command->What)) {
+    what->ProposedAt = LogTime;
+    return applyConfig(std::move(*what));
+  }
+  if (const auto *claim = std::get_if<idempotency::ClaimCommand>(&command->What))
+    return idempotency::encode(Claims.apply(*claim, LogTime));
+  return applyStep(std::get<moves::MoveStep>(command->What));
+}
+
+std::string GroupMachine::applyConfig(config::Command command) {
+  config::Outcome outcome = Config.apply(command);
+  if (outcome.What == config::Outcome::Accepted && !outcome.Replayed)
+    openMove(command, outcome);
+  return config::encode(outcome);
+}
+
+void GroupMachine::openMove(const config::Command &command, const config::Outcome &outcome) {
+  moves::MoveRecord record;
+  record.Id = core::MoveId(outcome.Subject);
+  if (const auto *drain = std::get_if<config::StartDrain>(&command.What)) {
+    record.Kind = moves::MoveKind::Drain;
+    record.Scope = scopeOf(drain->Kind);
+    record.Name = drain->Name;
+    record.Limit = limitOr(drain->By);
+  } else if (const auto *shift = std::get_if<config::StartShift>(&command.What)) {
+    record.Kind = moves::MoveKind::Shift;
+    record.From = core::RegionId(shift->From);
+    record.To = core::RegionId(shift->To);
+    record.Goal = basisPoints(shift->Permille);
+    record.Limit = limitOr(shift->By);
+  } else if (const auto *move = std::get_if<config::StartMove>(&command.What)) {
+    const config::MoveRecord *stored = config::find(Config.records().Moves, record.Id);
+    if (stored == nullptr)
+      return;
+    record.Kind = moves::MoveKind::Version;
+    record.OldVersion = stored->From;
+    record.NewVersion = stored->To;
+    record.Routes = {move->Route};
+    record.Limit = limitOr(move->By);
+  } else {
+    return;
+  }
+  Moves[record.Id] = record;
+}
+
+std::string GroupMachine::applyStep(const moves::MoveStep &step) {
+  auto it = Moves.find(step.Id);
+  if (it == Moves.end() || !moves::applyStep(it->second, step))
+    return "";
+  Applied.push_back(step);
+  if (step.Kind != moves::StepKind::Checkpoint)
+    mirrorToConfig(it->second);
+  return "applied";
+}
+
+void GroupMachine::mirrorToConfig(const moves::MoveRecord &record) {
+  config::Command command;
+  command.Id = absl::StrCat("step-", record.Id.Value, "-", record.Version, "-", ++MirrorCount);
+  // A drain's id is long; the counter alone keeps the command id unique.
+  if (command.Id.size() > config::MaxNameBytes)
+    command.Id = absl::StrCat("step-", MirrorCount);
+  command.Operator = "move-controller";
+  command.ProposedAt = LogTime;
+  std::string reason(moves::reasonName(record.Reason));
+  if (record.Kind == moves::MoveKind::Version) {
+    config::UpdateMove update;
+    update.Id = record.Id;
+    update.State = stateOf(record);
+    update.Reason = reason;
+    update.SharePermille = record.Share / 10;
+    command.What = update;
+  } else if (record.Kind == moves::MoveKind::Shift) {
+    config::UpdateShift update;
+    update.Id = record.Id;
+    update.State = stateOf(record);
+    update.Reason = reason;
+    update.ShiftedPermille = record.Share / 10;
+    command.What = update;
+  } else {
+    config::UpdateDrain update;
+    update.Id = config::DrainId(record.Id.Value);
+    update.State = record.ended() ? config::DrainState::Done : config::DrainState::Running;
+    update.Reason = reason;
+    command.What = update;
+  }
+  Config.apply(command);
+}
+
+std::vector<moves::MoveStep> GroupMachine::takeSteps() { return std::exchange(Applied, {}); }
+
+std::string GroupMachine::snapshot() const {
+  Json moves = Json::array();
+  for (const auto &[id, record] : Moves)
+    moves.push_back(record);
+  Json j = {{"log_time", LogTime.Ms}, {"mirror_count", MirrorCount}, {"moves", moves}};
+  j["config"] = binary(Config.snapshot());
+  j["claims"] = binary(Claims.snapshot());
+  return core::encodeCbor(j);
+}
+
+absl::Status GroupMachine::restore(std::string_view bytes) {
+  // The snapshot comes from this machine's own format, which may exceed the bound on one message.
+  core::CodecLimits limits;
+  limits.MaxBytes = size_t{1} << 30;
+  absl::StatusOr<Json> j = core::decodeCbor(bytes, limits);
+  if (!j.ok())
+    return j.status();
+  try {
+    std::map<core::MoveId, moves::MoveRecord> moves;
+    for (const Json &it : j->at("moves")) {
+      auto record = it.get<moves::MoveRecord>();
+      moves[record.Id] = record;
+    }
+    absl::Status status = Config.restore(bytesOf(j->at("config")));
+    if (status.ok())
+      status = Claims.restore(bytesOf(j->at("claims")));
+    if (!status.ok())
+      return status;
+    Moves = std::move(moves);
+    LogTime.Ms = j->at("log_time").get<int64_t>();
+    MirrorCount = j->at("mirror_count").get<uint64_t>();
+  } catch (const nlohmann::json::exception &e) {
+    return absl::DataLossError(e.what());
+  }
+  return absl::OkStatus();
+}
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/HttpHeaders.cpp
@@ -0,0 +1,126 @@
+#include "daemon/HttpHeaders.h"
+
+#include "auth/Credentials.h"
+#include "core/Codec.h"
+
+#include <arpa/inet.h>
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+
+namespace briarspar::daemon {
+
+namespace {
+
+using forwarding::TargetAnswer;
+
+/// Headers that describe one connection or body framing, and headers that would make the target
+/// encode or cut its answer: the HTTP library applies ranges and encodings to the caller's side
+/// itself. The last four are added by the HTTP library.
+constexpr std::array<std::string_view, 20> DroppedFromRequest{"connection",
+                                                              "keep-alive",
+                                                              "proxy-authenticate",
+                                                              "proxy-authorization",
+                                                              "proxy-connection",
+                                                              "te",
+                                                              "trailer",
+                                                              "transfer-encoding",
+                                                              "upgrade",
+                                                              "host",
+                                                              "content-length",
+                                                              "expect",
+                                                              "accept-encoding",
+                                                              "content-encoding",
+                                                              "range",
+                                                              "if-range",
+                                                              "remote_addr",
+                                                              "remote_port",
+                                                              "local_addr",
+                                                              "local_port"};
+
+constexpr std::array<std::string_view, 8> DroppedFromAnswer{
+    "connection",        "keep-alive", "proxy-authenticate", "te", "trailer",
+    "transfer-encoding", "upgrade",    "content-length"};
+
+/// Headers with this prefix are set by the system only.
+constexpr std::string_view OwnPrefix = "briarspar-";
+
+bool equalsIgnoringCase(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && ::strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+bool isOwnHeader(std::string_view name) {
+  return equalsIgnoringCase(name.substr(0, OwnPrefix.size()), OwnPrefix);
+}
+
+template <size_t N>
+bool isOneOf(const std::array<std::string_view, N> &names, std::string_view name) {
+  return std::any_of(names.begin(), names.end(),
+                     [&](std::string_view it) { return equalsIgnoringCase(it, name); });
+}
+
+} // namespace
+
+absl::Status copyForTarget(const httplib::Request &req, forwarding::TargetRequest &out) {
+  out.Method = req.method;
+  out.PathAndQuery = req.target;
+  out.Body = req.body;
+  for (const auto &[name, value] : req.headers)
+    if (!isOneOf(DroppedFromRequest, name) && !isOwnHeader(name))
+      out.Headers.emplace(name, value);
+  httplib::Headers trailers; // The HTTP library discards them.
+  return auth::stripCredentials(out.Headers, out.PathAndQuery, trailers);
+}
+
+void writeAnswer(const TargetAnswer &answer, httplib::Response &res) {
+  res.status = answer.HttpStatus;
+  std::string type;
+  for (const auto &[name, value] : answer.Headers) {
+    if (isOneOf(DroppedFromAnswer, name) || isOwnHeader(name))
+      continue;
+    if (equalsIgnoringCase(name, "content-type"))
+      type = value;
+    else
+      res.headers.emplace(name, value);
+  }
+  if (answer.Body.empty() && type.empty())
+    return;
+  res.set_content(answer.Body, type.empty() ? "application/octet-stream" : type);
+}
+
+std::string encodeAnswer(const TargetAnswer &answer) {
+  core::Json headers = core::Json::array();
+  for (const auto &[name, value] : answer.Headers)
+    headers.push_back({name, value});
+  core::Json j = {{"status", answer.HttpStatus}, {"headers", headers}};
+  j["body"] = core::Json::binary({answer.Body.begin(), answer.Body.end()});
+  return core::encodeCbor(j);
+}
+
+absl::StatusOr<TargetAnswer> decodeAnswer(std::string_view bytes) {
+  absl::StatusOr<core::Json> j = core::decodeCbor(bytes);
+  if (!j.ok())
+    return j.status();
+  try {
+    TargetAnswer answer;
+    answer.Status = forwarding::ExchangeStatus::Answered;
+    answer.HttpStatus = j->at("status").get<int>();
+    for (const core::Json &it : j->at("headers"))
+      answer.Headers.emplace(it.at(0).get<std::string>(), it.at(1).get<std::string>());
+    const auto &body = j->at("body").get_binary();
+    answer.Body.assign(body.begin(), body.end());
+    return answer;
+  } catch (const nlohmann::json::exception &e) {
+    return absl::InvalidArgumentError(e.what());
+  }
+}
+
+uint32_t parseIpv4(const std::string &text) {
+  in_addr address{};
+  if (::inet_pton(AF_INET, text.c_str(), &address) != 1)
+    return 0;
+  return ntohl(address.s_addr);
+}
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/HttpHeaders.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "absl/status/statusor.h"
+#include "forwarding/TargetClient.h"
+
+#include <httplib.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace briarspar::daemon {
+
+/// Fills the headers and the request target (path and query) that go to a target: no credentials,
+/// nothing that belongs to the caller's connection, and nothing that only this system may set.
+/// Returns InvalidArgument when the path itself holds the key.
+absl::Status copyForTarget(const httplib::Request &req, forwarding::TargetRequest &out);
+
+/// Copies a target's answer to a caller's response.
+void writeAnswer(const forwarding::TargetAnswer &answer, httplib::Response &res);
+
+/// The stored form of an answer, as CBOR.
+std::string encodeAnswer(const forwarding::TargetAnswer &answer);
+absl::StatusOr<forwarding::TargetAnswer> decodeAnswer(std::string_view bytes);
+
+/// Returns an IPv4 address in host order, or 0 for other text.
+uint32_t parseIpv4(const std::string &text);
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/LeaderSide.cpp
@@ -0,0 +1,354 @@
+#include "daemon/LeaderSide.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <array>
+#include <utility>
+
+namespace briarspar::daemon {
+
+namespace {
+
+/// Interval of the move controller at the leader.
+constexpr core::Duration MoveInterval{200};
+
+/// Interval at which the loads of the regions are computed from the VMs' reports.
+constexpr core::Duration LoadInterval{1000};
+
+/// Service time assumed for a region without finished requests.
+constexpr uint64_t DefaultServiceMs = 50;
+
+constexpr char DeltaMark = 'D';
+constexpr char FullStateMark = 'F';
+
+balance::TargetInfo targetInfo(const config::Records &records, const config::TargetRecord &target) {
+  balance::TargetInfo info;
+  info.Id = target.Id;
+  info.Pool = balance::PoolId(target.Route.Value);
+  info.Version = target.Version;
+  info.Where = {target.Region, target.Domain};
+  info.Slots = config::isDraining(records, target) ? 0 : target.Slots;
+  return info;
+}
+
+} // namespace
+
+LeaderSide::LeaderSide(VoterSide &voter, core::EventSink &events, Sender sender)
+    : Voter(voter), Events(events), Send(std::move(sender)),
+      Leases(
+          {}, *this, [this](core::Time now) { return Voter.leads(now); }, this),
+      Quota({}, [this](core::Time now) { return Voter.leads(now); }) {}
+
+bool LeaderSide::receive(const core::VmId &from, std::string_view kind, std::string_view bytes,
+                         core::Time now) {
+  static const std::array<std::pair<std::string_view, Handler>, 7> Handlers{{
+      {kind::Renewal, &LeaderSide::onRenewalMessage},
+      {kind::Grant, &LeaderSide::onGrant},
+      {kind::Slots, &LeaderSide::onSlots},
+      {kind::Claim, &LeaderSide::onClaim},
+      {kind::Crash, &LeaderSide::onCrash},
+      {kind::Command, &LeaderSide::onCommand},
+      {kind::Join, &LeaderSide::onJoin},
+  }};
+  for (const auto &[name, handler] : Handlers) {
+    if (name != kind)
+      continue;
+    tick(now);
+    (this->*handler)(from, bytes, now);
+    return true;
+  }
+  return false;
+}
+
+void LeaderSide::tick(core::Time now) {
+  bool leads = Voter.leads(now);
+  if (leads && !Leading)
+    startTerm(now);
+  if (!leads && Leading)
+    Slots.stepDown();
+  Leading = leads;
+  if (!Leading)
+    return;
+  if (!HasAdopted || Adopted != version())
+    adoptConfig(now);
+  Members.tick(now);
+  Slots.tick(now);
+  Leases.tick(now);
+  noticeExpiredVms(now);
+  if (now >= NextLoads) {
+    NextLoads = now + LoadInterval;
+    observeLoads(now);
+  }
+  if (now >= NextMoves) {
+    NextMoves = now + MoveInterval;
+    driveMoves(now);
+  }
+}
+
+void LeaderSide::startTerm(core::Time now) {
+  core::Term term = Voter.replica().term();
+  Leases.becomeLeader(now);
+  Members.becomeLeader(now);
+  // The voter holds the leader lease, so the lease of every earlier leader has ended.
+  Quota.becomeOwner(now, term);
+  Slots.becomeLeader(term, now);
+  Serving.clear();
+  LoadReports.clear();
+  HasAdopted = false;
+  adoptMoves(now);
+}
+
+void LeaderSide::adoptMoves(core::Time now) {
+  Voter.machine().takeSteps();
+  std::vector<moves::MoveRecord> records;
+  for (const auto &[id, record] : Voter.machine().moves())
+    records.push_back(record);
+  Moves.becomeLeader(records, now);
+}
+
+void LeaderSide::adoptConfig(core::Time now) {
+  const config::Records &records = Voter.machine().config().records();
+  std::set<core::CustomerId> gone = std::exchange(Limited, {});
+  for (const auto &[id, customer] : records.Customers) {
+    Quota.setLimit(id, quota::Rate::perSecond(static_cast<int64_t>(customer.Rate)),
+                   quota::Burst{static_cast<int64_t>(customer.Burst)}, now);
+    Limited.insert(id);
+    gone.erase(id);
+  }
+  for (const core::CustomerId &id : gone)
+    Quota.removeCustomer(id, now);
+
+  std::vector<balance::VmInfo> vms;
+  std::vector<core::VmId> ids;
+  for (const auto &[id, vm] : records.Vms) {
+    vms.push_back({id, {vm.Region, vm.Domain}});
+    ids.push_back(id);
+  }
+  Slots.setVms(vms);
+  Moves.setVms(ids);
+  std::vector<balance::TargetInfo> targets;
+  for (const auto &[id, target] : records.Targets)
+    targets.push_back(targetInfo(records, target));
+  Slots.setTargets(targets);
+
+  for (const auto &[id, cap] : records.Caps)
+    Moves.setCap(core::RegionId(id.Value), {cap.Permille * 10, cap.Per});
+  for (const auto &[id, move] : Voter.machine().moves())
+    if (!move.ended())
+      Moves.start(move, now);
+  for (const auto &[id, move] : records.Moves)
+    if (move.State == config::MoveState::TakingBack)
+      Moves.cancel(id, now);
+  for (const auto &[id, shift] : records.Shifts)
+    if (shift.State == config::MoveState::TakingBack)
+      Moves.cancel(id, now);
+  Adopted = version();
+  HasAdopted = true;
+}
+
+void LeaderSide::platformList(absl::Span<const membership::PlatformEntry> list, core::Time now) {
+  Members.platformList(list, now);
+}
+
+bool LeaderSide::inForceEverywhere(core::ConfigVersion version, core::Time now) const {
+  return Leading && Voter.leads(now) && Leases.inForceEverywhere(version, now);
+}
+
+core::ConfigVersion LeaderSide::version() const { return Voter.machine().config().version(); }
+
+uint64_t LeaderSide::digest() const { return Voter.machine().config().digest(); }
+
+bool LeaderSide::hasDeltaSince(core::ConfigVersion from) const {
+  return from.Value > 0 && Voter.machine().config().deltaSince(from).has_value();
+}
+
+std::string LeaderSide::updateSince(core::ConfigVersion from) const {
+  const config::ConfigStore &store = Voter.machine().config();
+  std::optional<config::Delta> delta;
+  if (from.Value > 0)
+    delta = store.deltaSince(from);
+  if (delta)
+    return DeltaMark + config::encode(*delta);
+  return FullStateMark + store.fullState();
+}
+
+void LeaderSide::onRenewalMessage(const core::VmId &from, std::string_view bytes, core::Time now) {
+  absl::StatusOr<lease::Renewal> renewal = lease::decodeRenewal(bytes);
+  if (!renewal.ok() || renewal->Vm != from)
+    return;
+  lease::RenewalAnswer answer = Leases.renew(*renewal, now);
+  core::Json body = {{"leader", Voter.leaderHint().value_or(core::VmId()).Value}};
+  std::string encoded = lease::encode(answer);
+  body["answer"] = core::Json::binary({encoded.begin(), encoded.end()});
+  Send(from, kind::RenewalAnswer, core::encodeCbor(body));
+}
+
+std::string LeaderSide::onRenewal(const lease::Renewal &renewal, core::Time now) {
+  Members.heartbeat(
+      {renewal.Vm, renewal.Inc, renewal.Sequence, renewal.LastAnswered, renewal.Draining}, now);
+  Serving[renewal.Vm] = renewal.Inc;
+  observeReport(renewal, now);
+  LeaderReport report;
+  report.Term = Voter.replica().term();
+  for (const core::VmId &vm : Members.vms()) {
+    membership::VmState state = Members.stateOf(vm, now);
+    if (state != membership::VmState::Live && state != membership::VmState::Joining)
+      report.Excluded.push_back(vm);
+  }
+  if (Crashes.size() > 0)
+    report.Crashes = balance::encode(Crashes.report(now));
+  return encode(report);
+}
+
+void LeaderSide::observeReport(const lease::Renewal &renewal, core::Time now) {
+  if (renewal.Attachment.empty())
+    return;
+  absl::StatusOr<VmReport> report = decodeVmReport(renewal.Attachment);
+  if (!report.ok())
+    return;
+  for (const moves::VersionStats &stats : report->Stats)
+    Moves.observe(stats, now);
+  for (const moves::InFlightReport &inFlight : report->InFlight)
+    Moves.observe(inFlight, now);
+  LoadReports[renewal.Vm] = *std::move(report);
+}
+
+void LeaderSide::observeLoads(core::Time now) {
+  const config::Records &records = Voter.machine().config().records();
+  std::map<core::RegionId, uint64_t> slots;
+  for (const auto &[id, target] : records.Targets)
+    slots[target.Region] += config::isDraining(records, target) ? 0 : target.Slots;
+  std::map<core::RegionId, VmReport> sums;
+  for (const auto &[vm, report] : LoadReports) {
+    auto it = records.Vms.find(vm);
+    if (it == records.Vms.end() || report.IntervalMs == 0)
+      continue;
+    VmReport &sum = sums[it->second.Region];
+    sum.Finished += report.Finished * 1000 / report.IntervalMs;
+    sum.BusyMs += report.BusyMs * 1000 / report.IntervalMs;
+  }
+  for (const auto &[region, n] : slots) {
+    const VmReport &sum = sums[region];
+    uint64_t serviceMs =
+        sum.Finished > 0 ? std::max<uint64_t>(1, sum.BusyMs / sum.Finished) : DefaultServiceMs;
+    moves::RegionLoad load;
+    load.Region = region;
+    load.Capacity = n * 1000 / serviceMs;
+    load.Load = sum.Finished;
+    Moves.observe(load, now);
+  }
+}
+
+void LeaderSide::onGrant(const core::VmId &from, std::string_view bytes, core::Time now) {
+  absl::StatusOr<quota::GrantRequest> request = quota::decodeGrantRequest(bytes);
+  if (!request.ok() || request->Vm != from)
+    return;
+  Send(from, kind::GrantAnswer, quota::encode(Quota.request(*request, now)));
+}
+
+void LeaderSide::onSlots(const core::VmId &from, std::string_view bytes, core::Time now) {
+  absl::StatusOr<balance::SlotReport> report = balance::decodeSlotReport(bytes);
+  if (!report.ok() || report->Vm != from || !Leading)
+    return;
+  std::optional<balance::SlotAnswer> answer = Slots.report(*report, now);
+  if (answer && Voter.leads(now))
+    Send(from, kind::SlotsAnswer, balance::encode(*answer));
+}
+
+void LeaderSide::onClaim(const core::VmId &from, std::string_view bytes, core::Time now) {
+  absl::StatusOr<idempotency::ClaimCommand> command = idempotency::decodeClaimCommand(bytes);
+  if (!command.ok())
+    return;
+  const auto *claim = std::get_if<idempotency::Claim>(&*command);
+  if (claim != nullptr && Voter.leads(now)) {
+    std::optional<idempotency::ClaimOutcome> known = Voter.machine().claims().lookup(*claim);
+    if (known) {
+      idempotency::ClaimAnswer answer{claim->Key, claim->Attempt, *known};
+      Send(from, kind::ClaimResult, idempotency::encode(idempotency::ClaimResult(answer)));
+      return;
+    }
+  }
+  Voter.propose(*std::move(command), now, [this, from](const absl::StatusOr<std::string> &result) {
+    // Without a result the VM asks again; claims, completions and releases may be repeated.
+    if (result.ok())
+      Send(from, kind::ClaimResult, *result);
+  });
+}
+
+void LeaderSide::onCrash(const core::VmId &from, std::string_view bytes, core::Time now) {
+  absl::StatusOr<balance::CrashReport> report = balance::decodeCrashReport(bytes);
+  if (!report.ok() || !Leading)
+    return;
+  Crashes.merge(*report, now);
+  std::string merged = balance::encode(Crashes.report(now));
+  Send(from, kind::CrashAck, merged);
+}
+
+void LeaderSide::onCommand(const core::VmId &from, std::string_view bytes, core::Time now) {
+  absl::StatusOr<config::Command> command = config::decodeCommand(bytes);
+  if (!command.ok())
+    return;
+  std::string id = command->Id;
+  Voter.propose(*std::move(command), now,
+                [this, from, id](const absl::StatusOr<std::string> &result) {
+                  if (!result.ok())
+                    return;
+                  core::Json body = {{"id", id}};
+                  body["outcome"] = core::Json::binary({result->begin(), result->end()});
+                  Send(from, kind::CommandResult, core::encodeCbor(body));
+                });
+}
+
+void LeaderSide::onJoin(const core::VmId &from, std::string_view bytes, core::Time now) {
+  absl::StatusOr<core::Json> body = core::decodeCbor(bytes);
+  if (!body.ok() || !Leading || !body->contains("data") || !(*body)["data"].is_number_unsigned())
+    return;
+  agreement::VoterId id{from, core::Incarnation((*body)["data"].get<uint64_t>())};
+  // A step that is refused for now is repeated with the next join message.
+  (void)Voter.admit(id, now);
+}
+
+void LeaderSide::noticeExpiredVms(core::Time now) {
+  for (auto it = Serving.begin(); it != Serving.end();) {
+    const auto &[vm, incarnation] = *it;
+    if (Leases.latestExpiry(vm) > now) {
+      ++it;
+      continue;
+    }
+    Slots.vmExpired(vm, incarnation, now);
+    Moves.vmExpired(vm, now);
+    Voter.propose(idempotency::ClaimCommand(idempotency::VmDead{vm, incarnation}), now,
+                  [](const absl::StatusOr<std::string> &) {});
+    LoadReports.erase(vm);
+    Events.emit({core::EventId::VmStateChanged, {{"vm", vm.Value}, {"to", "lease-expired"}}});
+    it = Serving.erase(it);
+  }
+  for (const membership::StateChange &change : Members.takeEvents())
+    Events.emit({core::EventId::VmStateChanged,
+                 {{"vm", change.Vm.Value},
+                  {"from", membership::stateName(change.From)},
+                  {"to", membership::stateName(change.To)}}});
+}
+
+void LeaderSide::driveMoves(core::Time now) {
+  for (const moves::MoveStep &step : Voter.machine().takeSteps())
+    Moves.committed(step, now);
+  for (const moves::MoveStep &step : Moves.tick(now)) {
+    if (step.Kind != moves::StepKind::Checkpoint)
+      Events.emit({core::EventId::MoveStep, {{"move", step.Id.Value}, {"share", step.Share}}});
+    Voter.propose(step, now, [](const absl::StatusOr<std::string> &) {});
+  }
+  reportMoves();
+}
+
+void LeaderSide::reportMoves() {
+  for (const moves::MoveOutcome &outcome : Moves.takeOutcomes()) {
+    bool done = outcome.End == moves::MoveOutcome::Kind::Done;
+    Events.emit({done ? core::EventId::MoveDone : core::EventId::MoveTakenBack,
+                 {{"move", outcome.Id.Value},
+                  {"reason", moves::reasonName(outcome.Reason)},
+                  {"elapsed_ms", outcome.Elapsed.Ms}}});
+  }
+}
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/LeaderSide.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "balance/CrashGuard.h"
+#include "balance/SlotLedger.h"
+#include "core/Event.h"
+#include "daemon/Messages.h"
+#include "daemon/Reports.h"
+#include "daemon/VoterSide.h"
+#include "lease/LeaseGrantor.h"
+#include "membership/MembershipView.h"
+#include "moves/MoveController.h"
+#include "quota/QuotaOwner.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace briarspar::daemon {
+
+/// The duties of the group's leader: serving leases, membership, rates, slots, claims, commands and
+/// moves. It exists at every voter and acts only while the voter leads. Not thread-safe; used on
+/// the control thread.
+class LeaderSide final : private lease::ConfigSource, private lease::LeaseGrantorListener {
+public:
+  /// The voter, sink and sender must outlive the object.
+  LeaderSide(VoterSide &voter, core::EventSink &events, Sender sender);
+
+  /// Handles a message of a VM. Returns false for a kind that is not for the leader.
+  bool receive(const core::VmId &from, std::string_view kind, std::string_view bytes,
+               core::Time now);
+
+  /// Runs the periodic duties. Call it at least every 50 ms.
+  void tick(core::Time now);
+
+  /// Takes in the platform's list of VMs.
+  void platformList(absl::Span<const membership::PlatformEntry> list, core::Time now);
+
+  /// True if every VM has applied the version or can no longer serve. Only a leader knows.
+  bool inForceEverywhere(core::ConfigVersion version, core::Time now) const;
+
+  const membership::MembershipView &members() const { return Members; }
+
+private:
+  using Handler = void (LeaderSide::*)(const core::VmId &, std::string_view, core::Time);
+
+  core::ConfigVersion version() const override;
+  uint64_t digest() const override;
+  bool hasDeltaSince(core::ConfigVersion from) const override;
+  std::string updateSince(core::ConfigVersion from) const override;
+  std::string onRenewal(const lease::Renewal &renewal, core::Time now) override;
+
+  void onRenewalMessage(const core::VmId &from, std::string_view bytes, core::Time now);
+  void onGrant(const core::VmId &from, std::string_view bytes, core::Time now);
+  void onSlots(const core::VmId &from, std::string_view bytes, core::Time now);
+  void onClaim(const core::VmId &from, std::string_view bytes, core::Time now);
+  void onCrash(const core::VmId &from, std::string_view bytes, core::Time now);
+  void onCommand(const core::VmId &from, std::string_view bytes, core::Time now);
+  void onJoin(const core::VmId &from, std::string_view bytes, core::Time now);
+
+  void startTerm(core::Time now);
+  void adoptConfig(core::Time now);
+  void adoptMoves(core::Time now);
+  void observeReport(const lease::Renewal &renewal, core::Time now);
+  void observeLoads(core::Time now);
+  void noticeExpiredVms(core::Time now);
+  void driveMoves(core::Time now);
+  void reportMoves();
+
+  VoterSide &Voter;
+  core::EventSink &Events;
+  Sender Send;
+
+  bool Leading = false;
+  lease::LeaseGrantor Leases;
+  membership::MembershipView Members;
+  quota::QuotaOwner Quota;
+  balance::SlotLedger Slots;
+  balance::CrashGuard Crashes;
+  moves::MoveController Moves;
+
+  core::ConfigVersion Adopted; ///< Configuration version that limits and targets reflect.
+  bool HasAdopted = false;
+  std::set<core::CustomerId> Limited;              ///< Customers with a limit at the quota owner.
+  std::map<core::VmId, VmReport> LoadReports;      ///< Latest report of each VM.
+  std::map<core::VmId, core::Incarnation> Serving; ///< VMs whose lease has not been seen to end.
+  core::Time NextMoves;
+  core::Time NextLoads;
+};
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/Messages.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "core/Ids.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace briarspar::daemon {
+
+/// Kinds of messages between processes. The bodies are the CBOR forms that the slices define.
+namespace kind {
+constexpr std::string_view Raft = "raft";       ///< agreement::Envelope, voter to voter.
+constexpr std::string_view Renewal = "renewal"; ///< lease::Renewal, VM to leader.
+constexpr std::string_view RenewalAnswer = "renewal-answer"; ///< Leader to VM.
+constexpr std::string_view Grant = "grant";                  ///< quota::GrantRequest, VM to leader.
+constexpr std::string_view GrantAnswer = "grant-answer";     ///< Leader to VM.
+constexpr std::string_view Slots = "slots";                  ///< balance::SlotReport, VM to leader.
+constexpr std::string_view SlotsAnswer = "slots-answer";     ///< Leader to VM.
+constexpr std::string_view Claim = "claim";                  ///< ClaimCommand, VM to leader.
+constexpr std::string_view ClaimResult = "claim-result";     ///< Leader to VM.
+constexpr std::string_view Crash = "crash";                  ///< CrashReport, VM to leader.
+constexpr std::string_view CrashAck = "crash-ack";           ///< Merged CrashReport, leader to VM.
+constexpr std::string_view Command = "command";              ///< config::Command, VM to leader.
+constexpr std::string_view CommandResult = "command-result"; ///< config::Outcome, leader to VM.
+constexpr std::string_view Join = "join";                    ///< New voter identity, VM to leader.
+} // namespace kind
+
+/// Sends a message to another process, or to this one. Messages may be lost.
+using Sender = std::function<void(const core::VmId &to, std::string_view kind, std::string bytes)>;
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/OperatorApi.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "daemon/ControlNode.h"
+#include "daemon/ControlThread.h"
+#include "daemon/Settings.h"
+#include "observability/EventLog.h"
+#include "observability/Metrics.h"
+#include "operator_language/Parser.h"
+
+#include <httplib.h>
+
+#include <optional>
+#include <string>
+
+namespace briarspar::daemon {
+
+/// The HTTP interface for operators and for the platform: statements, time line, metrics, status
+/// and the platform's list of VMs. handle() is safe to call from any thread and blocks for the time
+/// of a command.
+class OperatorApi {
+public:
+  OperatorApi(const Settings &settings, ControlThread &control, ControlNode &node,
+              const core::Clock &clock, observability::EventLog &log,
+              observability::Metrics &metrics);
+
+  void handle(const httplib::Request &req, httplib::Response &res);
+
+private:
+  /// Returns the name of the operator whose key the request carries.
+  std::optional<std::string> operatorOf(const httplib::Request &req) const;
+
+  void onStatement(const std::string &name, const httplib::Request &req, httplib::Response &res);
+  void onEvents(const httplib::Request &req, httplib::Response &res) const;
+  void onStatus(httplib::Response &res);
+  void onPlatformList(const httplib::Request &req, httplib::Response &res);
+  core::Json runStatement(const std::string &name, const std::string &statement,
+                          const std::string &id);
+  core::Json runCommand(const config::Command &command);
+  core::Json runQuery(const operator_language::Query &query);
+
+  const Settings &Options;
+  ControlThread &Control;
+  ControlNode &Node;
+  const core::Clock &Clock;
+  observability::EventLog &Log;
+  observability::Metrics &Metrics;
+};
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/Reports.cpp
@@ -0,0 +1,44 @@
+#include "daemon/Reports.h"
+
+namespace briarspar::daemon {
+
+using core::Json;
+
+void from_json(const Json &j, VmReport &report) {
+  j.at("stats").get_to(report.Stats);
+  j.at("in_flight").get_to(report.InFlight);
+  j.at("finished").get_to(report.Finished);
+  j.at("busy_ms").get_to(report.BusyMs);
+  j.at("interval_ms").get_to(report.IntervalMs);
+}
+
+void from_json(const Json &j, LeaderReport &report) {
+  j.at("term").get_to(report.Term);
+  j.at("excluded").get_to(report.Excluded);
+  const auto &bytes = j.at("crashes").get_binary();
+  report.Crashes.assign(bytes.begin(), bytes.end());
+}
+
+std::string encode(const VmReport &report) {
+  return core::encodeCbor({{"stats", report.Stats},
+                           {"in_flight", report.InFlight},
+                           {"finished", report.Finished},
+                           {"busy_ms", report.BusyMs},
+                           {"interval_ms", report.IntervalMs}});
+}
+
+std::string encode(const LeaderReport &report) {
+  Json j = {{"term", report.Term}, {"excluded", report.Excluded}};
+  j["crashes"] = Json::binary(std::vector<uint8_t>(report.Crashes.begin(), report.Crashes.end()));
+  return core::encodeCbor(j);
+}
+
+absl::StatusOr<VmReport> decodeVmReport(std::string_view bytes) {
+  return core::decodeCborAs<VmReport>(bytes);
+}
+
+absl::StatusOr<LeaderReport> decodeLeaderReport(std::string_view bytes) {
+  return core::decodeCborAs<LeaderReport>(bytes);
+}
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/Reports.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "absl/status/statusor.h"
+#include "core/Codec.h"
+#include "core/Ids.h"
+#include "moves/DrainTracker.h"
+#include "moves/VersionStats.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace briarspar::daemon {
+
+/// What a VM measured since its previous renewal. Travels as the renewal's attachment.
+struct VmReport {
+  std::vector<moves::VersionStats> Stats;      ///< For routes with a running version move.
+  std::vector<moves::InFlightReport> InFlight; ///< For running drains.
+  uint64_t Finished = 0;                       ///< Requests that a target answered.
+  uint64_t BusyMs = 0;                         ///< Sum of their times at targets, in ms.
+  uint64_t IntervalMs = 0;                     ///< Length of the span measured, in ms.
+};
+
+/// What the leader tells a VM with a renewal answer.
+struct LeaderReport {
+  core::Term Term;                  ///< The leader's term; addresses slot reports.
+  std::vector<core::VmId> Excluded; ///< VMs that look-ups must not name: leaving, suspect or dead.
+  std::string Crashes;              ///< Encoded balance::CrashReport; empty when unchanged.
+};
+
+void from_json(const core::Json &j, VmReport &report);
+void from_json(const core::Json &j, LeaderReport &report);
+
+std::string encode(const VmReport &report);
+std::string encode(const LeaderReport &report);
+absl::StatusOr<VmReport> decodeVmReport(std::string_view bytes);
+absl::StatusOr<LeaderReport> decodeLeaderReport(std::string_view bytes);
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/RequestPipeline.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "balance/RetryBudget.h"
+#include "daemon/ClaimBridge.h"
+#include "daemon/SlotQueue.h"
+#include "daemon/VmSide.h"
+#include "daemon/Waiters.h"
+#include "forwarding/Problem.h"
+#include "forwarding/TargetClient.h"
+#include "observability/Metrics.h"
+
+#include <httplib.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace briarspar::daemon {
+
+/// Takes one caller's request from its first byte to its answer: route, lease, key, rate, claim,
+/// slot, target, retries and refusals. Every member is safe to call from any thread; handle()
+/// blocks for the time of the request.
+class RequestPipeline {
+public:
+  /// Asks the control thread to report crashes to the leader.
+  using ReportCrashes = std::function<void()>;
+
+  /// All references must outlive the pipeline.
+  RequestPipeline(VmSide &side, SlotQueue &slots, ClaimBridge &claims,
+                  forwarding::TargetClientPool &targets, const core::Clock &clock,
+                  core::EventSink &events, observability::Metrics &metrics,
+                  ReportCrashes reportCrashes);
+
+  void handle(const httplib::Request &req, httplib::Response &res);
+
+  /// From now on new requests are refused as "not run"; those in progress end normally.
+  void refuseNewRequests() { Refusing = true; }
+
+  EventCounter &grants() { return Grants; }
+  EventCounter &crashAcks() { return CrashAcks; }
+
+private:
+  /// One request on its way through the pipeline.
+  struct Exchange {
+    const httplib::Request *Req = nullptr;
+    std::shared_ptr<const ServingState> State;
+    const RouteView *Route = nullptr;
+    core::CustomerId Customer;
+    std::string Key;       ///< As presented; never stored, logged or forwarded.
+    std::string RequestId; ///< Idempotency-Key of the caller.
+    uint64_t Fingerprint = 0;
+    core::Time Arrived;
+    core::Time Deadline;
+  };
+
+  /// The answer of a target, or why there is none.
+  struct AttemptEnd {
+    forwarding::ExchangeStatus Status = forwarding::ExchangeStatus::NotSent;
+    forwarding::TargetAnswer Answer;
+    core::TargetId Target; ///< Empty when no target was chosen.
+    std::optional<forwarding::Refusal>
+        Refused; ///< Set when nothing was sent for a reason of our own.
+  };
+
+  using Step = std::optional<forwarding::Refusal> (RequestPipeline::*)(Exchange &);
+  using Result = std::variant<forwarding::TargetAnswer, forwarding::Refusal>;
+
+  std::optional<forwarding::Refusal> checkRoute(Exchange &exchange);
+  std::optional<forwarding::Refusal> checkLease(Exchange &exchange);
+  std::optional<forwarding::Refusal> checkKey(Exchange &exchange);
+  std::optional<forwarding::Refusal> checkRequestId(Exchange &exchange);
+  std::optional<forwarding::Refusal> checkCrashes(Exchange &exchange);
+  std::optional<forwarding::Refusal> admitByRate(Exchange &exchange);
+
+  Result run(Exchange &exchange);
+  Result runIdempotent(Exchange &exchange);
+  Result runOnce(Exchange &exchange);
+  AttemptEnd attempt(Exchange &exchange, const std::vector<core::TargetId> &exclude);
+  AttemptEnd sendTo(Exchange &exchange, const balance::Choice &choice);
+  std::optional<forwarding::Refusal> checkBeforeSending(const Exchange &exchange) const;
+  void recordEnd(const Exchange &exchange, const balance::Choice &choice, const AttemptEnd &end,
+                 core::Duration latency);
+  /// Returns how many errors count against the version now, or nothing when no target process
+  /// ended.
+  std::optional<uint32_t> reportIfCrash(const Exchange &exchange, const balance::Choice &choice,
+                                        const AttemptEnd &end);
+  absl::Status prepare(const Exchange &exchange, forwarding::TargetRequest &request) const;
+  forwarding::Refusal refusalOf(const Exchange &exchange, const AttemptEnd &end) const;
+  forwarding::Refusal refusalOf(const idempotency::CallerReply &reply) const;
+  std::vector<std::string> otherVms(const ServingState &state) const;
+
+  void answerLookup(const httplib::Request &req, httplib::Response &res);
+  void write(const Exchange &exchange, const Result &result, httplib::Response &res);
+  void writeRefusal(const Exchange &exchange, const forwarding::Refusal &refusal,
+                    httplib::Response &res);
+
+  VmSide &Side;
+  SlotQueue &Slots;
+  ClaimBridge &Claims;
+  forwarding::TargetClientPool &Targets;
+  const core::Clock &Clock;
+  core::EventSink &Events;
+  observability::Metrics &Metrics;
+  ReportCrashes AskCrashReport;
+  balance::RetryBudget Retries;
+  EventCounter Grants;
+  EventCounter CrashAcks;
+  std::atomic<bool> Refusing{false};
+};
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/ServingState.cpp
@@ -0,0 +1,117 @@
+#include "daemon/ServingState.h"
+
+#include <algorithm>
+
+namespace briarspar::daemon {
+
+namespace {
+
+bool isPrefixOf(std::string_view prefix, std::string_view path) {
+  if (path.substr(0, prefix.size()) != prefix)
+    return false;
+  bool endsAtSegment = path.size() == prefix.size() || prefix.back() == '/';
+  return endsAtSegment || path[prefix.size()] == '/';
+}
+
+RouteView viewOf(const config::Records &records, const config::RouteRecord &route) {
+  RouteView view;
+  view.Record = route;
+  const config::MoveRecord *move = config::runningMove(records, route.Id);
+  if (move == nullptr) {
+    if (!route.Current.empty())
+      view.Shares[route.Current] = 1000;
+    return view;
+  }
+  view.MovingTo = move->To;
+  view.Shares[move->To] = move->SharePermille;
+  view.Shares[move->From] = 1000 - move->SharePermille;
+  return view;
+}
+
+balance::TargetInfo infoOf(const config::Records &records, const config::TargetRecord &target) {
+  balance::TargetInfo info;
+  info.Id = target.Id;
+  info.Pool = balance::PoolId(target.Route.Value);
+  info.Version = target.Version;
+  info.Where = {target.Region, target.Domain};
+  info.Slots = config::isDraining(records, target) ? 0 : target.Slots;
+  return info;
+}
+
+/// Numbers the regions in the order of their names; every VM gets the same numbers.
+std::map<core::RegionId, placement::SiteId> numberRegions(const config::Records &records) {
+  std::map<core::RegionId, placement::SiteId> sites;
+  for (const auto &[id, vm] : records.Vms)
+    sites[vm.Region] = {};
+  uint16_t n = 0;
+  for (auto &[region, site] : sites)
+    site = placement::SiteId{n++};
+  return sites;
+}
+
+std::vector<placement::Site> sitesOf(const config::Records &records, const ServingContext &context,
+                                     const std::map<core::RegionId, placement::SiteId> &numbers) {
+  std::vector<placement::Site> sites;
+  for (const auto &[region, number] : numbers) {
+    placement::Site site;
+    site.Id = number;
+    for (const auto &[id, vm] : records.Vms)
+      if (vm.Region == region)
+        site.Vms.push_back(
+            {id, context.Excluded.count(id) == 0, config::isDraining(records, vm), {}});
+    for (const auto &[id, shift] : records.Shifts) {
+      auto to = numbers.find(core::RegionId(shift.To));
+      if (shift.From == region.Value && shift.ShiftedPermille > 0 && to != numbers.end())
+        site.Shares.push_back({to->second, shift.ShiftedPermille * 10});
+    }
+    sites.push_back(std::move(site));
+  }
+  return sites;
+}
+
+std::shared_ptr<const placement::LookupPolicy> lookupsOf(const config::Records &records,
+                                                         const ServingContext &context) {
+  std::map<core::RegionId, placement::SiteId> numbers = numberRegions(records);
+  auto home = numbers.find(context.OwnRegion);
+  placement::LookupSettings settings;
+  settings.MaxTtl = context.LookupTtl;
+  settings.DrainTtl = context.LookupTtl;
+  auto blocks = std::make_shared<const placement::BlockTable>();
+  // A caller without a block of its own belongs to the region that it asks.
+  if (home != numbers.end()) {
+    placement::BlockChange all;
+    all.Site = home->second;
+    blocks = blocks->with({all});
+  }
+  return std::make_shared<const placement::LookupPolicy>(blocks, sitesOf(records, context, numbers),
+                                                         settings);
+}
+
+} // namespace
+
+const RouteView *ServingState::routeFor(std::string_view path) const {
+  for (const RouteView &route : Routes)
+    if (isPrefixOf(route.Record.PathPrefix, path))
+      return &route;
+  return nullptr;
+}
+
+std::shared_ptr<const ServingState> buildServingState(core::ConfigVersion version,
+                                                      const config::Records &records,
+                                                      const ServingContext &context) {
+  auto state = std::make_shared<ServingState>();
+  state->Version = version;
+  state->Records = records;
+  for (const auto &[id, route] : records.Routes)
+    state->Routes.push_back(viewOf(records, route));
+  std::sort(state->Routes.begin(), state->Routes.end(), [](const auto &a, const auto &b) {
+    return a.Record.PathPrefix.size() > b.Record.PathPrefix.size();
+  });
+  for (const auto &[id, target] : records.Targets)
+    state->Targets.push_back(infoOf(records, target));
+  state->Keys = auth::KeyVerifier(records);
+  state->Lookups = lookupsOf(records, context);
+  return state;
+}
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/ServingState.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "auth/KeyVerifier.h"
+#include "balance/SlotMessages.h"
+#include "config/ConfigStore.h"
+#include "core/Ids.h"
+#include "placement/LookupPolicy.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace briarspar::daemon {
+
+/// A route with what the traffic threads need of it.
+struct RouteView {
+  config::RouteRecord Record;
+  std::map<core::VersionId, uint32_t> Shares; ///< Share of each version, in parts per 1,000.
+  core::VersionId MovingTo;                   ///< New version of a running move; empty without one.
+};
+
+/// The configuration in force at this VM in the form that traffic threads read. Immutable.
+struct ServingState {
+  core::ConfigVersion Version;
+  config::Records Records;
+  std::vector<RouteView> Routes; ///< Longest path prefix first.
+  std::vector<balance::TargetInfo> Targets;
+  auth::KeyVerifier Keys;
+  std::shared_ptr<const placement::LookupPolicy> Lookups;
+
+  /// Returns the route with the longest prefix of the path that ends at a path segment, or null.
+  const RouteView *routeFor(std::string_view path) const;
+};
+
+/// What a VM knows besides the configuration when it builds its serving state.
+struct ServingContext {
+  core::RegionId OwnRegion;
+  std::set<core::VmId> Excluded;  ///< VMs that look-ups must not name.
+  core::Duration LookupTtl{5000}; ///< Longest time for which callers cache a look-up.
+};
+
+/// Builds the serving state of a configuration.
+std::shared_ptr<const ServingState> buildServingState(core::ConfigVersion version,
+                                                      const config::Records &records,
+                                                      const ServingContext &context);
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/VmSide.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "balance/CrashGuard.h"
+#include "balance/FairQueue.h"
+#include "balance/SlotHolder.h"
+#include "balance/TargetChooser.h"
+#include "config/ConfigReplica.h"
+#include "core/Event.h"
+#include "daemon/CommandRelay.h"
+#include "daemon/Messages.h"
+#include "daemon/ServingState.h"
+#include "daemon/TrafficStats.h"
+#include "idempotency/ClaimCoordinator.h"
+#include "lease/LeaseHolder.h"
+#include "quota/QuotaHolder.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace briarspar::daemon {
+
+/// Who this VM is.
+struct VmIdentity {
+  core::VmId Vm;
+  core::Incarnation Run;
+  balance::Place Where;
+  std::vector<core::VmId> Voters; ///< VMs that may lead; the lease is asked of them in turn.
+  core::Duration LookupTtl{5000};
+};
+
+/// Called on the control thread when something that traffic threads wait for may have changed.
+class VmSideListener {
+public:
+  virtual ~VmSideListener() = default;
+  virtual void onGrants() {}                                      ///< Rate tokens arrived.
+  virtual void onSlots() {}                                       ///< Slots or targets changed.
+  virtual void onClaimAction(const idempotency::ClaimAction &) {} ///< Dispatch or Reply.
+  virtual void onCrashAck() {}                                    ///< The leader has the crashes.
+};
+
+/// The duties of every VM towards the leader: lease, configuration, rates, slots, claims and
+/// reports. Control thread only, but for the accessors marked otherwise.
+class VmSide final : private lease::ConfigTarget, private lease::LeaseHolderListener {
+public:
+  VmSide(const VmIdentity &identity, const core::Clock &clock, core::EventSink &events,
+         Sender sender, lease::LeaseHolder::Random random, VmSideListener &listener);
+
+  /// Handles a message of the leader. Returns false for a kind that is not for a VM.
+  bool receive(const core::VmId &from, std::string_view kind, std::string_view bytes,
+               core::Time now);
+
+  /// Call it every 5 to 10 ms.
+  void tick(core::Time now);
+
+  /// Claims a request id; the listener receives Dispatch and Reply.
+  void startOnce(const idempotency::RequestStart &request, core::Time now);
+  void dispatchFinished(uint64_t attempt, const idempotency::DispatchResult &result,
+                        core::Time now);
+
+  /// Tells the leader the recorded crashes; the listener's onCrashAck() follows.
+  void sendCrashReport(core::Time now);
+
+  /// Sends an operator's command to the leader and repeats it until its outcome is known.
+  void submit(const config::Command &command, core::Time deadline, core::Time now,
+              CommandRelay::Done done);
+
+  /// Announces a planned stop: look-ups name other VMs from the next renewal on.
+  void setDraining(bool draining) { Lease.setDraining(draining); }
+
+  size_t openAttempts() const { return Claims.openAttempts(); }
+  std::optional<core::VmId> leader() const { return Leader; }
+
+  // The following are safe to call from any thread.
+
+  bool mayServe(core::Time now) const { return Lease.valid(now); }
+  std::shared_ptr<const ServingState> state() const { return std::atomic_load(&State); }
+  quota::QuotaHolder &quota() { return Quota; }
+  balance::SlotHolder &slots() { return Slots; }
+  balance::TargetChooser &chooser() { return Chooser; }
+  balance::CrashGuard &crashes() { return Crashes; }
+  TrafficStats &stats() { return Stats; }
+  std::atomic<uint64_t> &requestsInFlight() { return InFlight; }
+  const VmIdentity &identity() const { return Identity; }
+
+private:
+  using Handler = void (VmSide::*)(const core::VmId &, std::string_view, core::Time);
+
+  /// Backs the permissions of the slots and claims with the lease.
+  struct LeasePermission final : balance::ServingPermission, idempotency::DispatchPermission {
+    explicit LeasePermission(const VmSide &side) : Side(side) {}
+    bool valid(core::Time now) const override { return Side.Lease.valid(now); }
+    const VmSide &Side;
+  };
+
+  core::ConfigVersion version() const override { return Config.version(); }
+  uint64_t digest() const override { return Config.digest(); }
+  absl::Status apply(core::ConfigVersion to, uint64_t digest, std::string_view update) override;
+  std::string renewalAttachment(core::Time now) override;
+  void onAnswer(std::string_view attachment, core::Time now) override;
+  void onLeaseGained(core::Time now) override;
+  void onLeaseLost(core::Time now) override;
+
+  void onRenewalAnswer(const core::VmId &from, std::string_view bytes, core::Time now);
+  void onGrantAnswer(const core::VmId &from, std::string_view bytes, core::Time now);
+  void onSlotsAnswer(const core::VmId &from, std::string_view bytes, core::Time now);
+  void onClaimResult(const core::VmId &from, std::string_view bytes, core::Time now);
+  void onCrashAck(const core::VmId &from, std::string_view bytes, core::Time now);
+  void onCommandResult(const core::VmId &from, std::string_view bytes, core::Time now);
+
+  void sendToLeader(std::string_view kind, std::string bytes);
+  void chooseLeaderToAsk();
+  void publish(core::Time now);
+  void flushClaims();
+  std::vector<moves::InFlightReport> inFlightReports();
+  uint64_t inFlightOn(const config::DrainRecord &drain, const ServingState &state) const;
+
+  VmIdentity Identity;
+  const core::Clock &Clock;
+  core::EventSink &Events;
+  Sender Send;
+  VmSideListener &Listener;
+
+  config::ConfigReplica Config;
+  std::shared_ptr<const ServingState> State; ///< Accessed with the atomic functions only.
+  ServingContext Context;
+  lease::LeaseHolder Lease;
+  LeasePermission Permission;
+  quota::QuotaHolder Quota;
+  balance::SlotHolder Slots;
+  balance::TargetChooser Chooser;
+  balance::CrashGuard Crashes;
+  idempotency::ClaimCoordinator Claims;
+  TrafficStats Stats;
+  std::atomic<uint64_t> InFlight{0};
+  CommandRelay Commands;
+
+  std::optional<core::VmId> Leader; ///< VM that last granted the lease or was named as leader.
+  core::Term LeaderTerm;
+  size_t NextVoter = 0; ///< Voter to ask when the leader is not known.
+  uint64_t ReportSequence = 0;
+};
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/VoterSide.cpp
@@ -0,0 +1,101 @@
+#include "daemon/VoterSide.h"
+
+#include "absl/strings/str_cat.h"
+#include "agreement/Messages.h"
+
+#include <algorithm>
+
+namespace briarspar::daemon {
+
+absl::StatusOr<std::unique_ptr<VoterSide>>
+VoterSide::open(const agreement::ReplicaSettings &settings, agreement::LogStorage &storage,
+                agreement::RandomSource &random, core::EventSink &events, Sender sender,
+                core::Time now) {
+  std::unique_ptr<VoterSide> side(new VoterSide(events, std::move(sender)));
+  absl::StatusOr<std::unique_ptr<agreement::Replica>> log =
+      agreement::Replica::open(settings, storage, side->Machine, random, now);
+  if (!log.ok())
+    return log.status();
+  side->Log = *std::move(log);
+  return side;
+}
+
+void VoterSide::receive(std::string_view bytes, core::Time now) {
+  absl::StatusOr<agreement::Envelope> envelope = agreement::decodeEnvelope(bytes);
+  if (!envelope.ok()) {
+    Events.emit({core::EventId::PeerMessageRejected,
+                 {{"reason", std::string(envelope.status().message())}}});
+    return;
+  }
+  Log->receive(*envelope, now);
+  flush();
+}
+
+void VoterSide::tick(core::Time now) {
+  Log->tick(now);
+  flush();
+}
+
+core::Time VoterSide::nextLogTime(core::Time now) {
+  if (LeadingTerm != Log->term()) {
+    LeadingTerm = Log->term();
+    LeadingSince = now;
+    LogTimeAtStart = Machine.logTime();
+  }
+  return std::max(Machine.logTime(), LogTimeAtStart + (now - LeadingSince));
+}
+
+void VoterSide::propose(decltype(LogCommand::What) what, core::Time now, Done done) {
+  if (!leads(now)) {
+    done(absl::UnavailableError("this replica does not lead"));
+    return;
+  }
+  LogCommand command{nextLogTime(now), std::move(what)};
+  absl::StatusOr<core::LogIndex> index = Log->propose(encode(command), now);
+  if (!index.ok())
+    done(index.status());
+  else
+    Pending[*index] = std::move(done);
+}
+
+void VoterSide::flush() {
+  agreement::Actions actions = Log->take();
+  for (const agreement::Envelope &envelope : actions.Messages)
+    Send(envelope.To.Vm, kind::Raft, agreement::encodeEnvelope(envelope));
+  for (const core::Event &event : actions.Events)
+    Events.emit(event);
+  for (agreement::ProposalResult &result : actions.Results) {
+    auto it = Pending.find(result.Index);
+    if (it == Pending.end())
+      continue;
+    Done done = std::move(it->second);
+    Pending.erase(it);
+    done(result.Answer);
+  }
+}
+
+absl::Status VoterSide::admit(const agreement::VoterId &id, core::Time now) {
+  const agreement::Configuration &members = Log->configuration();
+  if (members.contains(id))
+    return absl::OkStatus();
+  for (const agreement::VoterId &member : members.Voters)
+    if (member.Vm == id.Vm)
+      return member.Data < id.Data ? Log->removeVoter(member, now)
+                                   : absl::FailedPreconditionError("the identity is older");
+  for (const agreement::VoterId &member : members.Learners)
+    if (member.Vm == id.Vm)
+      return member.Data < id.Data ? Log->removeVoter(member, now)
+                                   : absl::FailedPreconditionError("the identity is older");
+  return Log->addVoter(id, now);
+}
+
+std::optional<core::VmId> VoterSide::leaderHint() const {
+  if (Log->isLeader())
+    return Log->self().Vm;
+  std::optional<agreement::VoterId> hint = Log->leaderHint();
+  if (!hint)
+    return std::nullopt;
+  return hint->Vm;
+}
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/Waiters.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/Clock.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+
+namespace briarspar::daemon {
+
+/// A counter of events on the control thread that traffic threads wait for.
+class EventCounter {
+public:
+  uint64_t current() const {
+    std::lock_guard<std::mutex> lock(Mutex);
+    return Count;
+  }
+
+  void signal() {
+    std::lock_guard<std::mutex> lock(Mutex);
+    ++Count;
+    Changed.notify_all();
+  }
+
+  /// Waits until an event after `seen` has happened, for `limit` at most. Returns whether it has.
+  bool waitAfter(uint64_t seen, core::Duration limit) {
+    std::unique_lock<std::mutex> lock(Mutex);
+    return Changed.wait_for(lock, std::chrono::milliseconds(limit.Ms),
+                            [&] { return Count > seen; });
+  }
+
+private:
+  mutable std::mutex Mutex;
+  std::condition_variable Changed;
+  uint64_t Count = 0;
+};
+
+} // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/main/Main.cpp
@@ -0,0 +1,85 @@
+// briarspard: the daemon. One process on each VM.
+
+#include "daemon/Daemon.h"
+
+#include <CLI/CLI.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+using namespace briarspar::daemon;
+
+namespace {
+
+enum ExitCode : int { Ok = 0, SettingsInvalid = 2, StartFailed = 3 };
+
+sigset_t stopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+void waitForSignal(const sigset_t &signals) {
+  int signal = 0;
+  sigwait(&signals, &signal);
+}
+
+int run(const Settings &settings, const StartOptions &options) {
+  // Threads inherit the mask, so that only the main thread receives the stop signals.
+  sigset_t signals = stopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+
+  absl::StatusOr<std::unique_ptr<Daemon>> daemon = Daemon::create(settings, options);
+  if (!daemon.ok()) {
+    std::cerr << daemon.status().message() << '\n';
+    return StartFailed;
+  }
+  absl::Status status = (*daemon)->start();
+  if (!status.ok()) {
+    std::cerr << status.message() << '\n';
+    return StartFailed;
+  }
+  ListenerPorts ports = (*daemon)->ports();
+  std::cout << "ready caller=" << ports.Caller << " operator=" << ports.Operator
+            << " peer=" << ports.Peer << std::endl;
+
+  waitForSignal(signals);
+  std::atomic<bool> abort{false};
+  std::thread second([&] {
+    waitForSignal(signals);
+    abort = true;
+  });
+  second.detach();
+  (*daemon)->drainAndStop([&] { return abort.load(); });
+  std::_Exit(Ok);
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  CLI::App app("briarspar daemon");
+  std::string file;
+  bool check = false;
+  StartOptions options;
+  app.add_option("--settings", file, "Settings file in JSON")->required();
+  app.add_flag("--check", check, "Check the settings and exit");
+  app.add_flag("--bootstrap", options.Bootstrap,
+               "Create a new group: for the first start of the first voters only");
+  CLI11_PARSE(app, argc, argv);
+
+  absl::StatusOr<Settings> settings = loadSettings(file);
+  if (!settings.ok()) {
+    std::cerr << settings.status().message() << '\n';
+    return SettingsInvalid;
+  }
+  if (check) {
+    std::cout << "settings are valid\n";
+    return Ok;
+  }
+  return run(*settings, options);
+}
--- /dev/null
+++ b/tests/fleet/test_promises.py
@@ -0,0 +1,332 @@
+"""Tests on real processes: each injects the failures that a promise of the system is about. Verdicts wait for
+events with generous limits; no measured time is asserted."""
+
+import http.client
+import json
+import pathlib
+import shutil
+import signal
+import sys
+import tempfile
+import threading
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent / "tools/fleet"))
+
+from fleet import HOST, Fleet, request, wait_for  # noqa: E402
+
+
+class FleetTest(unittest.TestCase):
+    vms_per_domain = 1
+
+    def setUp(self):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="briarspar-fleet-"))
+        self.fleet = Fleet(self.folder, self.vms_per_domain)
+        self.fleet.__enter__()
+        self.addCleanup(self.clean)
+
+    def clean(self):
+        self.fleet.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def serve(self, route="read", semantics="idempotent", path="/read", targets=2, deadline="5s", **options):
+        """Creates a customer, a route and targets, and waits until a request succeeds at every VM."""
+        self.key = self.fleet.create_customer("shop")
+        self.fleet.accept(f"create route {route} path {path} keyed {semantics} deadline {deadline}")
+        for number in range(targets):
+            region = f"r{number % 3 + 1}"
+            self.fleet.add_target(f"{route}-{number + 1}", route, region=region, domain=f"{region}-d1", **options)
+        self.fleet.wait_in_force()
+        for vm in self.fleet.vms.values():
+            identity = {"Idempotency-Key": f"warm-{vm.name}"}
+            wait_for(lambda vm=vm: request(vm.caller_port, "POST", path, self.key, "{}", identity).status == 200,
+                     f"{vm.name} serves {path}")
+
+    def vm_list(self):
+        return list(self.fleet.vms.values())
+
+
+class WholePath(FleetTest):
+    def test_lookup_request_and_answer(self):
+        """Guards against a path that works only in unit tests."""
+        self.serve()
+        vm = self.vm_list()[0]
+        lookup = json.loads(request(vm.caller_port, "GET", "/.well-known/briarspar/entry").body)
+        self.assertGreater(len(lookup["vms"]), 0)
+        host, port = lookup["vms"][0]["address"].split(":")
+        self.assertEqual(host, HOST)
+        answer = request(int(port), "GET", "/read/closures?road=m1", self.key)
+        self.assertEqual((answer.status, answer.outcome), (200, "ran"))
+        self.assertIn(b"ran GET /read/closures", answer.body)
+
+    def test_no_target_sees_a_key(self):
+        """Guards against a key that is forwarded in a header or in the query."""
+        self.serve()
+        vm = self.vm_list()[0]
+        for headers in ({"Authorization": f"Bearer {self.key}"}, {"X-Api-Key": self.key}):
+            answer = request(vm.caller_port, "GET", f"/read/x?api_key={self.key}&a=1", headers=headers)
+            self.assertEqual(answer.status, 200)
+        self.assertEqual([it.stats()["keys_seen"] for it in self.fleet.targets.values()], [0, 0])
+
+    def test_unknown_key_runs_nothing(self):
+        """Guards against a request that runs for nobody."""
+        self.serve()
+        before = sum(it.stats()["requests"] for it in self.fleet.targets.values())
+        answer = request(self.vm_list()[0].caller_port, "GET", "/read/x", "no-such-key")
+        self.assertEqual((answer.status, answer.outcome, answer.code), (401, "not-run", "key-invalid"))
+        self.assertEqual(before, sum(it.stats()["requests"] for it in self.fleet.targets.values()))
+
+
+class WithdrawnKey(FleetTest):
+    def test_open_connections_lose_a_withdrawn_key_everywhere(self):
+        """Guards against a key that keeps working on a connection that is still open."""
+        self.serve()
+        links = [http.client.HTTPConnection(HOST, vm.caller_port, timeout=30) for vm in self.vm_list()]
+        for link in links:
+            self.assertEqual(request(0, "GET", "/read/x", self.key, connection=link).status, 200)
+        identity = self.fleet.show("keys")[0]["id"]
+        version = self.fleet.accept(f"withdraw key {identity}")["version"]
+        self.fleet.wait_in_force(version)
+        for link in links:
+            self.assertEqual(request(0, "GET", "/read/x", self.key, connection=link).code, "key-invalid")
+
+    def test_paused_vm_acts_on_nothing_stale(self):
+        """Guards against a process that was stopped and continued and still trusts its old configuration."""
+        self.serve()
+        paused = next(it for it in self.vm_list() if not it.voter)
+        link = http.client.HTTPConnection(HOST, paused.caller_port, timeout=60)
+        self.assertEqual(request(0, "GET", "/read/x", self.key, connection=link).status, 200)
+        paused.pause()
+        identity = self.fleet.show("keys")[0]["id"]
+        version = self.fleet.accept(f"withdraw key {identity}")["version"]
+        leader = self.fleet.leader()
+        wait_for(lambda: version <= leader.status().get("in_force", 0), "the withdrawal is in force everywhere")
+        ran = sum(it.stats()["requests"] for it in self.fleet.targets.values())
+        link.request("GET", "/read/x", headers={"Authorization": f"Bearer {self.key}"})
+        paused.resume()
+        answer = link.getresponse()
+        answer.read()
+        self.assertIn(answer.status, (401, 503))
+        self.assertEqual(ran, sum(it.stats()["requests"] for it in self.fleet.targets.values()))
+
+
+class AtMostOnce(FleetTest):
+    def test_resends_through_every_vm_run_once(self):
+        """Guards against a second run when a caller resends through other VMs, at once and later."""
+        self.serve("book", "once", "/book", options=("--service-ms", "100"))
+        answers = []
+
+        def send(vm):
+            answers.append(request(vm.caller_port, "POST", "/book", self.key, "{\"n\":1}", {"Idempotency-Key": "b-1"}))
+
+        threads = [threading.Thread(target=send, args=(vm,)) for vm in self.vm_list() * 2]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        send(self.vm_list()[-1])
+        self.assertEqual(answers[-1].status, 200)
+        whole = {it.body for it in answers if it.status == 200}
+        self.assertEqual(len(whole), 1)
+        self.assertEqual(sum(it.stats()["ids_run_twice"] for it in self.fleet.targets.values()), 0)
+        for answer in answers:
+            self.assertTrue(answer.status == 200 or answer.outcome == "unknown", (answer.status, answer.body))
+
+    def test_reused_id_with_another_body_is_an_error(self):
+        """Guards against a stored answer that is given to another request."""
+        self.serve("book", "once", "/book")
+        headers = {"Idempotency-Key": "b-2"}
+        port = self.vm_list()[0].caller_port
+        self.assertEqual(request(port, "POST", "/book", self.key, "one", headers).status, 200)
+        self.assertEqual(request(port, "POST", "/book", self.key, "two", headers).code, "request-id-reused")
+
+    def test_claimant_killed_in_mid_request(self):
+        """Guards against a second run after the VM that claimed the request died."""
+        self.serve("book", "once", "/book", deadline="10s")
+        claimant = next(it for it in self.vm_list() if not it.voter)
+        other = next(it for it in self.vm_list() if it is not claimant and not it.voter)
+        headers = {"Idempotency-Key": "b-3", "X-Standin-Ms": "1000"}
+
+        def send():
+            try:
+                request(claimant.caller_port, "POST", "/book", self.key, "{}", headers)
+            except (OSError, http.client.HTTPException):
+                pass
+
+        def ran():
+            return sum(it.stats()["ids"] for it in self.fleet.targets.values())
+
+        before = ran()
+        thread = threading.Thread(target=send)
+        thread.start()
+        wait_for(lambda: ran() > before, "the request runs")
+        claimant.kill()
+        thread.join()
+        answer = request(other.caller_port, "POST", "/book", self.key, "{}", headers, timeout_s=60)
+        self.assertEqual(answer.outcome, "unknown", answer.body)
+        self.assertEqual(sum(it.stats()["ids_run_twice"] for it in self.fleet.targets.values()), 0)
+        self.assertEqual(ran(), before + 1)
+
+
+class Configuration(FleetTest):
+    def test_leader_loss_keeps_accepted_changes(self):
+        """Guards against an accepted change that is lost with the leader."""
+        self.fleet.accept("create customer first rate 10 burst 10 weight 1")
+        leader = self.fleet.leader()
+        version = leader.status()["version"]
+        leader.kill()
+        others = [it for it in self.vm_list() if it is not leader]
+        wait_for(lambda: any(it.status().get("leads") for it in others if it.voter), "another leader")
+        wait_for(lambda: all(it.status().get("lease_valid") for it in others), "leases of the new leader")
+        accepted = self.fleet.accept("create customer second rate 10 burst 10 weight 1", vm=others[0])
+        self.assertGreater(accepted["version"], version)
+        names = {it["id"] for it in self.fleet.show("customers", vm=others[-1])}
+        self.assertIn("first", names)
+
+    def test_equal_numbers_give_one_acceptance(self):
+        """Guards against two operators whose changes of one version are both accepted."""
+        self.fleet.accept("create customer shop rate 10 burst 10 weight 1")
+        self.fleet.wait_in_force()
+        version = self.fleet.show("customers")[0]["version"]
+        answers = []
+
+        def change(rate, vm):
+            answers.append(self.fleet.operate(f"update customer shop rate {rate} expect {version}", f"race-{rate}", vm))
+
+        vms = self.vm_list()
+        threads = [threading.Thread(target=change, args=(20 + n, vms[n])) for n in range(2)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(sorted(it["kind"] for it in answers), ["accepted", "conflict"])
+        self.assertIn("race-", next(it["reason"] for it in answers if it["kind"] == "conflict"))
+
+    def test_resent_command_gets_the_first_outcome(self):
+        """Guards against a command that acts twice after its answer was lost."""
+        first = self.fleet.accept("create customer shop rate 10 burst 10 weight 1", "once-1", self.vm_list()[0])
+        again = self.fleet.accept("create customer shop rate 10 burst 10 weight 1", "once-1", self.vm_list()[-1])
+        self.assertEqual(first["version"], again["version"])
+
+    def test_restart_of_all_after_many_changes(self):
+        """Guards against a version that goes back when every process restarts after hundreds of changes."""
+        self.fleet.accept("create customer shop rate 1 burst 10 weight 1")
+        for number in range(300):
+            last = self.fleet.accept(f"update customer shop rate {number + 2}", vm=self.vm_list()[number % 6])
+        for vm in self.vm_list():
+            vm.kill()
+        for vm in self.vm_list():
+            vm.start()
+        for vm in self.vm_list():
+            wait_for(lambda vm=vm: vm.status().get("lease_valid"), f"{vm.name} has a lease")
+        self.fleet.wait_in_force(last["version"])
+        self.assertEqual(self.fleet.show("customers")[0]["rate"], 301)
+
+    def test_voter_that_lost_its_data_joins_anew(self):
+        """Guards against a voter that votes twice after its data is gone, and against a second loss after the repair."""
+        self.fleet.accept("create customer shop rate 10 burst 10 weight 1")
+        lost = next(it for it in self.fleet.voters() if it is not self.fleet.leader())
+        lost.kill()
+        shutil.rmtree(lost.data)
+        lost.start()
+        wait_for(lambda: lost.status().get("voter"), "the new identity votes")
+        second = next(it for it in self.fleet.voters() if it is not lost)
+        second.kill()
+        rest = [it for it in self.vm_list() if it is not second]
+        wait_for(lambda: all(it.status().get("lease_valid") for it in rest), "leases after the second loss", 90)
+        self.assertEqual([it["id"] for it in self.fleet.show("customers", vm=rest[0])], ["shop"])
+
+
+class Targets(FleetTest):
+    def test_slots_are_never_exceeded(self):
+        """Guards against VMs that together send a target more than its slots."""
+        self.serve(targets=2, slots=3, service_ms=20)
+        threads = []
+
+        def send(vm):
+            for _ in range(20):
+                request(vm.caller_port, "GET", "/read/x", self.key)
+
+        for vm in self.vm_list():
+            threads += [threading.Thread(target=send, args=(vm,)) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        for target in self.fleet.targets.values():
+            self.assertLessEqual(target.stats()["max_in_flight"], 3)
+
+    def test_crashing_request_ends_at_most_two_targets(self):
+        """Guards against a request that ends every target while its caller resends it through every VM."""
+        self.serve(targets=4)
+        for vm in self.vm_list() * 2:
+            request(vm.caller_port, "POST", "/read/x", self.key, "poison", {"X-Standin-Crash": "1"})
+        alive = [it for it in self.fleet.targets.values() if it.process.running()]
+        self.assertGreaterEqual(len(alive), 2)
+        self.assertEqual(request(self.vm_list()[0].caller_port, "GET", "/read/y", self.key).status, 200)
+
+    def test_drained_target_gets_no_work_and_nothing_is_cut(self):
+        """Guards against work for a leaving target and against requests cut by its drain."""
+        self.serve(targets=2, service_ms=20)
+        stop = threading.Event()
+        failures = []
+
+        def send(vm):
+            while not stop.is_set():
+                answer = request(vm.caller_port, "GET", "/read/x", self.key)
+                if answer.status != 200:
+                    failures.append((answer.status, answer.body))
+
+        threads = [threading.Thread(target=send, args=(vm,)) for vm in self.vm_list()]
+        for thread in threads:
+            thread.start()
+        self.fleet.accept("drain target read-1 by 60s")
+        wait_for(lambda: any(it["state"] == "done" for it in self.fleet.show("drains")), "the drain is done")
+        before = self.fleet.targets["read-1"].stats()["requests"]
+        other = self.fleet.targets["read-2"].stats()["requests"]
+        wait_for(lambda: self.fleet.targets["read-2"].stats()["requests"] > other + 100, "more traffic")
+        stop.set()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(before, self.fleet.targets["read-1"].stats()["requests"])
+        self.assertEqual(failures, [])
+
+
+class PlannedStop(FleetTest):
+    def test_stop_under_load_cuts_nothing(self):
+        """Guards against requests that a planned stop of a VM cuts."""
+        self.serve(service_ms=50)
+        leaving = next(it for it in self.vm_list() if not it.voter)
+        stop = threading.Event()
+        failures = []
+        served = []
+
+        def send():
+            while not stop.is_set():
+                try:
+                    answer = request(leaving.caller_port, "GET", "/read/x", self.key)
+                except ConnectionRefusedError:
+                    return
+                except (OSError, http.client.HTTPException) as error:
+                    failures.append(repr(error))
+                    return
+                if answer.status == 200:
+                    served.append(1)
+                elif answer.outcome != "not-run":
+                    failures.append((answer.status, answer.body))
+
+        threads = [threading.Thread(target=send) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        wait_for(lambda: len(served) > 20, "traffic")
+        leaving.process.send(signal.SIGTERM)
+        leaving.process.child.wait(timeout=120)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(failures, [])
+        self.assertEqual(leaving.process.child.returncode, 0)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
--- /dev/null
+++ b/tools/fleet/fleet.py
@@ -0,0 +1,281 @@
+"""Starts a small fleet of daemons and stand-in targets on loopback, for the demonstration and for the
+fault tests. Every process is ended by its id when the fleet closes."""
+
+import hashlib
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import threading
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+BUILD = pathlib.Path(os.environ.get("BRIARSPAR_BUILD", ROOT / "build"))
+HOST = "127.0.0.1"
+OPERATOR_KEY = "operator-key-for-loopback"
+SECRET = "a shared secret for loopback"
+
+# Longest wait for any condition. Generous, because the verdict must not depend on the speed of the machine.
+PATIENCE_S = 60
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+def wait_for(condition, what, patience_s=PATIENCE_S):
+    """Waits until the condition returns a true value and returns that value."""
+    end = time.monotonic() + patience_s
+    while time.monotonic() < end:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError(f"did not happen in {patience_s} s: {what}")
+
+
+class Process:
+    """A child process whose first line of output announces its ports."""
+
+    def __init__(self, arguments, log):
+        self.arguments = arguments
+        self.log = open(log, "ab")
+        self.child = subprocess.Popen(arguments, stdout=subprocess.PIPE, stderr=self.log)
+        self.first_line = self.child.stdout.readline().decode().strip()
+        # The pipe is drained, so that a process that prints more is never blocked.
+        threading.Thread(target=self.child.stdout.read, daemon=True).start()
+
+    def send(self, number):
+        if self.child.poll() is None:
+            os.kill(self.child.pid, number)
+
+    def end(self, number=signal.SIGKILL):
+        self.send(signal.SIGCONT)
+        self.send(number)
+        self.child.wait()
+        self.log.close()
+
+    def running(self):
+        return self.child.poll() is None
+
+
+class Target:
+    """A stand-in target."""
+
+    def __init__(self, folder, name, service_ms=1, slots=6, port=0, options=()):
+        self.name = name
+        self.slots = slots
+        self.arguments = [
+            str(BUILD / "tools/target_standin"), "--name", name, "--service-ms", str(service_ms),
+            "--slots", str(slots), "--threads", "64", *options,
+        ]
+        self.log = folder / f"{name}.log"
+        self.port = port
+        self.start()
+
+    def start(self):
+        self.process = Process([*self.arguments, "--port", str(self.port)], self.log)
+        self.port = int(self.process.first_line.split()[1])
+
+    def stats(self):
+        return json.loads(request(self.port, "GET", "/standin/stats").body)
+
+
+class Vm:
+    """One daemon."""
+
+    def __init__(self, fleet, name, region, domain, voter):
+        self.fleet = fleet
+        self.name = name
+        self.region = region
+        self.domain = domain
+        self.voter = voter
+        self.peer_port = free_port()
+        self.caller_port = free_port()
+        self.operator_port = free_port()
+        self.process = None
+        self.data = fleet.folder / f"{name}.data"
+
+    def settings(self):
+        peers = [
+            {"vm": it.name, "host": HOST, "port": it.peer_port, "voter": True}
+            for it in self.fleet.vms.values() if it.voter
+        ]
+        digest = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
+        settings = {
+            "vm": self.name, "region": self.region, "domain": self.domain, "host": HOST,
+            "caller_port": self.caller_port, "operator_port": self.operator_port,
+            "peer_port": self.peer_port, "secret": SECRET, "peers": peers,
+            "operators": [{"name": "operator", "key_sha256": digest}],
+            "lookup_ttl_ms": 1000, "drain_grace_ms": 500, "max_caller_connections": 64,
+            "log_file": str(self.fleet.folder / f"{self.name}.log"),
+        }
+        if self.voter:
+            settings["data_folder"] = str(self.data)
+        settings.update(self.fleet.overrides)
+        return settings
+
+    def start(self, bootstrap=False):
+        file = self.fleet.folder / f"{self.name}.json"
+        file.write_text(json.dumps(self.settings(), indent=2))
+        if self.voter:
+            self.data.mkdir(exist_ok=True)
+        arguments = [str(BUILD / "src/briarspard"), "--settings", str(file)]
+        if bootstrap and self.voter:
+            arguments.append("--bootstrap")
+        self.process = Process(arguments, self.fleet.folder / f"{self.name}.err")
+        if not self.process.first_line.startswith("ready"):
+            raise AssertionError(f"{self.name} did not start: {(self.fleet.folder / f'{self.name}.err').read_text()}")
+
+    def kill(self):
+        self.process.end(signal.SIGKILL)
+
+    def pause(self):
+        self.process.send(signal.SIGSTOP)
+
+    def resume(self):
+        self.process.send(signal.SIGCONT)
+
+    def status(self):
+        try:
+            return json.loads(request(self.operator_port, "GET", "/v1/status", key=OPERATOR_KEY, timeout_s=2).body)
+        except (OSError, http.client.HTTPException):
+            return {}
+
+    def events(self):
+        body = request(self.operator_port, "GET", "/v1/events?limit=8192", key=OPERATOR_KEY).body
+        return json.loads(body)["events"]
+
+
+class Answer:
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    @property
+    def outcome(self):
+        return self.headers.get("Briarspar-Outcome", "")
+
+    @property
+    def code(self):
+        return json.loads(self.body).get("code", "") if self.body.startswith(b"{") else ""
+
+
+def request(port, method, path, key=None, body=None, headers=None, timeout_s=30, connection=None):
+    """Sends one HTTP request to loopback and returns the whole answer."""
+    fields = dict(headers or {})
+    if key:
+        fields["Authorization"] = f"Bearer {key}"
+    link = connection or http.client.HTTPConnection(HOST, port, timeout=timeout_s)
+    try:
+        link.request(method, path, body=body, headers=fields)
+        response = link.getresponse()
+        return Answer(response.status, dict(response.getheaders()), response.read())
+    finally:
+        if connection is None:
+            link.close()
+
+
+class Fleet:
+    """Daemons over three regions with two failure domains each; one voter a region."""
+
+    def __init__(self, folder, vms_per_domain=2, overrides=None):
+        self.folder = pathlib.Path(folder)
+        self.overrides = overrides or {}
+        self.vms = {}
+        self.targets = {}
+        for region in ("r1", "r2", "r3"):
+            for number in (1, 2):
+                domain = f"{region}-d{number}"
+                for index in range(vms_per_domain):
+                    name = f"{domain}-vm{index + 1}"
+                    voter = number == 1 and index == 0
+                    self.vms[name] = Vm(self, name, region, domain, voter)
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        self.close()
+
+    def start(self):
+        for vm in self.vms.values():
+            vm.start(bootstrap=True)
+        for vm in self.vms.values():
+            wait_for(lambda vm=vm: vm.status().get("lease_valid"), f"{vm.name} has a lease")
+        self.wait_in_force()
+
+    def close(self):
+        for process in [*self.vms.values(), *self.targets.values()]:
+            if process.process is not None and process.process.running():
+                process.process.end(signal.SIGKILL)
+
+    def voters(self):
+        return [it for it in self.vms.values() if it.voter]
+
+    def any_vm(self):
+        for vm in self.vms.values():
+            if vm.process is not None and vm.process.running() and vm.status().get("lease_valid"):
+                return vm
+        raise AssertionError("no VM has a lease")
+
+    def leader(self):
+        def find():
+            for vm in self.voters():
+                if vm.process.running() and vm.status().get("leads"):
+                    return vm
+            return None
+        return wait_for(find, "a leader")
+
+    def operate(self, statement, identity=None, vm=None):
+        """Sends a statement to a VM and returns the JSON answer."""
+        vm = vm or self.any_vm()
+        body = {"statement": statement}
+        if identity:
+            body["id"] = identity
+        answer = request(vm.operator_port, "POST", "/v1/operator", key=OPERATOR_KEY, body=json.dumps(body))
+        return json.loads(answer.body)
+
+    def accept(self, statement, identity=None, vm=None):
+        answer = self.operate(statement, identity, vm)
+        if answer["kind"] != "accepted":
+            raise AssertionError(f"{statement}: {answer}")
+        return answer
+
+    def show(self, what, vm=None):
+        answer = self.operate(f"show {what}", vm=vm)
+        return [dict(zip(answer["columns"], row)) for row in answer["rows"]]
+
+    def wait_in_force(self, version=None):
+        """Waits until every running VM has applied the version, by default the leader's."""
+        version = version or max(it.status().get("version", 0) for it in self.voters() if it.process.running())
+        for vm in self.vms.values():
+            if vm.process.running():
+                wait_for(lambda vm=vm: vm.status().get("version", 0) >= version, f"{vm.name} applies {version}")
+
+    def add_target(self, name, route, version="v1", region="r1", domain="r1-d1", **options):
+        target = Target(self.folder, name, **options)
+        self.targets[name] = target
+        return self.accept(
+            f"add target {name} address {HOST}:{target.port} route {route} version {version} "
+            f"slots {target.slots} region {region} domain {domain}")
+
+    def create_customer(self, name, rate=10000, burst=10000):
+        """Creates a customer and returns a key of it."""
+        self.accept(f"create customer {name} rate {rate} burst {burst} weight 1")
+        return self.accept(f"create key for {name}")["key"]
+
+    def timeline(self):
+        events = [it for vm in self.vms.values() if vm.process.running() for it in vm.events()]
+        return sorted(events, key=lambda it: (it["wall_ms"], it["vm"], it["sequence"]))
