--- a/src/daemon/ControlNode.cpp
+++ b/src/daemon/ControlNode.cpp
@@ -24,7 +24,6 @@
         voter->Settings, *voter->Storage, *voter->Random, events, loop, clock.now());
     if (!side.ok())
       return side.status();
-    node->VoterIdentity = voter->Identity;
     node->Voter = *std::move(side);
     node->Leader = std::make_unique<LeaderSide>(*node->Voter, events, loop);
   }
@@ -79,10 +78,11 @@
 }
 
 void ControlNode::joinGroup(core::Time now) {
-  if (now < NextJoin || Voter->replica().configuration().contains(VoterIdentity))
+  const agreement::VoterId &self = Voter->replica().self();
+  if (now < NextJoin || Voter->replica().configuration().contains(self))
     return;
   NextJoin = now + JoinInterval;
-  std::string body = core::encodeCbor({{"data", VoterIdentity.Data.Value}});
+  std::string body = core::encodeCbor({{"data", self.Data.Value}});
   for (const core::VmId &vm : Identity.Voters)
     if (vm != Identity.Vm)
       send(vm, kind::Join, body);
--- a/src/daemon/ControlNode.h
+++ b/src/daemon/ControlNode.h
@@ -15,7 +15,6 @@
   agreement::ReplicaSettings Settings;
   agreement::LogStorage *Storage = nullptr;
   agreement::RandomSource *Random = nullptr;
-  agreement::VoterId Identity;
 };
 
 /// All control state of one VM as one deterministic object: the voter and leader duties where the
@@ -62,7 +61,6 @@
   Sender Remote;
   std::deque<LocalMessage> Local;
   bool Delivering = false;
-  agreement::VoterId VoterIdentity;
   core::Time NextJoin;
   std::unique_ptr<VoterSide> Voter;
   std::unique_ptr<LeaderSide> Leader;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -88,7 +88,8 @@
 public:
   explicit Impl(const Settings &settings)
       : Options(settings), Identity(identityOf(settings)),
-        Log(settings.Vm, {8192, settings.LogFile}), Targets(Clock, {}) {}
+        Log(settings.Vm, {MaxEvents, settings.LogFile}),
+        Timeline(settings.Vm, Log, Control, [this] { return knownVms(); }), Targets(Clock, {}) {}
 
   absl::Status open(const StartOptions &options) {
     absl::Status status = openStorage(options);
@@ -97,11 +98,11 @@
     VoterParts parts;
     parts.Storage = Storage.get();
     parts.Random = &Random;
-    parts.Identity = StoredIdentity;
     Sender sender = [this](const core::VmId &to, std::string_view kind, std::string bytes) {
       if (Peers)
         Peers->send(to, std::string(kind), core::Json::binary({bytes.begin(), bytes.end()}));
     };
+    Timeline.setSender(sender);
     absl::StatusOr<std::unique_ptr<ControlNode>> node = ControlNode::create(
         Identity, Storage ? &parts : nullptr, Clock, Log, sender,
         [this](uint64_t bound) { return bound == 0 ? 0 : Random.next() % bound; }, *this);
@@ -171,7 +172,6 @@
     if (!storage.ok())
       return storage.status();
     Storage = *std::move(storage);
-    StoredIdentity = Storage->identity().Self;
     return absl::OkStatus();
   }
 
@@ -209,7 +209,7 @@
     callers.MaxBodyBytes = Options.MaxBodyBytes;
     Callers = std::make_unique<forwarding::HttpServer>(
         callers, [this](const auto &req, auto &res) { Pipeline->handle(req, res); });
-    Api = std::make_unique<OperatorApi>(Options, Control, *Node, Clock, Log, Metrics);
+    Api = std::make_unique<OperatorApi>(Options, Control, *Node, Clock, Log, Metrics, Timeline);
     forwarding::HttpServerSettings operators;
     operators.Host = Options.Host;
     operators.Port = Options.OperatorPort;
@@ -224,8 +224,9 @@
     if (!message.Body.is_binary())
       return;
     const auto &bytes = message.Body.get_binary();
-    Node->receive(message.From, message.Kind,
-                  {reinterpret_cast<const char *>(bytes.data()), bytes.size()});
+    std::string_view view(reinterpret_cast<const char *>(bytes.data()), bytes.size());
+    if (!Timeline.receive(message.From, message.Kind, view))
+      Node->receive(message.From, message.Kind, view);
   }
 
   void onTick() {
@@ -239,6 +240,7 @@
     Metrics.setConfigVersion(Node->vm().state()->Version.Value);
     Metrics.setInFlight(Node->vm().requestsInFlight());
     registerVm(now);
+    updateAddresses();
   }
 
   /// Puts this VM's addresses into the configuration when they differ from what it holds.
@@ -275,7 +277,27 @@
       std::this_thread::sleep_for(StopPoll);
   }
 
+  std::vector<core::VmId> knownVms() const {
+    std::vector<core::VmId> vms;
+    std::shared_ptr<const ServingState> state = Node->vm().state();
+    for (const auto &[id, vm] : state->Records.Vms)
+      vms.push_back(id);
+    return vms;
+  }
+
+  /// Gives the transport the addresses of VMs that only the configuration names.
+  void updateAddresses() {
+    std::shared_ptr<const ServingState> state = Node->vm().state();
+    for (const auto &[id, vm] : state->Records.Vms) {
+      forwarding::TargetAddress address = forwarding::parseTargetAddress(vm.ControlAddress);
+      Peers->setAddress(id, {address.Host, static_cast<uint16_t>(address.Port)});
+    }
+    for (const PeerSettings &peer : Options.Peers)
+      Peers->setAddress(peer.Id, {peer.Host, peer.Port});
+  }
+
   static constexpr size_t OperatorConnections = 32;
+  static constexpr size_t MaxEvents = 8192;
 
   Settings Options;
   VmIdentity Identity;
@@ -285,9 +307,9 @@
   SystemRandom Random;
   agreement::PosixFileSystem Files;
   std::unique_ptr<agreement::FileLogStorage> Storage;
-  agreement::VoterId StoredIdentity;
   std::unique_ptr<ControlNode> Node;
   ControlThread Control;
+  TimelineCollector Timeline;
   std::unique_ptr<transport::Transport> Peers;
   forwarding::TargetClientPool Targets;
   std::unique_ptr<SlotQueue> Slots;
--- a/src/daemon/Messages.h
+++ b/src/daemon/Messages.h
@@ -24,6 +24,8 @@
 constexpr std::string_view Command = "command";              ///< config::Command, VM to leader.
 constexpr std::string_view CommandResult = "command-result"; ///< config::Outcome, leader to VM.
 constexpr std::string_view Join = "join";                    ///< New voter identity, VM to leader.
+constexpr std::string_view Events = "events";                ///< Asks a VM for its events.
+constexpr std::string_view EventsAnswer = "events-answer";   ///< The events of a VM.
 } // namespace kind
 
 /// Sends a message to another process, or to this one. Messages may be lost.
--- a/src/daemon/OperatorApi.h
+++ b/src/daemon/OperatorApi.h
@@ -3,8 +3,10 @@
 #include "daemon/ControlNode.h"
 #include "daemon/ControlThread.h"
 #include "daemon/Settings.h"
+#include "daemon/TimelineCollector.h"
 #include "observability/EventLog.h"
 #include "observability/Metrics.h"
+#include "operator_language/Answer.h"
 #include "operator_language/Parser.h"
 
 #include <httplib.h>
@@ -21,7 +23,7 @@
 public:
   OperatorApi(const Settings &settings, ControlThread &control, ControlNode &node,
               const core::Clock &clock, observability::EventLog &log,
-              observability::Metrics &metrics);
+              observability::Metrics &metrics, TimelineCollector &events);
 
   void handle(const httplib::Request &req, httplib::Response &res);
 
@@ -33,10 +35,10 @@
   void onEvents(const httplib::Request &req, httplib::Response &res) const;
   void onStatus(httplib::Response &res);
   void onPlatformList(const httplib::Request &req, httplib::Response &res);
-  core::Json runStatement(const std::string &name, const std::string &statement,
-                          const std::string &id);
-  core::Json runCommand(const config::Command &command);
-  core::Json runQuery(const operator_language::Query &query);
+  operator_language::Answer runStatement(const std::string &name,
+                                         const operator_language::OperatorRequest &request);
+  operator_language::Answer runCommand(config::Command command);
+  operator_language::Answer runQuery(const operator_language::Query &query);
 
   const Settings &Options;
   ControlThread &Control;
@@ -44,6 +46,7 @@
   const core::Clock &Clock;
   observability::EventLog &Log;
   observability::Metrics &Metrics;
+  TimelineCollector &Events;
 };
 
 } // namespace briarspar::daemon
--- a/src/daemon/ServingState.cpp
+++ b/src/daemon/ServingState.cpp
@@ -96,11 +96,12 @@
   return nullptr;
 }
 
-std::shared_ptr<const ServingState> buildServingState(core::ConfigVersion version,
-                                                      const config::Records &records,
+std::shared_ptr<const ServingState> buildServingState(const config::ConfigReplica &config,
                                                       const ServingContext &context) {
   auto state = std::make_shared<ServingState>();
-  state->Version = version;
+  const config::Records &records = config.records();
+  state->Version = config.version();
+  state->Digest = config.digest();
   state->Records = records;
   for (const auto &[id, route] : records.Routes)
     state->Routes.push_back(viewOf(records, route));
--- a/src/daemon/ServingState.h
+++ b/src/daemon/ServingState.h
@@ -2,7 +2,7 @@
 
 #include "auth/KeyVerifier.h"
 #include "balance/SlotMessages.h"
-#include "config/ConfigStore.h"
+#include "config/ConfigReplica.h"
 #include "core/Ids.h"
 #include "placement/LookupPolicy.h"
 
@@ -25,6 +25,7 @@
 /// The configuration in force at this VM in the form that traffic threads read. Immutable.
 struct ServingState {
   core::ConfigVersion Version;
+  uint64_t Digest = 0; ///< Of the records.
   config::Records Records;
   std::vector<RouteView> Routes; ///< Longest path prefix first.
   std::vector<balance::TargetInfo> Targets;
@@ -43,8 +44,7 @@
 };
 
 /// Builds the serving state of a configuration.
-std::shared_ptr<const ServingState> buildServingState(core::ConfigVersion version,
-                                                      const config::Records &records,
+std::shared_ptr<const ServingState> buildServingState(const config::ConfigReplica &config,
                                                       const ServingContext &context);
 
 } // namespace briarspar::daemon
--- a/src/daemon/VmSide.cpp
+++ b/src/daemon/VmSide.cpp
@@ -117,8 +117,7 @@
 }
 
 void VmSide::publish(core::Time now) {
-  std::shared_ptr<const ServingState> state =
-      buildServingState(Config.version(), Config.records(), Context);
+  std::shared_ptr<const ServingState> state = buildServingState(Config, Context);
   Chooser.setTargets(state->Targets, now);
   Slots.setTargets(state->Targets,
                    static_cast<uint32_t>(std::max<size_t>(1, state->Records.Vms.size())));
--- /dev/null
+++ b/src/daemon/testing/InMemoryFleet.h
@@ -0,0 +1,215 @@
+#pragma once
+
+#include "agreement/MemoryLogStorage.h"
+#include "core/testing/FaultNetwork.h"
+#include "daemon/ControlNode.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace briarspar::daemon::testing {
+
+struct InMemoryFleetSettings {
+  uint32_t Nodes = 6;
+  uint32_t Voters = 3; ///< The first nodes.
+  uint32_t Regions = 3;
+  uint32_t DomainsPerRegion = 2;
+  core::Duration Tick{5};
+  uint64_t Seed = 1;
+  core::testing::FaultSettings Faults;
+};
+
+/// Called around the work of the nodes, for measurements.
+class FleetObserver {
+public:
+  virtual ~FleetObserver() = default;
+  virtual void onSend(uint32_t node, std::string_view kind, size_t bytes) {}
+  virtual void onReceive(uint32_t node, std::string_view kind, size_t bytes) {}
+  virtual void beforeWork(uint32_t node) {}
+  virtual void afterWork(uint32_t node) {}
+};
+
+/// Control nodes over an in-memory network on injected time: the real objects and their real
+/// encoded messages, without threads or sockets. The same settings and calls give the same run.
+class InMemoryFleet {
+public:
+  explicit InMemoryFleet(const InMemoryFleetSettings &settings, FleetObserver *observer = nullptr)
+      : Settings(settings), Observer(observer), Network(settings.Seed, settings.Faults),
+        Nodes(settings.Nodes) {
+    for (uint32_t n = 0; n < settings.Nodes; ++n)
+      ByName[nameOf(n).Value] = n;
+    for (uint32_t n = 0; n < settings.Nodes; ++n)
+      start(n);
+  }
+
+  static core::VmId nameOf(uint32_t n) { return core::VmId("vm-" + std::to_string(n)); }
+
+  balance::Place placeOf(uint32_t n) const {
+    std::string region = "r" + std::to_string(n % Settings.Regions + 1);
+    uint32_t domain = n / Settings.Regions % Settings.DomainsPerRegion + 1;
+    return {core::RegionId(region), core::DomainId(region + "-d" + std::to_string(domain))};
+  }
+
+  core::ManualClock &clock() { return Clock; }
+  core::testing::FaultNetwork<std::pair<std::string, std::string>> &network() { return Network; }
+  uint32_t size() const { return Settings.Nodes; }
+  ControlNode &node(uint32_t n) { return *Nodes[n].Control; }
+  bool isUp(uint32_t n) const { return Nodes[n].Control != nullptr; }
+
+  /// Ends a node's process: unsynced writes and memory are lost.
+  void crash(uint32_t n) {
+    Nodes[n].Control.reset();
+    if (Nodes[n].Storage)
+      Nodes[n].Storage->crash();
+    Network.setDown(n, true);
+  }
+
+  /// Starts a node again from its durable state, as a new incarnation.
+  void restart(uint32_t n) {
+    Network.setDown(n, false);
+    start(n);
+  }
+
+  /// Advances time and lets all nodes that are up and not paused work.
+  void advance(core::Duration span) {
+    core::Time end = Clock.now() + span;
+    while (Clock.now() < end) {
+      Clock.advance(Settings.Tick);
+      while (auto delivery = Network.receive(Clock.now()))
+        receive(delivery->From, delivery->To, delivery->Body);
+      for (uint32_t n = 0; n < size(); ++n)
+        if (isUp(n) && !Network.isPaused(n))
+          work(n, [&] { Nodes[n].Control->tick(); });
+    }
+  }
+
+  /// Advances until the condition holds; false when it does not within `limit`.
+  bool advanceUntil(const std::function<bool()> &condition, core::Duration limit) {
+    core::Time end = Clock.now() + limit;
+    while (!condition() && Clock.now() < end)
+      advance(Settings.Tick);
+    return condition();
+  }
+
+  /// Returns the node that acts as the leader, or nothing.
+  std::optional<uint32_t> leader() {
+    for (uint32_t n = 0; n < Settings.Voters; ++n)
+      if (isUp(n) && Nodes[n].Control->leads())
+        return n;
+    return std::nullopt;
+  }
+
+  /// Proposes a change at the leader. The result arrives at `done`.
+  void propose(
+      config::Change change, VoterSide::Done done = [](const auto &) {}) {
+    std::optional<uint32_t> n = leader();
+    if (!n)
+      return;
+    config::Command command;
+    command.Id = "command-" + std::to_string(++Commands);
+    command.Operator = "test";
+    command.What = std::move(change);
+    Nodes[*n].Control->voter()->propose(command, Clock.now(), std::move(done));
+    Nodes[*n].Control->voter()->flush();
+  }
+
+  size_t servingNodes() {
+    size_t count = 0;
+    for (uint32_t n = 0; n < size(); ++n)
+      count += isUp(n) && Nodes[n].Control->vm().mayServe(Clock.now()) ? 1 : 0;
+    return count;
+  }
+
+private:
+  class NullSink final : public core::EventSink {
+  public:
+    void emit(const core::Event &) override {}
+  };
+
+  class PcgSource final : public agreement::RandomSource {
+  public:
+    explicit PcgSource(uint64_t seed) : Rng(seed) {}
+    uint64_t next() override { return Rng(); }
+
+  private:
+    pcg64 Rng;
+  };
+
+  struct Node {
+    std::unique_ptr<agreement::MemoryLogStorage> Storage;
+    std::unique_ptr<PcgSource> Random;
+    VmSideListener Listener;
+    std::unique_ptr<ControlNode> Control;
+    uint64_t Runs = 0;
+  };
+
+  void start(uint32_t n) {
+    Node &node = Nodes[n];
+    if (!node.Random)
+      node.Random = std::make_unique<PcgSource>(Settings.Seed * 1'000'003 + n);
+    VmIdentity identity;
+    identity.Vm = nameOf(n);
+    identity.Run = core::Incarnation(++node.Runs);
+    identity.Where = placeOf(n);
+    for (uint32_t v = 0; v < Settings.Voters; ++v)
+      identity.Voters.push_back(nameOf(v));
+    VoterParts parts;
+    parts.Random = node.Random.get();
+    if (n < Settings.Voters && !node.Storage)
+      node.Storage = newStorage({nameOf(n), core::Incarnation(1)});
+    parts.Storage = node.Storage.get();
+    auto sender = [this, n](const core::VmId &to, std::string_view kind, std::string bytes) {
+      send(n, to, kind, std::move(bytes));
+    };
+    auto random = [&node](uint64_t bound) { return bound == 0 ? 0 : node.Random->next() % bound; };
+    auto control = ControlNode::create(identity, node.Storage ? &parts : nullptr, Clock, Sink,
+                                       sender, random, node.Listener);
+    assert(control.ok() && "the durable state of a node must open");
+    node.Control = *std::move(control);
+  }
+
+  std::unique_ptr<agreement::MemoryLogStorage> newStorage(const agreement::VoterId &self) {
+    std::set<agreement::VoterId> voters;
+    for (uint32_t v = 0; v < Settings.Voters; ++v)
+      voters.insert({nameOf(v), core::Incarnation(1)});
+    agreement::Configuration first = agreement::makeConfiguration(voters);
+    return std::make_unique<agreement::MemoryLogStorage>(
+        agreement::Identity{agreement::GroupId("main"), self}, &first);
+  }
+
+  void send(uint32_t from, const core::VmId &to, std::string_view kind, std::string bytes) {
+    if (Observer)
+      Observer->onSend(from, kind, bytes.size());
+    Network.send(from, ByName.at(to.Value), {std::string(kind), std::move(bytes)}, Clock.now());
+  }
+
+  void receive(uint32_t from, uint32_t to, const std::pair<std::string, std::string> &message) {
+    if (!isUp(to))
+      return;
+    if (Observer)
+      Observer->onReceive(to, message.first, message.second.size());
+    work(to, [&] { Nodes[to].Control->receive(nameOf(from), message.first, message.second); });
+  }
+
+  template <class F> void work(uint32_t n, F &&f) {
+    if (Observer)
+      Observer->beforeWork(n);
+    f();
+    if (Observer)
+      Observer->afterWork(n);
+  }
+
+  InMemoryFleetSettings Settings;
+  FleetObserver *Observer;
+  core::ManualClock Clock;
+  NullSink Sink;
+  core::testing::FaultNetwork<std::pair<std::string, std::string>> Network;
+  std::vector<Node> Nodes;
+  std::unordered_map<std::string, uint32_t> ByName;
+  uint64_t Commands = 0;
+};
+
+} // namespace briarspar::daemon::testing
--- a/tests/fleet/test_promises.py
+++ b/tests/fleet/test_promises.py
@@ -180,14 +180,14 @@
         wait_for(lambda: all(it.status().get("lease_valid") for it in others), "leases of the new leader")
         accepted = self.fleet.accept("create customer second rate 10 burst 10 weight 1", vm=others[0])
         self.assertGreater(accepted["version"], version)
-        names = {it["id"] for it in self.fleet.show("customers", vm=others[-1])}
+        names = {it["name"] for it in self.fleet.show("customers", vm=others[-1])}
         self.assertIn("first", names)
 
     def test_equal_numbers_give_one_acceptance(self):
         """Guards against two operators whose changes of one version are both accepted."""
         self.fleet.accept("create customer shop rate 10 burst 10 weight 1")
         self.fleet.wait_in_force()
-        version = self.fleet.show("customers")[0]["version"]
+        version = self.fleet.show("customers")[0]["changed"]
         answers = []
 
         def change(rate, vm):
@@ -234,7 +234,7 @@
         second.kill()
         rest = [it for it in self.vm_list() if it is not second]
         wait_for(lambda: all(it.status().get("lease_valid") for it in rest), "leases after the second loss", 90)
-        self.assertEqual([it["id"] for it in self.fleet.show("customers", vm=rest[0])], ["shop"])
+        self.assertEqual([it["name"] for it in self.fleet.show("customers", vm=rest[0])], ["shop"])
 
 
 class Targets(FleetTest):
