--- /dev/null
+++ b/src/auth/KeyGenerator.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "absl/types/span.h"
+#include "config/Records.h"
+
+#include <cstdint>
+#include <string>
+
+namespace briarspar::auth {
+
+/// Source of random bytes for keys.
+class RandomSource {
+public:
+  virtual ~RandomSource() = default;
+  /// Fills the span, or returns an error and leaves it unspecified.
+  virtual absl::Status fill(absl::Span<uint8_t> bytes) = 0;
+};
+
+/// The random generator of OpenSSL. Safe to call from any thread.
+class OpenSslRandomSource final : public RandomSource {
+public:
+  absl::Status fill(absl::Span<uint8_t> bytes) override;
+};
+
+struct GeneratedKey {
+  std::string Key; ///< Shown to the operator once; never stored or logged.
+  config::KeyDigest Digest{};
+};
+
+/// Random bits of a key, in bytes.
+constexpr size_t KeyBytes = 32;
+
+/// Returns a new key: `bsk_` and KeyBytes random bytes in URL-safe base64. Returns the error of the
+/// random source.
+absl::StatusOr<GeneratedKey> generateKey(RandomSource &random);
+
+} // namespace briarspar::auth
