--- /dev/null
+++ b/src/operator_language/Statement.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "config/Command.h"
+#include "core/Ids.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace briarspar::operator_language {
+
+/// What `show` lists.
+enum class Collection : uint8_t {
+  Customers,
+  Keys,
+  Routes,
+  Targets,
+  Vms,
+  Moves,
+  Drains,
+  Caps,
+  Version,
+};
+
+} // namespace briarspar::operator_language
+
+template <> struct briarspar::config::EnumNames<briarspar::operator_language::Collection> {
+  static constexpr std::array<std::string_view, 9> Values{
+      "customers", "keys", "routes", "targets", "vms", "moves", "drains", "caps", "version"};
+};
+
+namespace briarspar::operator_language {
+
+struct ShowQuery {
+  Collection What = Collection::Version;
+};
+
+/// The state of one version move or traffic shift.
+struct WatchQuery {
+  core::MoveId Move;
+};
+
+/// The events of one request, or the latest events of all.
+struct TimelineQuery {
+  std::string Request; ///< Empty: all requests.
+};
+
+struct Query {
+  std::variant<ShowQuery, WatchQuery, TimelineQuery> What;
+  bool AsJson = false; ///< The statement ends in `as json`.
+};
+
+struct CommandStatement {
+  config::Change What;
+  core::ConfigVersion Expected; ///< 0: any.
+  std::string Id;               ///< Empty if the statement names no command id.
+};
+
+using Statement = std::variant<Query, CommandStatement>;
+
+} // namespace briarspar::operator_language
