--- /dev/null
+++ b/src/agreement/testing/FaultFileSystem.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "agreement/FileSystem.h"
+
+#include <pcg_random.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace briarspar::agreement::testing {
+
+/// Files in memory that are durable only once synced, with injected errors and power loss.
+class FaultFileSystem final : public FileSystem {
+public:
+  enum class Fault { None, DiskFull, ShortWrite, SyncError };
+
+  explicit FaultFileSystem(uint64_t seed = 1) : Rng(seed) {}
+
+  /// Lets `operations` more writes and syncs succeed; the next one that can fail this way does.
+  void failAfter(size_t operations, Fault fault) {
+    Remaining = operations;
+    Next = fault;
+  }
+
+  /// Ends the process and the power: of unsynced bytes a random prefix survives, possibly damaged,
+  /// and an unsynced rename survives or not. Locks end and injected errors stop.
+  void loseUnsynced() {
+    for (auto &[path, file] : Durable)
+      if (Rng() % 2 == 0 && Names.count(path) != 0)
+        file = Names[path];
+    Names = Durable;
+    for (auto &[path, file] : Names)
+      tear(*file);
+    Locked.clear();
+    Next = Fault::None;
+  }
+
+  /// Returns the stored bytes of a file, to damage them.
+  std::string &content(const std::string &path) { return Names.at(path)->Bytes; }
+  void erase(const std::string &path) { Names.erase(path); }
+
+  absl::Status createFolder(const std::string &path) override { return absl::OkStatus(); }
+
+  absl::StatusOr<std::unique_ptr<FolderLock>> lockFolder(const std::string &path) override {
+    if (!Locked.insert(path).second)
+      return absl::FailedPreconditionError("locked");
+    return std::make_unique<Lock>(*this, path);
+  }
+
+  absl::StatusOr<std::unique_ptr<File>> create(const std::string &path) override {
+    Names[path] = std::make_shared<Inode>();
+    return std::make_unique<MemoryFile>(*this, Names[path]);
+  }
+
+  absl::StatusOr<std::string> read(const std::string &path) override {
+    auto it = Names.find(path);
+    if (it == Names.end())
+      return absl::NotFoundError(path);
+    return it->second->Bytes;
+  }
+
+  absl::Status rename(const std::string &from, const std::string &to) override {
+    Names[to] = Names[from];
+    Names.erase(from);
+    return absl::OkStatus();
+  }
+
+  absl::Status syncFolder(const std::string &path) override {
+    if (strikes(Fault::SyncError))
+      return absl::InternalError("fsync error");
+    Durable = Names;
+    return absl::OkStatus();
+  }
+
+private:
+  struct Inode {
+    std::string Bytes;
+    size_t Synced = 0;
+  };
+
+  struct Lock final : FolderLock {
+    Lock(FaultFileSystem &files, std::string path) : Files(files), Path(std::move(path)) {}
+    ~Lock() override { Files.Locked.erase(Path); }
+    FaultFileSystem &Files;
+    std::string Path;
+  };
+
+  struct MemoryFile final : File {
+    MemoryFile(FaultFileSystem &files, std::shared_ptr<Inode> inode)
+        : Files(files), Node(std::move(inode)) {}
+
+    absl::StatusOr<size_t> write(std::string_view bytes) override {
+      if (Files.strikes(Fault::DiskFull))
+        return absl::ResourceExhaustedError("disk full");
+      size_t n = Files.strikes(Fault::ShortWrite) ? bytes.size() / 2 : bytes.size();
+      if (n < bytes.size())
+        Files.failAfter(0, Fault::DiskFull); // As a disk that fills up does.
+      Node->Bytes += bytes.substr(0, n);
+      return n;
+    }
+
+    absl::Status sync() override {
+      if (Files.strikes(Fault::SyncError))
+        return absl::InternalError("fsync error");
+      Node->Synced = Node->Bytes.size();
+      return absl::OkStatus();
+    }
+
+    FaultFileSystem &Files;
+    std::shared_ptr<Inode> Node;
+  };
+
+  bool strikes(Fault fault) {
+    if (Next != fault)
+      return false;
+    if (Remaining > 0) {
+      --Remaining;
+      return false;
+    }
+    Next = Fault::None;
+    return true;
+  }
+
+  void tear(Inode &file) {
+    size_t unsynced = file.Bytes.size() - file.Synced;
+    if (unsynced == 0)
+      return;
+    file.Bytes.resize(file.Synced + Rng() % (unsynced + 1));
+    if (file.Bytes.size() > file.Synced && Rng() % 2 == 0)
+      file.Bytes[file.Synced + Rng() % (file.Bytes.size() - file.Synced)] ^= 0x5a;
+    file.Synced = file.Bytes.size();
+  }
+
+  pcg32 Rng;
+  std::map<std::string, std::shared_ptr<Inode>> Names;
+  std::map<std::string, std::shared_ptr<Inode>> Durable;
+  std::set<std::string> Locked;
+  size_t Remaining = 0;
+  Fault Next = Fault::None;
+};
+
+} // namespace briarspar::agreement::testing
