Add the quota slice

Change: owner with an integer token bucket in which granted tokens take up depth until the latest time of their use, holder with sharded mutexes, cumulative reports, tokens granted up to 100 ms ahead, equal shares of scarce tokens.

--- /dev/null
+++ b/src/quota/Messages.cpp
@@ -0,0 +1,114 @@
+#include "quota/Messages.h"
+
+namespace briarspar::quota {
+
+using core::Duration;
+using core::Json;
+
+namespace {
+
+/// Bound on counts and on milliseconds in a message, far above any meaningful value.
+constexpr uint64_t MaxNumber = 1'000'000'000;
+
+/// Reads a number without the silent conversions of Json::get(); throws for any other type.
+uint64_t numberOf(const Json &value) { return value.get_ref<const uint64_t &>(); }
+
+int64_t countOf(const Json &value) {
+  uint64_t n = numberOf(value);
+  if (n > MaxNumber)
+    throw Json::out_of_range::create(406, "number is too large", &value);
+  return static_cast<int64_t>(n);
+}
+
+Duration durationOf(const Json &value) { return Duration::milliseconds(countOf(value)); }
+
+GrantResult resultOf(const Json &value) {
+  uint64_t n = numberOf(value);
+  if (n > static_cast<uint64_t>(GrantResult::Stale))
+    throw Json::out_of_range::create(406, "unknown result of a grant request", &value);
+  return static_cast<GrantResult>(n);
+}
+
+} // namespace
+
+static void to_json(Json &j, const GrantReport &report) {
+  j = Json::array({report.Epoch.Value, report.Sequence, static_cast<uint64_t>(report.Used),
+                   static_cast<uint64_t>(report.LastUse.Ms), report.Closed});
+}
+
+static void from_json(const Json &j, GrantReport &report) {
+  report.Epoch = core::Term(numberOf(j.at(0)));
+  report.Sequence = numberOf(j.at(1));
+  report.Used = countOf(j.at(2));
+  report.LastUse = durationOf(j.at(3));
+  j.at(4).get_to(report.Closed);
+}
+
+static void to_json(Json &j, const CustomerDemand &demand) {
+  j = Json::array({demand.Customer.Value, static_cast<uint64_t>(demand.Wanted), demand.Reports});
+}
+
+static void from_json(const Json &j, CustomerDemand &demand) {
+  j.at(0).get_to(demand.Customer);
+  demand.Wanted = countOf(j.at(1));
+  j.at(2).get_to(demand.Reports);
+}
+
+static void to_json(Json &j, const CustomerGrant &grant) {
+  j = Json::array({grant.Customer.Value, grant.Known, grant.Scarce,
+                   static_cast<uint64_t>(grant.Tokens), static_cast<uint64_t>(grant.Delay.Ms),
+                   static_cast<uint64_t>(grant.Length.Ms),
+                   static_cast<uint64_t>(grant.RetryIn.Ms)});
+}
+
+static void from_json(const Json &j, CustomerGrant &grant) {
+  j.at(0).get_to(grant.Customer);
+  j.at(1).get_to(grant.Known);
+  j.at(2).get_to(grant.Scarce);
+  grant.Tokens = countOf(j.at(3));
+  grant.Delay = durationOf(j.at(4));
+  grant.Length = durationOf(j.at(5));
+  grant.RetryIn = durationOf(j.at(6));
+}
+
+static void from_json(const Json &j, GrantRequest &request) {
+  j.at(0).get_to(request.Vm);
+  request.Inc = core::Incarnation(numberOf(j.at(1)));
+  request.Group = static_cast<uint32_t>(countOf(j.at(2)));
+  request.Sequence = numberOf(j.at(3));
+  j.at(4).get_to(request.Customers);
+}
+
+static void from_json(const Json &j, GrantAnswer &answer) {
+  j.at(0).get_to(answer.Vm);
+  answer.Inc = core::Incarnation(numberOf(j.at(1)));
+  answer.Group = static_cast<uint32_t>(countOf(j.at(2)));
+  answer.Epoch = core::Term(numberOf(j.at(3)));
+  answer.Sequence = numberOf(j.at(4));
+  answer.Result = resultOf(j.at(5));
+  j.at(6).get_to(answer.Customers);
+}
+
+std::string encode(const GrantRequest &request) {
+  return core::encodeCbor(
+      Json::array({request.Vm.Value, request.Inc.Value, static_cast<uint64_t>(request.Group),
+                   request.Sequence, request.Customers}));
+}
+
+std::string encode(const GrantAnswer &answer) {
+  return core::encodeCbor(Json::array(
+      {answer.Vm.Value, answer.Inc.Value, static_cast<uint64_t>(answer.Group), answer.Epoch.Value,
+       answer.Sequence, static_cast<uint64_t>(answer.Result), answer.Customers}));
+}
+
+absl::StatusOr<GrantRequest> decodeGrantRequest(std::string_view bytes,
+                                                const core::CodecLimits &limits) {
+  return core::decodeCborAs<GrantRequest>(bytes, limits);
+}
+
+absl::StatusOr<GrantAnswer> decodeGrantAnswer(std::string_view bytes,
+                                              const core::CodecLimits &limits) {
+  return core::decodeCborAs<GrantAnswer>(bytes, limits);
+}
+
+} // namespace briarspar::quota
--- a/src/quota/Messages.h
+++ b/src/quota/Messages.h
@@ -26,7 +26,7 @@
 
 /// What became of one earlier grant. Reports are cumulative, so that duplicates are harmless.
 struct GrantReport {
-  core::Term Epoch;       ///< Of the grant.
+  core::Term Epoch;       ///< Of the grant; 0: the answer is ignored from now on if it arrives.
   uint64_t Sequence = 0;  ///< Of the request that the grant answered.
   int64_t Used = 0;       ///< Requests admitted with it so far.
   core::Duration LastUse; ///< Age of the last use when the report was sent.
@@ -44,9 +44,8 @@
 struct GrantRequest {
   core::VmId Vm;
   core::Incarnation Inc;
-  uint32_t Group = 0;              ///< Group of customers that the message is for.
-  uint64_t Sequence = 0;           ///< Increases with every request of one incarnation and group.
-  std::vector<uint64_t> Abandoned; ///< Requests whose answers the VM ignores from now on.
+  uint32_t Group = 0;    ///< Group of customers that the message is for.
+  uint64_t Sequence = 0; ///< Increases with every request of one incarnation and group.
   std::vector<CustomerDemand> Customers;
 };
 
--- a/src/quota/QuotaHolder.h
+++ b/src/quota/QuotaHolder.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -21,10 +22,10 @@
   core::Duration RequestInterval{10}; ///< Shortest time between two grant requests.
   core::Duration ReportInterval{100}; ///< Uses are reported at least this often.
   core::Duration ScarceInterval{20};  ///< The same for a customer whose tokens are scarce.
-  core::Duration Refill{50};        ///< Expected demand that one grant covers beyond a round trip.
-  core::Duration DemandWindow{200}; ///< Time constant of the demand estimate.
-  core::Duration Forget{60'000};    ///< Idle time after which a customer's state is dropped.
-  uint32_t Groups = 1;              ///< Groups of customers, by hash of the customer.
+  core::Duration Refill{150};         ///< Expected demand asked for beyond a round trip, if ample.
+  core::Duration DemandWindow{200};   ///< Time constant of the demand estimate.
+  core::Duration Forget{60'000};      ///< Idle time after which a customer's state is dropped.
+  uint32_t Groups = 1;                ///< Groups of customers, by hash of the customer.
 };
 
 /// Result of an attempt to admit a request.
@@ -41,6 +42,9 @@
 /// Spends prepaid grants at a VM and asks for more. tryAdmit(), retryAdmit() and cancelWait() are
 /// safe from any thread; they take one of a fixed number of mutexes for a short time. tick() and
 /// receive() are for the control thread. The serving lease is checked separately by the caller.
+///
+/// `now` must be read right before the call: a grant that expired in between could be spent. Times
+/// that lie before the last tick() count as that tick's time.
 class QuotaHolder {
 public:
   QuotaHolder(const QuotaHolderSettings &settings, const core::VmId &vm, core::Incarnation inc);
@@ -77,16 +81,17 @@
   static constexpr size_t ShardCount = 16;
 
   Shard &shardOf(const core::CustomerId &customer) const;
-  Admission admit(Customer &customer, core::Time now);
-  Admission refuse(const Customer &customer) const;
-  core::Duration waitHint(const Customer &customer, core::Time now) const;
-  bool mayWait(const Customer &customer, core::Time now) const;
+  Admission wait(const Customer &customer, core::Time now) const;
+  bool mayWait(const Customer &customer) const;
   void tickGroup(uint32_t number, core::Time now, std::vector<GrantRequest> &out);
-  void tickCustomer(const core::CustomerId &id, Customer &customer, Group &group, core::Time now,
-                    GrantRequest &request, bool &urgent);
-  void returnTokens(Customer &customer, const Group &group, core::Time now) const;
-  int64_t wanted(const Customer &customer, const Group &group, core::Time now) const;
-  void abandonLate(Group &group, core::Time now);
+  void refresh(Customer &customer, const Group &group, core::Time now) const;
+  void closeGrants(Customer &customer, const Group &group, core::Time now) const;
+  int64_t expected(const Customer &customer, core::Duration span) const;
+  int64_t wanted(const Customer &customer, const Group &group, core::Time now, bool joining) const;
+  bool isUrgent(const Customer &customer, const Group &group, core::Time now) const;
+  void fill(Customer &customer, Group &group, core::Time now, CustomerDemand &demand) const;
+  void receive(const CustomerGrant &grant, const GrantAnswer &answer, core::Time sentAt,
+               core::Time now);
 
   QuotaHolderSettings Settings;
   core::VmId Vm;
--- /dev/null
+++ b/src/quota/QuotaOwner.cpp
@@ -0,0 +1,251 @@
+#include "quota/QuotaOwner.h"
+
+#include <algorithm>
+
+namespace briarspar::quota {
+
+using core::CustomerId;
+using core::Duration;
+using core::Time;
+
+namespace {
+
+/// Bounds on limits, so that products of rates, bursts and times stay within 64 bits.
+constexpr int64_t MaxMilliPerSecond = 10'000'000'000;
+constexpr int64_t MaxBurst = 100'000'000;
+
+/// Shortest wait that a VM is told when there is no token; also used while all tokens are granted
+/// and a report may free one at any time.
+constexpr Duration MinRetry{20};
+
+constexpr Duration ForgetInterval = Duration::seconds(1);
+
+Rate clamped(Rate rate) { return {std::clamp<int64_t>(rate.MilliPerSecond, 0, MaxMilliPerSecond)}; }
+
+Burst clamped(Burst burst) { return {std::clamp<int64_t>(burst.Requests, 0, MaxBurst)}; }
+
+/// Latest time on the owner's clock at which a use of this age happened. Both clocks read whole
+/// milliseconds, which can make the age one too large and the arrival one too small.
+Time latestUse(Duration age, Time arrival) {
+  Duration certain{std::max<int64_t>(0, age.Ms - 1)};
+  return arrival + Duration{1} - core::shortenForClockRate(certain);
+}
+
+} // namespace
+
+QuotaOwner::QuotaOwner(const QuotaOwnerSettings &settings, LeaderLease holdsLeaderLease)
+    : Settings(settings), HoldsLeaderLease(std::move(holdsLeaderLease)) {}
+
+GrantAnswer QuotaOwner::request(const GrantRequest &request, Time now) {
+  GrantAnswer answer;
+  answer.Vm = request.Vm;
+  answer.Inc = request.Inc;
+  answer.Group = request.Group;
+  answer.Epoch = Epoch;
+  answer.Sequence = request.Sequence;
+  answer.Result = GrantResult::NotOwner;
+  if (Epoch == core::Term() || !HoldsLeaderLease(now))
+    return answer;
+  answer.Result = GrantResult::Stale;
+  if (!accept(request, now))
+    return answer;
+  answer.Result = GrantResult::Ok;
+  forgetIdle(now);
+
+  VmKey vm{request.Vm, request.Inc};
+  for (const CustomerDemand &demand : request.Customers) {
+    auto it = Customers.find(demand.Customer);
+    if (it == Customers.end()) {
+      CustomerGrant unknown;
+      unknown.Customer = demand.Customer;
+      unknown.Known = false;
+      answer.Customers.push_back(unknown);
+      continue;
+    }
+    Customer &customer = it->second;
+    expireGrants(customer, now);
+    for (const GrantReport &report : demand.Reports)
+      settle(customer, {vm, report.Sequence}, report, now);
+    answer.Customers.push_back(grant(customer, demand, {vm, request.Sequence}, now));
+  }
+  return answer;
+}
+
+bool QuotaOwner::accept(const GrantRequest &request, Time now) {
+  VmRecord &record = Vms[request.Vm];
+  if (request.Inc < record.Inc)
+    return false;
+  if (request.Inc > record.Inc) {
+    record.Inc = request.Inc;
+    record.Sequence = 0;
+  }
+  if (request.Sequence <= record.Sequence)
+    return false;
+  record.Sequence = request.Sequence;
+  record.Heard = now;
+  return true;
+}
+
+void QuotaOwner::settle(Customer &customer, const GrantKey &key, const GrantReport &report,
+                        Time now) {
+  if (report.Epoch != Epoch && report.Epoch != core::Term())
+    return;
+  auto byKey = customer.ByKey.find(key);
+  if (byKey == customer.ByKey.end())
+    return;
+  auto it = customer.Grants.find(byKey->second);
+  Grant &grant = it->second;
+  int64_t used = std::clamp(report.Used, grant.Used, grant.Tokens);
+  if (used > grant.Used) {
+    customer.Bucket.deduct(used - grant.Used, latestUse(report.LastUse, now));
+    customer.Outstanding -= used - grant.Used;
+    grant.Used = used;
+  }
+  if (!report.Closed && grant.Used < grant.Tokens)
+    return;
+  // A closed grant's remaining tokens were never used: they stay in the bucket.
+  customer.Outstanding -= grant.Tokens - grant.Used;
+  customer.Grants.erase(it);
+  customer.ByKey.erase(byKey);
+}
+
+void QuotaOwner::expireGrants(Customer &customer, Time now) {
+  while (!customer.Grants.empty() && customer.Grants.begin()->second.Expiry <= now) {
+    const Grant &grant = customer.Grants.begin()->second;
+    int64_t unknown = grant.Tokens - grant.Used;
+    customer.Bucket.deduct(unknown, grant.Expiry);
+    customer.Outstanding -= unknown;
+    customer.ByKey.erase(grant.Key);
+    customer.Grants.erase(customer.Grants.begin());
+  }
+}
+
+CustomerGrant QuotaOwner::grant(Customer &customer, const CustomerDemand &demand,
+                                const GrantKey &key, Time now) {
+  CustomerGrant result;
+  result.Customer = demand.Customer;
+  result.Length = Settings.GrantLength;
+  const TokenBucket &bucket = customer.Bucket;
+  int64_t held = customer.Outstanding * MicroTokens;
+  int64_t available = std::max<int64_t>(0, bucket.levelAt(now) - held) / MicroTokens;
+  int64_t soon = std::max<int64_t>(0, bucket.levelAt(now + Settings.MaxDelay) - held) / MicroTokens;
+  soon = std::max(available, soon);
+  int64_t wanted = std::clamp<int64_t>(demand.Wanted, 0, bucket.burst().Requests);
+  setDemand(customer, key.first, wanted, 0, now);
+
+  int64_t share = wanted;
+  if (customer.TotalUnmet > soon)
+    share = std::min({wanted, soon, fairShare(customer, key.first, soon)});
+  result.Tokens = std::min(share, available);
+  if (result.Tokens == 0 && share > 0) {
+    // Granted ahead of time, so that the VM need not ask again when the tokens exist.
+    result.Tokens = share;
+    Time at = *bucket.timeOfLevel(held + share * MicroTokens, now);
+    result.Delay = at - now;
+  }
+  if (result.Tokens > 0) {
+    uint64_t issue = NextIssue++;
+    Time expiry = now + core::lengthenForClockRate(Settings.GrantLength);
+    customer.Grants.emplace(issue, Grant{key, result.Tokens, 0, expiry});
+    customer.ByKey.emplace(key, issue);
+    customer.Outstanding += result.Tokens;
+    setDemand(customer, key.first, wanted - result.Tokens, result.Tokens, now);
+  } else if (wanted > 0) {
+    auto at = bucket.timeOfLevel(held + MicroTokens, now);
+    // Early enough that the next request gets the token ahead of time.
+    Duration wait = at ? *at - now - Settings.MaxDelay : MinRetry;
+    result.RetryIn = std::clamp(wait, MinRetry, Settings.GrantLength);
+  }
+  constexpr int64_t AmpleShareOfBurst = 4;
+  int64_t left = bucket.levelAt(now) - customer.Outstanding * MicroTokens;
+  result.Scarce =
+      result.Tokens < wanted || left < bucket.burst().Requests * MicroTokens / AmpleShareOfBurst;
+  return result;
+}
+
+void QuotaOwner::expireDemands(Customer &customer, Time now) {
+  while (!customer.DemandQueue.empty() &&
+         customer.DemandQueue.front().first + Settings.DemandMemory <= now) {
+    auto it = customer.Demands.find(customer.DemandQueue.front().second);
+    customer.DemandQueue.pop_front();
+    if (it == customer.Demands.end() || it->second.At + Settings.DemandMemory > now)
+      continue;
+    customer.TotalUnmet -= it->second.Unmet;
+    customer.Hungry.erase({it->second.Served, it->first});
+    customer.Demands.erase(it);
+  }
+}
+
+void QuotaOwner::setDemand(Customer &customer, const VmKey &vm, int64_t unmet, int64_t served,
+                           Time now) {
+  expireDemands(customer, now);
+  Demand &demand = customer.Demands[vm];
+  customer.Hungry.erase({demand.Served, vm});
+  // A VM that was satisfied collects no claim on later tokens.
+  bool joins = demand.Unmet == 0 && unmet > 0 && !customer.Hungry.empty();
+  if (joins)
+    demand.Served = std::max(demand.Served, customer.Hungry.begin()->first);
+  customer.TotalUnmet += unmet - demand.Unmet;
+  demand.Unmet = unmet;
+  demand.Served += served;
+  demand.At = now;
+  if (unmet > 0)
+    customer.Hungry.emplace(demand.Served, vm);
+  customer.DemandQueue.emplace_back(now, vm);
+}
+
+int64_t QuotaOwner::fairShare(const Customer &customer, const VmKey &vm, int64_t tokens) const {
+  auto it = customer.Demands.find(vm);
+  if (it == customer.Demands.end() || customer.Hungry.empty())
+    return tokens;
+  // No VM gets further ahead of the least served one than this.
+  int64_t lead = 1 + tokens / static_cast<int64_t>(customer.Hungry.size());
+  return std::max<int64_t>(0, customer.Hungry.begin()->first + lead - it->second.Served);
+}
+
+void QuotaOwner::becomeOwner(Time safeFrom, core::Term epoch) {
+  Epoch = epoch;
+  EmptyUntil = safeFrom + core::lengthenForClockRate(Settings.GrantLength);
+  for (auto &[id, customer] : Customers) {
+    TokenBucket empty(customer.Bucket.rate(), customer.Bucket.burst(), EmptyUntil);
+    customer = Customer(empty);
+  }
+}
+
+void QuotaOwner::setLimit(const CustomerId &customer, Rate rate, Burst burst, Time now) {
+  rate = clamped(rate);
+  burst = clamped(burst);
+  auto it = Customers.find(customer);
+  if (it != Customers.end()) {
+    expireGrants(it->second, now);
+    it->second.Bucket.setLimit(rate, burst, now);
+    return;
+  }
+  Time from = std::max(now, EmptyUntil);
+  auto removed = Removed.find(customer);
+  if (removed != Removed.end())
+    from = std::max(from, removed->second);
+  Customers.emplace(customer, Customer(TokenBucket(rate, burst, from)));
+}
+
+void QuotaOwner::removeCustomer(const CustomerId &customer, Time now) {
+  if (Customers.erase(customer) != 0)
+    Removed[customer] = now + core::lengthenForClockRate(Settings.GrantLength);
+}
+
+int64_t QuotaOwner::outstanding(const CustomerId &customer) const {
+  auto it = Customers.find(customer);
+  return it == Customers.end() ? 0 : it->second.Outstanding;
+}
+
+void QuotaOwner::forgetIdle(Time now) {
+  if (now < NextForget)
+    return;
+  NextForget = now + ForgetInterval;
+  for (auto it = Vms.begin(); it != Vms.end();)
+    it = it->second.Heard + Settings.ForgetVm < now ? Vms.erase(it) : std::next(it);
+  for (auto it = Removed.begin(); it != Removed.end();)
+    it = it->second < now ? Removed.erase(it) : std::next(it);
+}
+
+} // namespace briarspar::quota
--- a/src/quota/QuotaOwner.h
+++ b/src/quota/QuotaOwner.h
@@ -9,13 +9,14 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
 namespace briarspar::quota {
 
 struct QuotaOwnerSettings {
-  core::Duration GrantLength{500}; ///< Validity of a grant. All owners of a group must agree on it.
+  core::Duration GrantLength{500};  ///< Validity of a grant; all owners of a group agree on it.
   core::Duration DemandMemory{200}; ///< How long an unmet demand counts towards the fair share.
   core::Duration MaxDelay{100};     ///< Tokens are granted at most this long before they exist.
   core::Duration ForgetVm{60'000};  ///< Idle time after which a VM's sequence is forgotten.
@@ -39,15 +40,16 @@
   GrantAnswer request(const GrantRequest &request, core::Time now);
 
   /// Must be called when this process becomes owner. `safeFrom` is the end of the old owner's
-  /// lease. All buckets start empty when the old owner's last grants have expired, which is one
-  /// grant length later. `epoch` is the leader's term; it distinguishes the grants of owners.
+  /// lease. All buckets start empty one grant length later, when the grants of all earlier owners
+  /// have expired. `epoch` is the leader's term; it distinguishes the grants of owners.
   void becomeOwner(core::Time safeFrom, core::Term epoch);
 
   /// Sets or changes a limit. The bucket of a new customer starts empty. From a change until one
   /// grant length after it, the bound holds with the larger rate and the larger burst of the two.
   void setLimit(const core::CustomerId &customer, Rate rate, Burst burst, core::Time now);
 
-  /// Forgets a customer. Set again, it starts empty after one grant length.
+  /// Forgets a customer. Set again, it starts empty, one grant length after the removal at the
+  /// earliest.
   void removeCustomer(const core::CustomerId &customer, core::Time now);
 
   /// Granted tokens whose use or return is not known yet. For metrics.
@@ -65,6 +67,7 @@
   };
   struct Demand {
     int64_t Unmet = 0;
+    int64_t Served = 0; ///< Tokens granted, or what the least served VM had when this one joined.
     core::Time At;
   };
   struct Customer {
@@ -76,6 +79,7 @@
     std::map<GrantKey, uint64_t> ByKey;
     std::map<VmKey, Demand> Demands;
     std::deque<std::pair<core::Time, VmKey>> DemandQueue; ///< Oldest first.
+    std::set<std::pair<int64_t, VmKey>> Hungry; ///< VMs with unmet demand by tokens served.
     int64_t TotalUnmet = 0;
   };
   struct VmRecord {
@@ -85,10 +89,13 @@
   };
 
   bool accept(const GrantRequest &request, core::Time now);
-  void forgetIdleVms(core::Time now);
+  void forgetIdle(core::Time now);
   void expireGrants(Customer &customer, core::Time now);
+
   void expireDemands(Customer &customer, core::Time now);
-  void setDemand(Customer &customer, const VmKey &vm, int64_t unmet, core::Time now);
+  void setDemand(Customer &customer, const VmKey &vm, int64_t unmet, int64_t served,
+                 core::Time now);
+  int64_t fairShare(const Customer &customer, const VmKey &vm, int64_t tokens) const;
   void settle(Customer &customer, const GrantKey &key, const GrantReport &report, core::Time now);
   CustomerGrant grant(Customer &customer, const CustomerDemand &demand, const GrantKey &key,
                       core::Time now);
--- /dev/null
+++ b/src/quota/tests/QuotaTest.cpp
@@ -0,0 +1,298 @@
+#include "quota/tests/QuotaSimulation.h"
+
+#include <atomic>
+#include <cstdio>
+#include <thread>
+
+using namespace briarspar::core;
+using namespace briarspar::quota;
+using briarspar::quota::testing::Limit;
+using briarspar::quota::testing::Simulation;
+using briarspar::quota::testing::withinBound;
+
+namespace {
+
+using briarspar::core::testing::checkProperty;
+using briarspar::core::testing::FaultSettings;
+
+/// Eight customers, a few of them large.
+std::vector<Limit> todaysLimits() {
+  return {{300, 300}, {200, 200}, {120, 120}, {60, 60}, {40, 40}, {20, 20}, {10, 10}, {5, 5}};
+}
+
+FaultSettings roundTrip(int64_t ms) {
+  FaultSettings settings;
+  settings.MinDelay = Duration{std::max<int64_t>(0, ms / 2)};
+  settings.MaxDelay = Duration{std::max<int64_t>(1, (ms + 1) / 2)};
+  return settings;
+}
+
+/// One random fault or event of the bound property.
+void disturb(Simulation &sim) {
+  uint32_t vm = sim.random(Simulation::Vms);
+  uint32_t other = sim.random(Simulation::Nodes);
+  switch (sim.random(7)) {
+  case 0:
+    return sim.Network.cut(vm, Simulation::Vms + sim.random(2));
+  case 1:
+    return sim.Network.cut(other, vm);
+  case 2:
+    return sim.Network.healAll();
+  case 3:
+    return sim.Network.setPaused(vm, !sim.Network.isPaused(vm));
+  case 4:
+    return sim.start(vm);
+  default:
+    return sim.elect(static_cast<int>(sim.random(3)) - 1);
+  }
+}
+
+FaultSettings heavyFaults(uint64_t seed) {
+  FaultSettings faults;
+  faults.LossPermille = 100;
+  faults.DuplicatePermille = 200;
+  faults.MinDelay = Duration{0};
+  faults.MaxDelay = Duration{seed % 3 == 0 ? 300 : 40};
+  return faults;
+}
+
+} // namespace
+
+/// Guards against an admission beyond burst + rate * length in any interval under loss,
+/// duplicates, reordering, cuts, pauses, restarts, owner changes and clocks that differ by 1%, with
+/// a multiple of the rate asked for.
+Test(Quota, boundHoldsInEveryIntervalUnderFaults) {
+  checkProperty("quota bound", [](uint64_t seed) {
+    std::vector<Limit> limits{{200, 100}, {50, 10}, {30, 2}, {3, 1}, {2, 5}};
+    // Steady, or in pulses, between which the buckets fill up and grants lie unused.
+    bool pulses = seed % 2 == 1;
+    auto load = [&, pulses](uint32_t, size_t c, int64_t ms) {
+      double steady = limits[c].PerSecond * 3 / 12.0;
+      return !pulses ? steady : ms % 1700 < 150 ? steady * 8 : 0.0;
+    };
+    Simulation sim(seed, heavyFaults(seed), limits, load, /*adverse=*/true);
+    for (int64_t n = 0; n < 6000; ++n) {
+      if (sim.random(150) == 0)
+        disturb(sim);
+      sim.step();
+    }
+    size_t before = sim.Log[0].size();
+    sim.heal();
+    sim.run(4000);
+    for (size_t c = 0; c < limits.size(); ++c)
+      RC_ASSERT(withinBound(sim.Log[c], limits[c], 0, sim.Now + 1));
+    // Service resumes: at least one burst is admitted in the 4 s after the faults.
+    RC_ASSERT(static_cast<int64_t>(sim.Log[0].size() - before) >= limits[0].Burst);
+  });
+}
+
+/// Guards against a limit change at run time that admits more than the larger of the two limits
+/// allows, or more than the new one allows once the old grants have expired.
+Test(Quota, boundHoldsAcrossLimitChanges) {
+  checkProperty("quota bound with limit changes", [](uint64_t seed) {
+    std::vector<Limit> limits{{100, 50}};
+    Simulation sim(
+        seed, heavyFaults(seed), limits, [](uint32_t, size_t, int64_t) { return 50.0; },
+        /*adverse=*/true);
+    Limit largest = limits[0];
+    for (int change = 0; change < 6; ++change) {
+      Limit next{10 + sim.random(300), 1 + sim.random(100)};
+      largest.PerSecond = std::max(largest.PerSecond, next.PerSecond);
+      largest.Burst = std::max(largest.Burst, next.Burst);
+      sim.setLimit(0, next);
+      int64_t settled = sim.Now + 506; // One grant length and the clock-rate margin.
+      sim.run(sim.random(1000));
+      sim.elect(sim.random(2));
+      sim.run(500 + sim.random(1500));
+      RC_ASSERT(withinBound(sim.Log[0], next, settled, sim.Now + 1));
+    }
+    RC_ASSERT(withinBound(sim.Log[0], largest, 0, sim.Now + 1));
+  });
+}
+
+/// Guards against refusals within the rate while load is steady and uneven over the VMs.
+Test(Quota, steadyLoadIsAdmitted) {
+  for (int64_t rtt : {1, 20, 35}) {
+    std::vector<Limit> limits = todaysLimits();
+    Simulation sim(rtt, roundTrip(rtt), limits, [&](uint32_t vm, size_t c, int64_t) {
+      return limits[c].PerSecond * 0.95 * (vm + 1) / 78.0; // 78 = 1 + 2 + ... + 12
+    });
+    sim.run(3000);
+    sim.measure();
+    uint64_t bytes = sim.SentBytes;
+    uint64_t messages = sim.SentMessages;
+    sim.run(30'000);
+    std::printf("steady, round trip %ld ms: grants %.4f, static split %.4f of %ld requests within "
+                "the rate; %.1f requests and %.0f bytes per VM and second\n",
+                long(rtt), sim.Measured.share(), sim.Measured.staticShare(),
+                long(sim.Measured.Within), (sim.SentMessages - messages) / 360.0,
+                (sim.SentBytes - bytes) / 360.0);
+    cr_assert_geq(sim.Measured.share(), 0.99);
+    for (size_t c = 0; c < limits.size(); ++c)
+      cr_assert(withinBound(sim.Log[c], limits[c], 0, sim.Now + 1));
+  }
+}
+
+/// Guards against refusals within the rate when each customer's load jumps between VMs.
+Test(Quota, jumpingLoadIsAdmitted) {
+  for (int64_t rtt : {1, 20, 35}) {
+    std::vector<Limit> limits = todaysLimits();
+    Simulation sim(rtt, roundTrip(rtt), limits, [&](uint32_t vm, size_t c, int64_t ms) {
+      bool here = (ms / 2000 * 5 + static_cast<int64_t>(c)) % Simulation::Vms == vm;
+      return here ? limits[c].PerSecond * 0.95 : 0.0;
+    });
+    sim.run(3000);
+    sim.measure();
+    sim.run(30'000);
+    std::printf("jump every 2 s, round trip %ld ms: grants %.4f, static split %.4f of %ld\n",
+                long(rtt), sim.Measured.share(), sim.Measured.staticShare(),
+                long(sim.Measured.Within));
+    cr_assert_geq(sim.Measured.share(), 0.98);
+  }
+}
+
+/// Guards against an owner change after which grants do not resume, and reports the share of
+/// requests within the rate beside a static split in the same run.
+Test(Quota, ownerFailoverRecovers) {
+  for (int64_t rtt : {1, 20, 35}) {
+    std::vector<Limit> limits = todaysLimits();
+    Simulation sim(rtt, roundTrip(rtt), limits, [&](uint32_t vm, size_t c, int64_t) {
+      return limits[c].PerSecond * 0.7 * (vm + 1) / 78.0;
+    });
+    sim.run(5000);
+    sim.measure();
+    sim.elect(-1);
+    sim.run(2500);
+    sim.elect(1);
+    sim.run(2500);
+    Simulation::Share during = sim.Measured;
+    sim.measure();
+    sim.run(10'000);
+    std::printf(
+        "owner lost for 2.5 s, round trip %ld ms: grants %.4f, static split %.4f in the 5 s "
+        "from the loss; %.4f and %.4f in the 10 s after\n",
+        long(rtt), during.share(), during.staticShare(), sim.Measured.share(),
+        sim.Measured.staticShare());
+    cr_assert_geq(sim.Measured.share(), 0.99);
+  }
+}
+
+/// Guards against a customer of a small rate and a burst of 1 or 2 that gets no useful service,
+/// because no whole token fits into the bucket or because it expires before it is used. When 30
+/// requests per second arrive, the time between two admissions must not exceed the ideal one by
+/// more than a round trip and 60 ms: three intervals at which a VM reports uses and asks again.
+Test(Quota, smallRatesAreServed) {
+  std::vector<Limit> limits{{1, 1}, {2, 1}, {3, 1}, {5, 1}, {3, 2}, {5, 3}};
+  for (int64_t rtt : {1, 20, 35}) {
+    Simulation sim(rtt, roundTrip(rtt), limits, [](uint32_t, size_t, int64_t) { return 2.5; });
+    sim.run(60'000);
+    std::printf("small rates, 30 requests per second, round trip %ld ms, share of the rate:",
+                long(rtt));
+    for (size_t c = 0; c < limits.size(); ++c) {
+      double ideal = double(limits[c].PerSecond);
+      double admitted = double(sim.Log[c].size());
+      std::printf(" %ld/s burst %ld: %.3f", long(ideal), long(limits[c].Burst),
+                  admitted / 60 / ideal);
+      cr_expect_geq(admitted, 60 / (1 / ideal + double(rtt + 60) / 1000) - 2);
+      cr_assert(withinBound(sim.Log[c], limits[c], 0, sim.Now + 1));
+    }
+    std::printf("\n");
+  }
+}
+
+/// Guards against a customer that is asked for at three times its rate: VMs that ask at the same
+/// rate must each get at least half of an equal share, the rate must be used, and the exchange must
+/// stay within the 4 KB/s that control may cost a node.
+Test(Quota, scarceTokensAreSharedFairly) {
+  for (int64_t rtt : {1, 20, 35}) {
+    Limit limit{120, 120};
+    Simulation sim(rtt, roundTrip(rtt), {limit}, [](uint32_t, size_t, int64_t) { return 30.0; });
+    sim.run(20'000);
+    int64_t total = static_cast<int64_t>(sim.Log[0].size());
+    int64_t least = *std::min_element(std::begin(sim.AdmittedBy), std::end(sim.AdmittedBy));
+    double bytes = double(sim.SentBytes) / Simulation::Vms / 20;
+    std::printf("three times the rate, round trip %ld ms: %.4f of the rate, least VM %.2f of an "
+                "equal share, %.0f bytes per VM and second\n",
+                long(rtt), double(total) / (120 * 20),
+                double(least) * Simulation::Vms / double(total), bytes);
+    cr_assert_geq(least * Simulation::Vms * 2, total);
+    cr_assert_geq(total, 120 * 20 * 99 / 100);
+    cr_assert_leq(bytes, 4096);
+  }
+}
+
+/// Guards against a token that two traffic threads both spend, or that is lost between them.
+Test(Quota, threadsSpendEachTokenOnce) {
+  constexpr int64_t Tokens = 200'000;
+  CustomerId customer("a");
+  QuotaHolder holder({}, VmId("vm"), Incarnation(1));
+  (void)holder.tryAdmit(customer, Time{1000});
+  std::vector<GrantRequest> requests = holder.tick(Time{1000});
+  cr_assert_eq(requests.size(), 1);
+  GrantAnswer answer;
+  answer.Vm = requests[0].Vm;
+  answer.Inc = requests[0].Inc;
+  answer.Epoch = Term(1);
+  answer.Sequence = requests[0].Sequence;
+  answer.Result = GrantResult::Ok;
+  CustomerGrant grant;
+  grant.Customer = customer;
+  grant.Tokens = Tokens;
+  grant.Length = Duration::seconds(1000);
+  answer.Customers.push_back(grant);
+  holder.receive(answer, Time{1001});
+
+  std::atomic<int64_t> admitted{0};
+  std::vector<std::thread> threads;
+  for (int n = 0; n < 4; ++n) {
+    threads.emplace_back([&] {
+      while (holder.tryAdmit(customer, Time{1002}).What == Admission::Admitted)
+        ++admitted;
+    });
+  }
+  for (int64_t ms = 1002; admitted < Tokens / 2 && ms < 100'000; ms += 10)
+    (void)holder.tick(Time{ms});
+  for (auto &thread : threads)
+    thread.join();
+  cr_assert_eq(admitted.load(), Tokens);
+}
+
+/// Guards against requests that wait for a customer without a limit.
+Test(Quota, unknownCustomerIsRefused) {
+  QuotaOwner owner({}, [](Time) { return true; });
+  owner.becomeOwner(Time{0}, Term(1));
+  QuotaHolder holder({}, VmId("vm"), Incarnation(1));
+  CustomerId unknown("b");
+  cr_assert(holder.tryAdmit(unknown, Time{1000}).What == Admission::Wait);
+  for (const GrantRequest &request : holder.tick(Time{1000}))
+    holder.receive(owner.request(request, Time{1000}), Time{1001});
+  cr_assert(holder.tryAdmit(unknown, Time{1001}).What == Admission::Refused);
+  cr_assert(holder.retryAdmit(unknown, Time{1001}, Time{1000}).What == Admission::Refused);
+}
+
+/// Guards against a malformed message that ends the process or grants a negative number.
+Test(Quota, malformedMessagesAreErrors) {
+  GrantRequest request;
+  request.Vm = VmId("vm");
+  request.Customers.push_back({CustomerId("a"), 3, {{Term(1), 7, 2, Duration{5}, true}}});
+  GrantAnswer answer;
+  answer.Vm = request.Vm;
+  CustomerGrant grant;
+  grant.Customer = CustomerId("a");
+  grant.Tokens = 9;
+  answer.Customers.push_back(grant);
+  cr_assert_eq(decodeGrantRequest(encode(request))->Customers[0].Reports[0].LastUse.Ms, 5);
+  cr_assert_eq(decodeGrantAnswer(encode(answer))->Customers[0].Tokens, 9);
+  checkProperty("changed bytes give a status", [&](uint8_t value, uint16_t at) {
+    std::string buf = encode(answer);
+    buf[at % buf.size()] = static_cast<char>(value);
+    auto decoded = decodeGrantAnswer(buf);
+    if (decoded.ok() && !decoded->Customers.empty())
+      RC_ASSERT(decoded->Customers[0].Tokens >= 0);
+    buf = encode(request);
+    buf[at % buf.size()] = static_cast<char>(value);
+    auto other = decodeGrantRequest(buf);
+    if (other.ok() && !other->Customers.empty())
+      RC_ASSERT(other->Customers[0].Wanted >= 0);
+  });
+}
