Implement slots, target choice, budgets, fair queueing and crash protection

The headers need definitions so that forwarding and the daemon can link.

The slot protocol is in lock step: a holder accepts only the answer to its latest report, so what a report says is exactly what the holder may use, and each limit ends a term after the report that earned it.

--- a/src/balance/CrashGuard.h
+++ b/src/balance/CrashGuard.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,13 +18,13 @@
 
 /// Bounds of a CrashGuard.
 struct CrashGuardSettings {
-  uint32_t MaxCrashes = 2;                 ///< Target processes that one request may end.
-  uint32_t FingerprintsToBlameVersion = 3; ///< Different requests that crash a version.
-  core::Duration BlameWindow{60'000};      ///< Span in which they are counted.
-  core::Duration SameCrash{1000};          ///< Crashes of a target this close in time are one.
-  core::Duration Quarantine{600'000};      ///< How long a request stays refused.
-  size_t MaxEntries = 4096;                ///< Fingerprints remembered.
-  size_t MaxReportEntries = 256;           ///< Fingerprints per report.
+  uint32_t MaxCrashes = 2;            ///< Target processes that one request may end.
+  uint32_t CrashesToBlameVersion = 3; ///< Unrelated crashes that count against a version.
+  core::Duration BlameWindow{60'000}; ///< Span in which they are counted.
+  core::Duration SameCrash{1000};     ///< Crashes of a target this close in time are one.
+  core::Duration Quarantine{600'000}; ///< How long a request stays refused.
+  size_t MaxEntries = 4096;           ///< Fingerprints remembered.
+  size_t MaxReportEntries = 256;      ///< Fingerprints per report.
 };
 
 /// Fingerprints of requests during which target processes ended. Reports may be merged repeatedly
@@ -57,8 +58,9 @@
   bool admits(uint64_t fingerprint, core::Time now) const;
 
   /// Takes the end of a target process while it ran a request. Returns the number of crash outcomes
-  /// to count against the version now: none while few different requests crash it, and with the one
-  /// that reaches the threshold also those withheld before.
+  /// to count against the version now: none while few unrelated crashes happened, and with the one
+  /// that reaches the threshold also those withheld before. Crashes with a request in common are
+  /// related, so a single request that ends several targets is not counted.
   uint32_t recordCrash(uint64_t fingerprint, const core::TargetId &target,
                        const core::VersionId &version, core::Time now);
 
@@ -82,20 +84,26 @@
     size_t count() const;
   };
 
-  /// Crash outcomes of a version that were not counted yet.
-  struct Blame {
-    std::map<uint64_t, core::Time> Fingerprints;
-    uint32_t Withheld = 0;
+  /// The end of one target process, with the requests that were in flight on it.
+  struct Event {
+    core::TargetId Target;
+    core::Time At;
+    std::set<uint64_t> Fingerprints;
+    bool Repeated = false; ///< An earlier event has one of the requests, which explains this one.
+    uint32_t Withheld = 0; ///< Outcomes that were not counted yet.
   };
+  using EventList = std::vector<Event>;
 
-  void add(uint64_t fingerprint, const core::TargetId &target, core::Time at);
+  void add(Record &record, const core::TargetId &target, core::Time at) const;
+  static void clear(Record &record, core::Time at);
   void trim(core::Time now);
-  uint32_t blame(uint64_t fingerprint, const core::VersionId &version, core::Time now);
+  Event &eventOf(EventList &events, const core::TargetId &target, core::Time now) const;
+  static bool isRepeated(const EventList &events, uint64_t fingerprint, const Event &event);
 
   const CrashGuardSettings Settings;
   mutable std::mutex Mutex;
   std::map<uint64_t, Record> Entries;
-  std::map<core::VersionId, Blame> Versions;
+  std::map<core::VersionId, EventList> Versions;
 };
 
 } // namespace briarspar::balance
--- a/src/balance/FairQueue.h
+++ b/src/balance/FairQueue.h
@@ -81,14 +81,13 @@
     std::list<Waiting>::iterator Item;
   };
 
-  uint64_t creditOf(const Flow &flow) const;
+  FlowMap::iterator flowOf(const core::CustomerId &customer);
   void catchUp(Flow &flow) const;
-  void charge(FlowMap::iterator it);
-  void schedule(FlowMap::iterator it);
-  void unschedule(FlowMap::iterator it);
+  void charge(Flow &flow);
   FlowMap::iterator longestFlow();
-  void erase(const Position &position);
-  void forgetIdle();
+  void erase(uint64_t handle);
+  void collectExpired(core::Time now);
+  bool isFull() const { return ByHandle.size() >= Settings.MaxWaiting; }
 
   const FairQueueSettings Settings;
   mutable std::mutex Mutex;
@@ -97,6 +96,7 @@
   std::set<std::pair<uint64_t, core::CustomerId>> Ready; ///< Flows that wait, by start tag.
   std::unordered_map<uint64_t, Position> ByHandle;
   std::set<std::pair<int64_t, uint64_t>> ByDeadline;
+  std::vector<Waiting> Expired; ///< Returned by the next call of expire().
 };
 
 } // namespace briarspar::balance
--- /dev/null
+++ b/src/balance/HedgePolicy.cpp
@@ -0,0 +1,119 @@
+#include "balance/HedgePolicy.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace briarspar::balance {
+
+using core::Duration;
+
+namespace {
+
+size_t indexOf(Leg leg) { return static_cast<size_t>(leg); }
+
+} // namespace
+
+bool HedgedRequest::startHedge() {
+  std::lock_guard<std::mutex> lock(Mutex);
+  if (Delivered || !Running[indexOf(Leg::First)] || Running[indexOf(Leg::Hedge)])
+    return false;
+  Running[indexOf(Leg::Hedge)] = true;
+  return true;
+}
+
+HedgedRequest::Verdict HedgedRequest::answered(Leg leg) {
+  std::lock_guard<std::mutex> lock(Mutex);
+  Running[indexOf(leg)] = false;
+  if (Delivered)
+    return {};
+  Delivered = true;
+  const Leg other = leg == Leg::First ? Leg::Hedge : Leg::First;
+  return {true, Running[indexOf(other)]};
+}
+
+bool HedgedRequest::failed(Leg leg) {
+  std::lock_guard<std::mutex> lock(Mutex);
+  Running[indexOf(leg)] = false;
+  if (Delivered || Running[0] || Running[1])
+    return false;
+  Delivered = true;
+  return true;
+}
+
+/// Estimates a quantile over windows of a fixed number of samples. The last full window counts, so
+/// that old latencies are forgotten.
+class HedgePolicy::Estimator {
+public:
+  explicit Estimator(const HedgeSettings &settings)
+      : Settings(settings), Current(newWindow(settings)) {}
+
+  void add(Duration latency) {
+    Current(static_cast<double>(latency.Ms));
+    if (boost::accumulators::count(Current) < Settings.WindowSamples)
+      return;
+    LastWindow = boost::accumulators::p_square_quantile(Current);
+    Current = newWindow(Settings);
+  }
+
+  std::optional<double> quantile() const {
+    if (LastWindow)
+      return LastWindow;
+    if (boost::accumulators::count(Current) < Settings.MinSamples)
+      return std::nullopt;
+    return boost::accumulators::p_square_quantile(Current);
+  }
+
+private:
+  using Window = boost::accumulators::accumulator_set<
+      double, boost::accumulators::stats<boost::accumulators::tag::count,
+                                         boost::accumulators::tag::p_square_quantile>>;
+
+  static Window newWindow(const HedgeSettings &settings) {
+    return Window(boost::accumulators::quantile_probability = settings.Quantile);
+  }
+
+  const HedgeSettings &Settings;
+  Window Current;
+  std::optional<double> LastWindow;
+};
+
+HedgePolicy::HedgePolicy(RetryBudget &budget, const HedgeSettings &settings)
+    : Budget(budget), Settings(settings) {}
+
+HedgePolicy::~HedgePolicy() = default;
+
+void HedgePolicy::record(const core::RouteId &route, Duration latency) {
+  std::lock_guard<std::mutex> lock(Mutex);
+  std::unique_ptr<Estimator> &estimator = Routes[route];
+  if (!estimator)
+    estimator = std::make_unique<Estimator>(Settings);
+  estimator->add(latency);
+}
+
+std::optional<Duration> HedgePolicy::delay(const core::RouteId &route, bool idempotent) const {
+  std::lock_guard<std::mutex> lock(Mutex);
+  auto it = Routes.find(route);
+  if (!idempotent || it == Routes.end())
+    return std::nullopt;
+  const std::optional<double> quantile = it->second->quantile();
+  if (!quantile)
+    return std::nullopt;
+  const auto ms = static_cast<int64_t>(std::ceil(*quantile));
+  return Duration{std::clamp(ms, Settings.MinDelay.Ms, Settings.MaxDelay.Ms)};
+}
+
+bool HedgePolicy::tryHedge(HedgedRequest &request, bool idempotent) {
+  if (!Budget.tryTake(idempotent))
+    return false;
+  if (request.startHedge())
+    return true;
+  Budget.giveBack();
+  return false;
+}
+
+} // namespace briarspar::balance
--- a/src/balance/HedgePolicy.h
+++ b/src/balance/HedgePolicy.h
@@ -4,10 +4,10 @@
 #include "core/Clock.h"
 #include "core/Ids.h"
 
-#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 
@@ -73,7 +73,7 @@
   RetryBudget &Budget;
   const HedgeSettings Settings;
   mutable std::mutex Mutex;
-  std::map<core::RouteId, Estimator> Routes;
+  std::map<core::RouteId, std::unique_ptr<Estimator>> Routes;
 };
 
 } // namespace briarspar::balance
--- a/src/balance/RegionBudget.h
+++ b/src/balance/RegionBudget.h
@@ -27,18 +27,18 @@
   /// Takes up to `wanted` and returns the number taken.
   uint32_t take(const core::RegionId &from, const core::RegionId &to, uint32_t wanted);
 
-  /// Records slots that are known to be held, even beyond the capacity.
-  void takeUnchecked(const core::RegionId &from, const core::RegionId &to, uint32_t n);
+  /// Records slots that are known to be held, even beyond the limits.
+  void takeHeld(const core::RegionId &from, const core::RegionId &to, uint32_t n);
 
   /// Gives slots back.
   void give(const core::RegionId &from, const core::RegionId &to, uint32_t n);
 
+  /// Returns by how much the use of `from` on `to` has to shrink after a limit was lowered.
+  uint32_t excess(const core::RegionId &from, const core::RegionId &to) const;
+
   uint32_t used(const core::RegionId &region) const;
   uint32_t linkUsed(const core::RegionId &from, const core::RegionId &to) const;
 
-  /// Forgets what is used; the limits stay.
-  void clearUse();
-
 private:
   struct Region {
     uint32_t Capacity = UINT32_MAX;
--- /dev/null
+++ b/src/balance/SlotHolder.cpp
@@ -0,0 +1,163 @@
+#include "balance/SlotHolder.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace briarspar::balance {
+
+using core::TargetId;
+using core::Time;
+
+SlotHolder::SlotHolder(core::VmId vm, core::Incarnation run, const core::Clock &clock,
+                       const ServingPermission &permission, const SlotHolderSettings &settings)
+    : Vm(std::move(vm)), Run(run), Clock(clock), Permission(permission), Settings(settings),
+      Started(clock.now()) {}
+
+void SlotHolder::setTargets(absl::Span<const TargetInfo> targets, uint32_t vmCount) {
+  std::lock_guard<std::mutex> lock(Mutex);
+  VmCount = std::max(vmCount, 1U);
+  for (auto &[id, slot] : Slots)
+    slot.TargetSlots = 0;
+  for (const TargetInfo &info : targets) {
+    Slot &slot = Slots[info.Id];
+    slot.TargetSlots = info.Slots;
+    if (slot.Pool != info.Pool) {
+      Demands[slot.Pool].InUse -= slot.InUse;
+      Demands[info.Pool].InUse += slot.InUse;
+      slot.Pool = info.Pool;
+    }
+  }
+  for (auto it = Slots.begin(); it != Slots.end();) {
+    const Slot &slot = it->second;
+    const bool isUnused = slot.TargetSlots == 0 && slot.Limit == 0 && slot.InUse == 0;
+    it = isUnused ? Slots.erase(it) : std::next(it);
+  }
+}
+
+bool SlotHolder::limitsValid(Time now) const { return now < ValidUntil && Permission.valid(now); }
+
+bool SlotHolder::acquire(const TargetId &target) {
+  std::lock_guard<std::mutex> lock(Mutex);
+  auto it = Slots.find(target);
+  if (it == Slots.end() || it->second.InUse >= it->second.Limit || !limitsValid(Clock.now()))
+    return false;
+  ++it->second.InUse;
+  Demand &demand = Demands[it->second.Pool];
+  ++demand.InUse;
+  noteDemand(demand);
+  return true;
+}
+
+void SlotHolder::release(const TargetId &target) {
+  std::lock_guard<std::mutex> lock(Mutex);
+  auto it = Slots.find(target);
+  assert(it != Slots.end() && it->second.InUse > 0 && "release follows a successful acquire");
+  --it->second.InUse;
+  --Demands[it->second.Pool].InUse;
+}
+
+uint32_t SlotHolder::available(const TargetId &target) const {
+  std::lock_guard<std::mutex> lock(Mutex);
+  auto it = Slots.find(target);
+  if (it == Slots.end() || it->second.InUse >= it->second.Limit || !limitsValid(Clock.now()))
+    return 0;
+  return it->second.Limit - it->second.InUse;
+}
+
+uint32_t SlotHolder::inUse(const TargetId &target) const {
+  std::lock_guard<std::mutex> lock(Mutex);
+  auto it = Slots.find(target);
+  return it == Slots.end() ? 0 : it->second.InUse;
+}
+
+void SlotHolder::setWaiting(const PoolId &pool, uint32_t waiting) {
+  std::lock_guard<std::mutex> lock(Mutex);
+  Demand &demand = Demands[pool];
+  demand.Waiting = waiting;
+  noteDemand(demand);
+}
+
+void SlotHolder::noteDemand(Demand &demand) { demand.Peak = std::max(demand.Peak, demand.now()); }
+
+uint32_t SlotHolder::connectionLimit(const TargetId &target) const {
+  std::lock_guard<std::mutex> lock(Mutex);
+  auto it = Slots.find(target);
+  if (it == Slots.end())
+    return 0;
+  // Held slots add up to at most the target's slots; the rest is divided equally.
+  const Slot &slot = it->second;
+  const uint32_t spare = Settings.MaxConnectionsPerTarget > slot.TargetSlots
+                             ? Settings.MaxConnectionsPerTarget - slot.TargetSlots
+                             : 0;
+  const uint32_t held = limitsValid(Clock.now()) ? std::max(slot.Limit, slot.InUse) : slot.InUse;
+  return (slot.TargetSlots == 0 ? 0 : spare / VmCount) + held;
+}
+
+std::optional<SlotReport> SlotHolder::tick(core::Term leader, Time now) {
+  std::lock_guard<std::mutex> lock(Mutex);
+  const bool isNewLeader = leader != Leader || Sequence == 0;
+  if (!isNewLeader) {
+    if (AwaitsAnswer && now < LastReportAt + Settings.AnswerTimeout)
+      return std::nullopt;
+    const core::Duration interval = isUrgent() ? Settings.UrgentInterval : Settings.ReportInterval;
+    if (now < LastReportAt + interval)
+      return std::nullopt;
+  }
+  // Limits that have ended are dropped for good: a grant must not come back to life when the lease
+  // does, because the leader may count it as returned from this report on.
+  const bool isValid = limitsValid(now);
+  Leader = leader;
+  LastReportAt = now;
+  AwaitsAnswer = true;
+  SlotReport report;
+  report.Vm = Vm;
+  report.Run = Run;
+  report.Leader = leader;
+  report.Sequence = ++Sequence;
+  report.Uptime = now - Started;
+  for (auto &[target, slot] : Slots) {
+    if (!isValid)
+      slot.Limit = 0;
+    slot.Reported = std::max(slot.Limit, slot.InUse);
+    if (slot.Reported != 0)
+      report.Held[target] = slot.Reported;
+  }
+  for (auto &[pool, demand] : Demands) {
+    if (now >= demand.WindowStart + Settings.DemandWindow) {
+      demand.WindowStart = now;
+      demand.PreviousPeak = std::exchange(demand.Peak, demand.now());
+    }
+    noteDemand(demand);
+    const uint32_t wanted = std::max(demand.Peak, demand.PreviousPeak);
+    if (wanted != 0)
+      report.Demand[pool] = wanted;
+  }
+  return report;
+}
+
+bool SlotHolder::isUrgent() const {
+  const bool isWaiting = std::any_of(Demands.begin(), Demands.end(),
+                                     [](const auto &d) { return d.second.Waiting != 0; });
+  const bool returns = std::any_of(Slots.begin(), Slots.end(), [](const auto &s) {
+    return std::max(s.second.Limit, s.second.InUse) < s.second.Reported;
+  });
+  return isWaiting || returns;
+}
+
+void SlotHolder::receive(const SlotAnswer &answer, Time now) {
+  std::lock_guard<std::mutex> lock(Mutex);
+  const bool isExpected = AwaitsAnswer && answer.Vm == Vm && answer.Run == Run &&
+                          answer.Leader == Leader && answer.AnswerTo == Sequence;
+  if (!isExpected)
+    return;
+  AwaitsAnswer = false;
+  ValidUntil = LastReportAt + core::shortenForClockRate(Settings.Term);
+  for (auto &[target, slot] : Slots)
+    slot.Limit = 0;
+  for (const auto &[target, limit] : answer.Limits)
+    if (limit != 0)
+      Slots[target].Limit = limit;
+}
+
+} // namespace briarspar::balance
--- a/src/balance/SlotHolder.h
+++ b/src/balance/SlotHolder.h
@@ -86,6 +86,7 @@
     uint32_t TargetSlots = 0;
     uint32_t Limit = 0;
     uint32_t InUse = 0;
+    uint32_t Reported = 0; ///< Held according to the latest report.
   };
 
   struct Demand {
--- /dev/null
+++ b/src/balance/SlotLedger.cpp
@@ -0,0 +1,389 @@
+#include "balance/SlotLedger.h"
+
+#include <algorithm>
+#include <cassert>
+#include <tuple>
+
+namespace briarspar::balance {
+
+using core::Duration;
+using core::TargetId;
+using core::Time;
+using core::VmId;
+
+namespace {
+
+/// Between scans for silent VMs. A scan per report would cost the square of the number of VMs.
+constexpr Duration ScanInterval{100};
+
+/// Slots that a VM may keep beyond its share while nobody else needs them.
+uint32_t slackOf(uint32_t share) { return 1 + share / 4; }
+
+Time later(Time a, Time b) { return a > b ? a : b; }
+
+uint32_t countIn(const std::map<TargetId, uint32_t> &counts, const TargetId &target) {
+  auto it = counts.find(target);
+  return it == counts.end() ? 0 : it->second;
+}
+
+} // namespace
+
+SlotLedger::SlotLedger(const SlotLedgerSettings &settings) : Settings(settings) {}
+
+void SlotLedger::setVms(absl::Span<const VmInfo> vms) {
+  std::map<VmId, Vm> next;
+  for (const VmInfo &info : vms) {
+    auto known = Vms.find(info.Id);
+    next[info.Id].Where = info.Where;
+    if (known != Vms.end())
+      next[info.Id].Current = std::move(known->second.Current);
+  }
+  for (auto &[id, vm] : Vms)
+    if (next.count(id) == 0 && vm.Current)
+      retire(std::move(*vm.Current), vm.Current->LastReport + silenceToReclaim());
+  Vms = std::move(next);
+}
+
+void SlotLedger::setTargets(absl::Span<const TargetInfo> targets) {
+  for (auto &[id, info] : Targets)
+    info.Slots = 0;
+  Pools.clear();
+  for (const TargetInfo &info : targets) {
+    auto known = Targets.find(info.Id);
+    if (known != Targets.end())
+      moveUse(info.Id, known->second.Where.Region, info.Where.Region);
+    Targets[info.Id] = info;
+    Pool &pool = Pools[info.Pool];
+    pool.Targets.push_back(info.Id);
+    pool.Slots += info.Slots;
+  }
+  // A target that is still held is remembered for the use of its region.
+  for (auto it = Targets.begin(); it != Targets.end();) {
+    const bool isUnused = it->second.Slots == 0 && countIn(GrantedOn, it->first) == 0;
+    it = isUnused ? Targets.erase(it) : std::next(it);
+  }
+}
+
+void SlotLedger::moveUse(const TargetId &target, const core::RegionId &from,
+                         const core::RegionId &to) {
+  const auto move = [&](const Holding &holding) {
+    const uint32_t n = countIn(holding.Granted, target);
+    Regions.give(holding.Region, from, n);
+    Regions.takeHeld(holding.Region, to, n);
+  };
+  if (from == to)
+    return;
+  for (const auto &[id, vm] : Vms)
+    if (vm.Current)
+      move(*vm.Current);
+  for (const Remnant &remnant : Remnants)
+    move(remnant.Held);
+}
+
+void SlotLedger::becomeLeader(core::Term term, Time now) {
+  stepDown();
+  Leading = true;
+  Term = term;
+  LeaderSince = now;
+}
+
+void SlotLedger::stepDown() {
+  Leading = false;
+  for (auto &[id, vm] : Vms) {
+    if (vm.Current)
+      clearGranted(*vm.Current);
+    vm.Current.reset();
+  }
+  for (Remnant &remnant : Remnants)
+    clearGranted(remnant.Held);
+  Remnants.clear();
+}
+
+std::optional<SlotAnswer> SlotLedger::report(const SlotReport &report, Time now) {
+  if (!Leading || report.Leader != Term)
+    return std::nullopt;
+  auto known = Vms.find(report.Vm);
+  if (known == Vms.end() || !isCurrent(known->second, report))
+    return std::nullopt;
+  Vm &vm = known->second;
+  tick(now);
+  if (!vm.Current || vm.Current->Run != report.Run)
+    beginRun(vm, report, now);
+
+  // The holder ignores answers to earlier reports from now on, so what it reports is exactly what
+  // it may use, whether or not those answers arrived.
+  Holding &holding = *vm.Current;
+  holding.Sequence = report.Sequence;
+  holding.LastReport = now;
+  holding.Expired = false;
+  holding.Demand = report.Demand;
+  takeHeld(holding, report.Held);
+
+  SlotMap limits = report.Held;
+  callBackExcess(holding, limits);
+  if (!waitsForReports(now)) {
+    std::set<PoolId> pools;
+    for (const auto &[pool, n] : report.Demand)
+      pools.insert(pool);
+    for (const auto &[target, n] : report.Held)
+      pools.insert(Targets[target].Pool);
+    for (const PoolId &pool : pools)
+      allocate(report.Vm, vm, pool, limits, now);
+  }
+  return SlotAnswer{report.Vm, report.Run, Term, report.Sequence, std::move(limits)};
+}
+
+bool SlotLedger::isCurrent(const Vm &vm, const SlotReport &report) {
+  if (!vm.Current || report.Run > vm.Current->Run)
+    return true;
+  return report.Run == vm.Current->Run && report.Sequence > vm.Current->Sequence;
+}
+
+void SlotLedger::beginRun(Vm &vm, const SlotReport &report, Time now) {
+  Holding next;
+  next.Run = report.Run;
+  next.Region = vm.Where.Region;
+  if (vm.Current) {
+    // A newer run proves that the process of the older one has ended, but targets may still work on
+    // its last requests.
+    next.CoveredFrom = vm.Current->CoveredFrom;
+    retire(std::move(*vm.Current), now + inFlightTime());
+  } else {
+    // An earlier run that this leader never heard of may have died just before this run started.
+    const Duration age = core::shortenForClockRate(report.Uptime);
+    next.CoveredFrom = later(now, now + inFlightTime() - age);
+  }
+  vm.Current = std::move(next);
+}
+
+void SlotLedger::retire(Holding &&holding, Time until) {
+  if (!holding.Granted.empty())
+    Remnants.push_back({until, std::move(holding)});
+}
+
+void SlotLedger::takeHeld(Holding &holding, const SlotMap &held) {
+  for (const auto &[target, n] : SlotMap(holding.Granted))
+    if (held.count(target) == 0)
+      setGranted(holding, target, 0);
+  for (const auto &[target, n] : held)
+    setGranted(holding, target, n);
+}
+
+void SlotLedger::setGranted(Holding &holding, const TargetId &target, uint32_t n) {
+  const uint32_t before = countIn(holding.Granted, target);
+  const core::RegionId &region = regionOf(target);
+  GrantedOn[target] = GrantedOn[target] - before + n;
+  if (n > before)
+    Regions.takeHeld(holding.Region, region, n - before);
+  else
+    Regions.give(holding.Region, region, before - n);
+  if (n == 0)
+    holding.Granted.erase(target);
+  else
+    holding.Granted[target] = n;
+}
+
+void SlotLedger::clearGranted(Holding &holding) { takeHeld(holding, {}); }
+
+void SlotLedger::callBackExcess(const Holding &holding, SlotMap &limits) const {
+  for (auto &[target, limit] : limits) {
+    const uint32_t granted = this->granted(target);
+    const uint32_t slots = slotsOf(target);
+    const uint32_t onTarget = granted > slots ? granted - slots : 0;
+    const uint32_t inRegion = Regions.excess(holding.Region, regionOf(target));
+    limit -= std::min(limit, std::max(onTarget, inRegion));
+  }
+}
+
+void SlotLedger::allocate(const VmId &id, Vm &vm, const PoolId &poolId, SlotMap &limits, Time now) {
+  auto known = Pools.find(poolId);
+  if (known == Pools.end())
+    return;
+  Pool &pool = known->second;
+  divide(poolId, pool, now);
+  uint32_t held = 0;
+  for (const TargetId &target : pool.Targets)
+    held += countIn(limits, target);
+  const uint32_t wish = wishOf(*vm.Current, poolId);
+  const uint32_t reserve = reserveOf(pool);
+  const uint32_t level = pool.Shares->Level + static_cast<uint32_t>(pool.Shares->OneMore.count(id));
+  // The reserve gives a first slot at once to a VM that has none.
+  const bool isStarved = held == 0 && wish > 0;
+  const uint32_t share = std::max(std::min(wish, level), isStarved ? 1U : 0U);
+  const uint32_t free = freeIn(pool);
+  if (held < share) {
+    const uint32_t room = free > reserve ? free - reserve : 0;
+    grow(vm, pool, limits, std::min(share - held, isStarved ? std::max(room, 1U) : room));
+    return;
+  }
+  const bool isShort = pool.Shares->Contended || free <= reserve;
+  const uint32_t keep = isShort ? share : share + slackOf(share);
+  if (held > keep)
+    shrink(vm, pool, limits, held - keep);
+}
+
+void SlotLedger::divide(const PoolId &poolId, Pool &pool, Time now) const {
+  if (pool.Shares && now < pool.Shares->At + Settings.DivisionInterval)
+    return;
+  std::vector<std::pair<uint32_t, VmId>> wishes;
+  for (const auto &[id, vm] : Vms)
+    if (vm.Current && !vm.Current->Expired)
+      if (const uint32_t wish = wishOf(*vm.Current, poolId))
+        wishes.emplace_back(wish, id);
+  std::sort(wishes.begin(), wishes.end());
+
+  Division division;
+  division.At = now;
+  const uint32_t reserve = reserveOf(pool);
+  uint32_t rest = pool.Slots > reserve ? pool.Slots - reserve : 0;
+  size_t next = 0;
+  // Small wishes are met in full; the others share the rest equally.
+  while (next < wishes.size() && wishes[next].first <= rest / (wishes.size() - next)) {
+    division.Level = wishes[next].first;
+    rest -= wishes[next++].first;
+  }
+  const size_t unmet = wishes.size() - next;
+  division.Contended = unmet != 0;
+  if (unmet != 0) {
+    division.Level = rest / static_cast<uint32_t>(unmet);
+    const size_t first = static_cast<size_t>(now.Ms / Settings.RotationPeriod.Ms);
+    for (size_t n = 0; n < rest % unmet; ++n)
+      division.OneMore.insert(wishes[next + (first + n) % unmet].second);
+  } else {
+    // A wish that grows before the next division may take what is left.
+    division.Level += rest;
+  }
+  pool.Shares = std::move(division);
+}
+
+void SlotLedger::grow(Vm &vm, const Pool &pool, SlotMap &limits, uint32_t n) {
+  Holding &holding = *vm.Current;
+  for (; n > 0; --n) {
+    const TargetId *best = nullptr;
+    std::pair<int, int64_t> bestKey;
+    for (const TargetId &target : pool.Targets) {
+      const uint32_t free = freeOn(target);
+      const bool isCalledBack = countIn(limits, target) < countIn(holding.Granted, target);
+      if (free == 0 || isCalledBack || Regions.headroom(holding.Region, regionOf(target)) == 0)
+        continue;
+      const std::pair<int, int64_t> key(distance(vm.Where, target), -static_cast<int64_t>(free));
+      if (best == nullptr || key < bestKey) {
+        best = &target;
+        bestKey = key;
+      }
+    }
+    if (best == nullptr)
+      return;
+    setGranted(holding, *best, ++limits[*best]);
+  }
+}
+
+void SlotLedger::shrink(const Vm &vm, const Pool &pool, SlotMap &limits, uint32_t n) const {
+  for (; n > 0; --n) {
+    const TargetId *best = nullptr;
+    std::pair<int, uint32_t> bestKey;
+    for (const TargetId &target : pool.Targets) {
+      const std::pair<int, uint32_t> key(distance(vm.Where, target), countIn(limits, target));
+      if (key.second != 0 && (best == nullptr || key > bestKey)) {
+        best = &target;
+        bestKey = key;
+      }
+    }
+    if (best == nullptr)
+      return;
+    --limits[*best];
+  }
+}
+
+uint32_t SlotLedger::wishOf(const Holding &holding, const PoolId &pool) const {
+  auto it = holding.Demand.find(pool);
+  if (it == holding.Demand.end() || it->second == 0)
+    return 0;
+  return it->second + it->second * Settings.DemandMarginPermille / 1000 + 1;
+}
+
+uint32_t SlotLedger::reserveOf(const Pool &pool) const {
+  return (pool.Slots * Settings.ReservePermille + 999) / 1000;
+}
+
+void SlotLedger::vmExpired(const VmId &vm, core::Incarnation run, Time now) {
+  auto it = Vms.find(vm);
+  if (it != Vms.end() && it->second.Current && it->second.Current->Run == run)
+    it->second.Current->Expired = true;
+  tick(now);
+}
+
+void SlotLedger::tick(Time now) {
+  if (now < NextScan)
+    return;
+  NextScan = now + ScanInterval;
+  for (auto &[id, vm] : Vms) {
+    if (!vm.Current)
+      continue;
+    Holding &holding = *vm.Current;
+    if (now >= holding.LastReport + core::lengthenForClockRate(Settings.Term))
+      holding.Expired = true;
+    if (now >= holding.LastReport + silenceToReclaim())
+      clearGranted(holding);
+  }
+  for (auto it = Remnants.begin(); it != Remnants.end();) {
+    if (now < it->Until) {
+      ++it;
+      continue;
+    }
+    clearGranted(it->Held);
+    it = Remnants.erase(it);
+  }
+}
+
+bool SlotLedger::waitsForReports(Time now) const {
+  if (!Leading || now >= LeaderSince + silenceToReclaim())
+    return false;
+  return std::any_of(Vms.begin(), Vms.end(), [&](const auto &entry) {
+    const Vm &vm = entry.second;
+    return !vm.Current || now < vm.Current->CoveredFrom;
+  });
+}
+
+Duration SlotLedger::inFlightTime() const {
+  return core::lengthenForClockRate(Settings.LongestDeadline);
+}
+
+Duration SlotLedger::silenceToReclaim() const {
+  return core::lengthenForClockRate(Settings.Term) + inFlightTime();
+}
+
+uint32_t SlotLedger::granted(const TargetId &target) const { return countIn(GrantedOn, target); }
+
+uint32_t SlotLedger::slotsOf(const TargetId &target) const {
+  auto it = Targets.find(target);
+  return it == Targets.end() ? 0 : it->second.Slots;
+}
+
+uint32_t SlotLedger::freeOn(const TargetId &target) const {
+  const uint32_t used = granted(target);
+  const uint32_t slots = slotsOf(target);
+  return slots > used ? slots - used : 0;
+}
+
+uint32_t SlotLedger::freeIn(const Pool &pool) const {
+  uint32_t free = 0;
+  for (const TargetId &target : pool.Targets)
+    free += freeOn(target);
+  return free;
+}
+
+const core::RegionId &SlotLedger::regionOf(const TargetId &target) const {
+  static const core::RegionId NoRegion;
+  auto it = Targets.find(target);
+  return it == Targets.end() ? NoRegion : it->second.Where.Region;
+}
+
+int SlotLedger::distance(const Place &from, const TargetId &target) const {
+  auto it = Targets.find(target);
+  if (it == Targets.end() || it->second.Where.Region != from.Region)
+    return 2;
+  return it->second.Where.Domain == from.Domain ? 0 : 1;
+}
+
+} // namespace briarspar::balance
--- a/src/balance/SlotLedger.h
+++ b/src/balance/SlotLedger.h
@@ -19,6 +19,7 @@
 struct SlotLedgerSettings {
   core::Duration Term{3000};             ///< Validity of a holder's limits after its report.
   core::Duration LongestDeadline{30000}; ///< Longest deadline of any route.
+  core::Duration DivisionInterval{50};   ///< A division of a pool is used this long.
   core::Duration RotationPeriod{2000};   ///< How often a remainder moves to other VMs.
   uint32_t ReservePermille = 50;         ///< Share of a pool kept for VMs that hold nothing.
   uint32_t DemandMarginPermille = 250;   ///< Slots granted beyond the demand.
@@ -42,7 +43,8 @@
   /// their lease and the longest deadline have passed.
   void setVms(absl::Span<const VmInfo> vms);
 
-  /// Sets the targets. Slots granted on a removed or shrunk target are called back.
+  /// Sets the targets. Slots granted on a shrunk target are called back. A removed target stays in
+  /// the list with no slots until its last requests have ended.
   void setTargets(absl::Span<const TargetInfo> targets);
 
   /// Capacity of regions and links; the ledger keeps the use in it.
@@ -78,6 +80,7 @@
   /// What one run of a VM holds.
   struct Holding {
     core::Incarnation Run;
+    core::RegionId Region; ///< Of the VM, for the region budget.
     uint64_t Sequence = 0;
     core::Time LastReport;
     core::Time CoveredFrom; ///< From then on earlier runs of the VM have no request in flight.
@@ -88,9 +91,8 @@
 
   /// Slots of an ended run, held back until its last requests have ended.
   struct Remnant {
-    core::VmId Vm;
     core::Time Until;
-    SlotMap Granted;
+    Holding Held;
   };
 
   struct Vm {
@@ -98,24 +100,42 @@
     std::optional<Holding> Current;
   };
 
+  /// The fair division of a pool: a VM gets its wish up to Level, some VMs one more.
+  struct Division {
+    core::Time At;
+    uint32_t Level = 0;
+    std::set<core::VmId> OneMore;
+    bool Contended = false; ///< The wishes exceed the slots.
+  };
+
   struct Pool {
     std::vector<core::TargetId> Targets;
     uint32_t Slots = 0;
+    std::optional<Division> Shares;
   };
 
-  void setGranted(const core::VmId &vm, SlotMap &granted, const core::TargetId &target, uint32_t n);
-  void clearGranted(const core::VmId &vm, SlotMap &granted);
-  void replaceRun(const core::VmId &id, Vm &vm, const SlotReport &report, core::Time now);
-  void takeHeld(const core::VmId &id, Holding &holding, const SlotMap &held);
-  std::map<core::VmId, uint32_t> divide(const PoolId &pool, uint32_t slots, core::Time now) const;
-  uint32_t wantedOf(const Holding &holding, const PoolId &pool) const;
-  void allocate(const core::VmId &id, Vm &vm, const PoolId &poolId, const Pool &pool,
-                SlotMap &limits, core::Time now);
-  void growBy(const core::VmId &id, Vm &vm, const Pool &pool, SlotMap &limits, uint32_t n);
-  void shrinkBy(const Vm &vm, const Pool &pool, SlotMap &limits, uint32_t n) const;
+  static bool isCurrent(const Vm &vm, const SlotReport &report);
+  void beginRun(Vm &vm, const SlotReport &report, core::Time now);
+  void retire(Holding &&holding, core::Time until);
+  void takeHeld(Holding &holding, const SlotMap &held);
+  void setGranted(Holding &holding, const core::TargetId &target, uint32_t n);
+  void clearGranted(Holding &holding);
+  void moveUse(const core::TargetId &target, const core::RegionId &from, const core::RegionId &to);
+  void callBackExcess(const Holding &holding, SlotMap &limits) const;
+  void allocate(const core::VmId &id, Vm &vm, const PoolId &poolId, SlotMap &limits,
+                core::Time now);
+  void divide(const PoolId &poolId, Pool &pool, core::Time now) const;
+  void grow(Vm &vm, const Pool &pool, SlotMap &limits, uint32_t n);
+  void shrink(const Vm &vm, const Pool &pool, SlotMap &limits, uint32_t n) const;
+  uint32_t wishOf(const Holding &holding, const PoolId &pool) const;
+  uint32_t reserveOf(const Pool &pool) const;
   uint32_t freeOn(const core::TargetId &target) const;
+  uint32_t freeIn(const Pool &pool) const;
+  uint32_t slotsOf(const core::TargetId &target) const;
+  const core::RegionId &regionOf(const core::TargetId &target) const;
   int distance(const Place &from, const core::TargetId &target) const;
-  const core::RegionId &regionOfVm(const core::VmId &vm) const;
+  core::Duration inFlightTime() const;
+  core::Duration silenceToReclaim() const;
 
   SlotLedgerSettings Settings;
   bool Leading = false;
@@ -127,6 +147,7 @@
   std::map<PoolId, Pool> Pools;
   std::map<core::TargetId, uint32_t> GrantedOn;
   std::vector<Remnant> Remnants;
+  core::Time NextScan;
 };
 
 } // namespace briarspar::balance
--- a/src/balance/TargetChooser.h
+++ b/src/balance/TargetChooser.h
@@ -7,7 +7,6 @@
 #include "core/Event.h"
 #include "core/Ids.h"
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -114,25 +113,27 @@
     std::vector<core::TargetId> Targets;
     std::map<core::VersionId, uint32_t> Shares;
     std::map<core::VersionId, int64_t> Credit; ///< In units of the sum of the shares.
-    uint64_t Choices = 0;
   };
 
   using TargetList = std::vector<Target *>;
 
-  TargetList candidates(Pool &pool, const RequestContext &request, const core::VersionId *version,
-                        core::Time now);
-  std::optional<Choice> chooseFrom(TargetList targets, core::Time now);
+  TargetList candidates(const Pool &pool, const RequestContext &request,
+                        const core::VersionId *version);
+  std::optional<Choice> chooseFrom(const Pool &pool, const TargetList &targets, core::Time now);
   std::optional<Choice> chooseByVersion(Pool &pool, const RequestContext &request, core::Time now);
-  std::optional<Choice> tryProbe(const TargetList &targets, core::Time now);
+  std::optional<Choice> tryProbe(const Pool &pool, const TargetList &targets, core::Time now);
   Choice accept(Target &target, bool probe, core::Time now);
   bool ignoresEjections(const Pool &pool) const;
+  bool isProbing(const Target &target, core::Time now) const;
   int distance(const Target &target) const;
-  uint32_t rampPermille(const Target &target, core::Time now) const;
-  bool underRamp(const Target &target, core::Time now) const;
+  int64_t rampPermille(const Target &target, core::Time now) const;
+  bool isUnderRamp(const Target &target, core::Time now) const;
   int64_t score(const Target &target, core::Time now) const;
   int64_t reportedLoad(const Target &target, core::Time now) const;
+  void onProbeOutcome(Target &target, const Outcome &outcome, core::Time now);
   void onGood(Target &target, core::Time now);
-  void onFailure(Target &target, core::Time now);
+  void onFailure(Target &target, Outcome::Kind kind, core::Time now);
+  void rollWindow(Target &target, core::Time now) const;
   void eject(Target &target, core::Time now);
 
   const Place Own;
