--- /dev/null
+++ b/src/moves/MoveController.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "absl/status/status.h"
+#include "absl/types/span.h"
+#include "moves/DrainTracker.h"
+#include "moves/MoveRecord.h"
+#include "moves/SequentialTest.h"
+#include "moves/ShiftBudget.h"
+#include "moves/VersionStats.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace briarspar::moves {
+
+struct MoveSettings {
+  ShiftBudgetSettings Budget;
+  DrainSettings Drain;
+  SequentialTestSettings Test;
+
+  core::Duration StepRetry{1'000};   ///< A step that is not committed is emitted again after this.
+  core::Duration Checkpoint{10'000}; ///< Most elapsed time that a change of leader can lose.
+  core::Duration Propagation{3'000}; ///< From commit until a step is in force everywhere.
+
+  /// Shares of a version move. The old version keeps a part until the end, because it is the
+  /// standard of comparison while the move is watched.
+  std::vector<BasisPoints> VersionShares{200, 500, 1'000, 2'500, 5'000, 9'500};
+  uint32_t FirstRequestLimit = 50;   ///< Requests per second to the new version at the first share.
+  uint32_t MinRequestsPerStep = 100; ///< Compared requests per route before a share rises.
+  uint32_t WatchPermille = 250;      ///< Part of the limit for which the last share is watched.
+  uint32_t SlackPermille = 100;      ///< Part of the limit kept for delays.
+  core::Duration MinDwell{8'000};    ///< Shortest time at a share, after it is in force.
+  core::Duration ColdStart{15'000};  ///< After each rise: wider tolerances.
+  core::Duration PairWait{5'000}; ///< Longest wait for the other version's report of an interval.
+  core::Duration StatsStale{30'000}; ///< Without comparable reports for this long a move goes back.
+};
+
+/// Drives all moves at the leader. Every change is a step that the owner commits through the log
+/// and hands back with committed(); the controller changes nothing before that, so a new leader
+/// that restores the records continues and repeats no step. Not thread-safe: the control thread
+/// calls it.
+class MoveController {
+public:
+  explicit MoveController(const MoveSettings &settings = {});
+
+  /// Starts driving a committed move. A known id is ignored. `vms` are the VMs that may have work
+  /// in flight on what is drained. A second open shift from a region is taken back at once.
+  void start(const MoveRecord &record, core::Time now);
+  /// The VMs that may assign work or have work in flight; drains wait for each of them.
+  void setVms(absl::Span<const core::VmId> vms);
+  void cancel(const core::MoveId &id, core::Time now);
+
+  /// Returns the steps to commit. Call it every 100 to 1,000 ms.
+  std::vector<MoveStep> tick(core::Time now);
+  /// A step was committed, by this leader or by an earlier one. Repeats are ignored.
+  void committed(const MoveStep &step, core::Time now);
+  /// Replaces all state by the committed records when this process becomes leader.
+  void becomeLeader(absl::Span<const MoveRecord> records, core::Time now);
+
+  void observe(const VersionStats &stats, core::Time now);
+  void observe(const InFlightReport &report, core::Time now);
+  void observe(const RegionLoad &load, core::Time now);
+  void vmExpired(const core::VmId &vm, core::Time now);
+  /// Returns where the callers of a failed region go; see ShiftBudget::failRegion.
+  std::vector<ForcedMove> regionFailed(const core::RegionId &region, core::Time now);
+  void setCap(const core::RegionId &region, const ShiftCap &cap);
+
+  const MoveRecord *find(const core::MoveId &id) const;
+  std::optional<MoveOutcome> outcome(const core::MoveId &id) const;
+  /// Moves that ended since the last call, for notifications.
+  std::vector<MoveOutcome> takeOutcomes();
+  const ShiftBudget &budget() const { return Budget; }
+
+  /// The records as CBOR, and back. restore() implies becomeLeader().
+  std::string snapshot() const;
+  absl::Status restore(std::string_view bytes, core::Time now);
+
+private:
+  struct RouteState;
+  struct Active;
+  using StepChoice = std::optional<MoveStep>;
+
+  Active &activate(const MoveRecord &record, core::Time now);
+  StepChoice next(Active &move, core::Time now);
+  StepChoice nextShift(Active &move, core::Time now);
+  StepChoice nextReturn(Active &move, core::Time now);
+  StepChoice nextDrain(Active &move, core::Time now);
+  StepChoice nextVersion(Active &move, core::Time now);
+  StepChoice shareUnderBudget(Active &move, BasisPoints goal, const core::RegionId &arrivesAt,
+                              core::Time now);
+  bool mayRaise(const Active &move, core::Time now) const;
+  void comparePair(Active &move, RouteState &route, const RequestCounts &oldCounts,
+                   const RequestCounts &newCounts, core::Time now);
+
+  MoveSettings Settings;
+  ShiftBudget Budget;
+  std::vector<core::VmId> Vms;
+  std::map<core::MoveId, std::shared_ptr<Active>> Moves;
+  std::vector<MoveOutcome> Ended;
+};
+
+} // namespace briarspar::moves
--- /dev/null
+++ b/src/moves/ShiftBudget.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "core/Clock.h"
+#include "core/Ids.h"
+#include "moves/MoveRecord.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace briarspar::moves {
+
+/// At most Basis of the callers of the named region may be moved, in either direction, within any
+/// window of this length.
+struct ShiftCap {
+  BasisPoints Basis = 500;
+  core::Duration Window{60'000};
+};
+
+/// Measured load of a region.
+struct RegionLoad {
+  core::RegionId Region;
+  uint64_t Capacity = 0; ///< Requests per second.
+  uint64_t Load = 0;     ///< Requests per second.
+  bool Up = true;
+};
+
+struct ShiftBudgetSettings {
+  ShiftCap DefaultCap;               ///< For regions without a cap of their own.
+  core::Duration Propagation{3'000}; ///< From commit until in force everywhere.
+  core::Duration Ttl{10'000};        ///< Longest time for which callers cache a lookup.
+  core::Duration LeaseTime{10'000};  ///< A lease that is not renewed for this long is spent.
+  core::Duration LoadStale{15'000};  ///< Older loads allow no planned shift.
+};
+
+/// Permission to move a share. It must be settled when the step is committed.
+struct BudgetLease {
+  uint64_t Id = 0;
+  BasisPoints Basis = 0;
+  core::Time Expires;
+};
+
+/// A share of a failed region's callers that must go to another region.
+struct ForcedMove {
+  core::RegionId To;
+  BasisPoints Basis = 0;
+};
+
+/// Grants shares to move, so that caps and region capacities hold while callers act on cached
+/// lookups. The callers of a step move at some moment between its lease and Propagation + Ttl after
+/// its commit. A charge therefore counts against the cap from the lease until Propagation + Ttl +
+/// Window after the commit, and against the destination's headroom until Propagation + Ttl +
+/// LoadStale after it. Then the moves within any window sum to at most the cap.
+///
+/// Forced moves of a failed region are not bounded by the cap, because those callers have no place
+/// to stay. They are bounded by the headroom of the other regions, charges in flight included; the
+/// rest is refused. No planned shift is granted until the forced callers have arrived.
+class ShiftBudget {
+public:
+  explicit ShiftBudget(const ShiftBudgetSettings &settings = {});
+
+  void setCap(const core::RegionId &region, const ShiftCap &cap);
+  void observe(const RegionLoad &load, core::Time now);
+
+  /// A new leader does not know the charges of its predecessor: every cap counts as fully used.
+  void becomeLeader(core::Time now);
+
+  /// Grants up to `wanted` of the callers of `capped` for a move between regions; nothing when none
+  /// can move now. `arrivesAt` is the region whose load rises.
+  std::optional<BudgetLease> lease(const core::RegionId &capped, const core::RegionId &arrivesAt,
+                                   BasisPoints wanted, core::Time now);
+  /// Keeps the lease of an uncommitted step alive. Returns false if it has expired.
+  bool renew(uint64_t id, core::Time now);
+  /// The step of this lease was committed.
+  void settle(uint64_t id, core::Time committedAt);
+  /// The step of this lease is known to be never committed.
+  void abandon(uint64_t id);
+
+  /// Marks the region as down and returns where its callers go. Shares that sum to less than
+  /// FullShare leave callers that are refused as "not run". A repeated call returns the same
+  /// shares.
+  std::vector<ForcedMove> failRegion(const core::RegionId &region, core::Time now);
+
+  /// Part of the cap in use, in basis points of the region's callers.
+  BasisPoints charged(const core::RegionId &capped, core::Time now) const;
+  /// Requests per second that the region can take beyond its load and all charges in flight.
+  uint64_t headroom(const core::RegionId &region, core::Time now) const;
+  bool isUp(const core::RegionId &region) const;
+  const ShiftBudgetSettings &settings() const { return Settings; }
+
+private:
+  struct Charge {
+    core::RegionId Capped;
+    core::RegionId ArrivesAt;
+    BasisPoints Basis = 0;
+    uint64_t Requests = 0; // Per second, at the destination.
+    core::Time Settled;    // When the last caller moves; meaningful if not Open.
+    core::Time LeaseEnd;
+    bool Open = true;
+  };
+  struct Region {
+    RegionLoad Load;
+    core::Time SeenAt;
+    bool Seen = false;
+    std::vector<ForcedMove> Forced;
+  };
+
+  const ShiftCap &capOf(const core::RegionId &region) const;
+  core::Time settledAt(const Charge &charge) const;
+  void dropOld(core::Time now);
+
+  ShiftBudgetSettings Settings;
+  std::map<core::RegionId, ShiftCap> Caps;
+  std::map<core::RegionId, Region> Regions;
+  std::map<uint64_t, Charge> Charges;
+  uint64_t NextId = 1;
+  std::optional<core::Time> LeaderSince;
+  std::optional<core::Time> FrozenUntil;
+};
+
+} // namespace briarspar::moves
