--- a/src/placement/AffinityGrouper.h
+++ b/src/placement/AffinityGrouper.h
@@ -5,7 +5,8 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace briarspar::placement {
@@ -43,12 +44,14 @@
 private:
   uint64_t bound(uint64_t arriving) const;
   SiteId best(const std::vector<uint32_t> &targets, uint64_t limit);
+  void count(const std::vector<uint32_t> &targets, SiteId site, uint64_t blocks);
 
   AffinityGrouperSettings Settings;
   std::vector<uint64_t> Sizes; // Blocks per site.
   uint64_t Total = 0;
-  std::map<uint32_t, std::map<uint16_t, uint64_t>> PerTarget; // Target to site to blocks.
-  std::vector<double> Scores;                                 // Scratch, one per site.
+  // Target to the blocks that each site holds of it.
+  std::unordered_map<uint32_t, std::vector<std::pair<uint16_t, uint64_t>>> PerTarget;
+  std::vector<double> Scores; // Scratch, one per site.
 };
 
 } // namespace briarspar::placement
--- a/src/placement/BlockTable.h
+++ b/src/placement/BlockTable.h
@@ -82,19 +82,29 @@
     uint32_t Length : 6;  // Prefix length, 16..32.
     uint32_t Parent : 26; // Index of the enclosing entry of the page, or NoParent.
   };
+  static_assert(sizeof(Entry) == 8, "1.8 million entries must stay under the memory bound");
   static constexpr uint32_t NoParent = (1U << 26) - 1;
   using Page = std::vector<Entry>;
-  using Directory = std::array<std::shared_ptr<const Page>, 256>;
+  // The entries of a page in a single allocation: a lookup then waits for one cache miss less than
+  // with a vector behind the pointer.
+  struct PageSlot {
+    std::shared_ptr<const Entry[]> Entries;
+    uint32_t Count = 0;
+  };
+  using Directory = std::array<PageSlot, 256>;
   // Blocks shorter than 16 bits, and the site that they give each /16.
   struct ShortBlocks {
     std::map<Prefix, SiteId> Blocks;
     std::vector<uint16_t> SiteOfPage;
   };
 
-  static Page changedPage(const Page *old, absl::Span<const BlockChange> changes);
+  static Page changedPage(const PageSlot &old, absl::Span<const BlockChange> changes);
   static std::shared_ptr<const ShortBlocks> changedShort(const ShortBlocks *old,
                                                          absl::Span<const BlockChange> changes);
-  const Page *pageOf(uint32_t address) const;
+  static bool covers(const Entry &entry, uint16_t low);
+  static void linkParents(Page &page);
+  absl::Span<const Entry> pageOf(uint32_t address) const;
+  static PageSlot store(const Page &page);
 
   std::array<std::shared_ptr<const Directory>, 256> Root;
   std::shared_ptr<const ShortBlocks> Short;
--- a/src/placement/LookupPolicy.h
+++ b/src/placement/LookupPolicy.h
@@ -46,7 +46,7 @@
 };
 
 struct LookupAnswer {
-  SiteId Site;                 ///< Site after shares; invalid when no block contains the caller.
+  SiteId Site;                 ///< Site after shares; invalid if no site has a usable VM.
   std::vector<core::VmId> Vms; ///< Best first. Empty: no live VM; ask again after the TTL.
   core::Duration Ttl;
 };
@@ -59,8 +59,7 @@
   LookupPolicy(std::shared_ptr<const BlockTable> blocks, std::vector<Site> sites,
                const LookupSettings &settings = {});
 
-  /// Returns the list for a caller. Does not fail: an unknown caller gets the site-less answer with
-  /// VMs chosen over all sites.
+  /// Returns the list for a caller. A caller in no block gets a site by hash. Does not fail.
   LookupAnswer answer(uint32_t address, core::Time now) const;
 
   /// Returns a policy with one share replaced. Only committed steps of the moves slice, which hold
@@ -70,25 +69,27 @@
   const std::shared_ptr<const BlockTable> &blocks() const { return Blocks; }
 
 private:
-  struct VmSlot {
-    core::VmId Id;
-    uint64_t Seed = 0;
-    std::optional<core::Time> DrainAt;
-  };
-  // The VMs of a site that answers may name, and the TTL that the site allows.
+  // The part of the flat arrays below that holds the usable VMs of a site. A lookup reads few and
+  // adjacent cache lines, because the block table evicts what is not read often.
   struct Usable {
-    std::vector<VmSlot> Vms;
-    core::Duration Ttl;
+    uint32_t First = 0;
+    uint32_t Count = 0;
+    int32_t TtlMs = 0;
+    bool AnyDrain = false;
+    bool AnyShare = false;
   };
 
-  const Site *siteAt(SiteId id) const;
-  SiteId shared(const Site &home, uint64_t callerHash) const;
+  void addUsable(const Site &site);
+  SiteId anySite(uint64_t callerHash) const;
+  SiteId afterShares(SiteId home, uint64_t callerHash) const;
   void rank(const Usable &usable, uint64_t callerHash, core::Time now, LookupAnswer &answer) const;
 
   std::shared_ptr<const BlockTable> Blocks;
   std::vector<Site> Sites;       // Indexed by SiteId.
   std::vector<Usable> UsableVms; // Indexed by SiteId.
-  Usable AllVms;
+  std::vector<uint64_t> VmSeeds; // Hashes of the ids.
+  std::vector<core::VmId> VmIds;
+  std::vector<core::Time> VmDrainAt;
   LookupSettings Settings;
 };
 
