Keep one removal per record and check drained places by kind

Cause: repeated removals of one record filled the bounded table, and a restored voter, which had dropped the older entries, would have forgotten other removals than the rest. A drain of a domain also accepted the name of a region, which it then did not cover. Change: the table holds one entry per record; region and domain names are checked apart.

--- a/src/auth/tests/AuthTest.cpp
+++ b/src/auth/tests/AuthTest.cpp
@@ -132,7 +132,8 @@
 /// Guards against a target that sees a caller's key in any place of the request.
 Test(Auth, noPlaceOfTheRequestKeepsTheKey) {
   const std::vector<std::string> names{"Authorization", "X-Api-Key", "Proxy-Authorization"};
-  const std::vector<std::string> values{"Bearer " + Key, "bearer\t" + Key, Key, "Basic YnNrXzAxMjM="};
+  const std::vector<std::string> values{"Bearer " + Key, "bearer\t" + Key, Key,
+                                        "Basic YnNrXzAxMjM="};
   auto anyCase = [](std::string name) {
     for (char &c : name) {
       if (*rc::gen::arbitrary<bool>())
--- a/src/config/ChangeApplier.cpp
+++ b/src/config/ChangeApplier.cpp
@@ -303,11 +303,18 @@
   return accepted(change.Id.Value);
 }
 
-bool ChangeApplier::isPlace(const std::string &name) const {
+bool ChangeApplier::isRegion(const std::string &name) const {
   auto isIn = [&](const auto &table) {
-    return std::any_of(table.begin(), table.end(), [&](const auto &it) {
-      return it.second.Region.Value == name || it.second.Domain.Value == name;
-    });
+    return std::any_of(table.begin(), table.end(),
+                       [&](const auto &it) { return it.second.Region.Value == name; });
+  };
+  return isIn(Current.Targets) || isIn(Current.Vms);
+}
+
+bool ChangeApplier::isDomain(const std::string &name) const {
+  auto isIn = [&](const auto &table) {
+    return std::any_of(table.begin(), table.end(),
+                       [&](const auto &it) { return it.second.Domain.Value == name; });
   };
   return isIn(Current.Targets) || isIn(Current.Vms);
 }
@@ -323,7 +330,7 @@
   } else if (kind == DrainKind::Vm) {
     if (const auto *vm = subject<VmRecord>(core::VmId(name), failure))
       put(*vm);
-  } else if (!isPlace(name)) {
+  } else if (kind == DrainKind::Region ? !isRegion(name) : !isDomain(name)) {
     failure = invalid(concat(nameOf(kind), " ", name, " holds no target and no VM"));
   }
   return failure;
@@ -409,7 +416,7 @@
     if (shift.From == change.From && !isFinal(shift.State))
       return conflict(shift.Changed.Command, concat("shift ", id.Value, " has not ended"));
   for (const std::string &name : {change.From, change.To})
-    if (!isPlace(name))
+    if (!isRegion(name) && !isDomain(name))
       return invalid(concat("no region or domain is named ", name));
   std::string wrong =
       firstOf({change.From == change.To ? "source and destination are the same" : "",
--- a/src/config/ChangeApplier.h
+++ b/src/config/ChangeApplier.h
@@ -62,7 +62,8 @@
   /// Marks what the drain covers as changed, so that its version moves with the drain.
   Outcome touchDrained(DrainKind kind, const std::string &name, TargetState state);
   std::string checkPlace(const core::RegionId &region, const core::DomainId &domain) const;
-  bool isPlace(const std::string &name) const;
+  bool isRegion(const std::string &name) const;
+  bool isDomain(const std::string &name) const;
   std::string checkCaps(const StartShift &change) const;
 
   const ConfigStore &Store;
--- a/src/config/Command.h
+++ b/src/config/Command.h
@@ -153,8 +153,8 @@
 constexpr size_t MaxProgressBytes = 16 * 1024;
 
 struct Command {
-  std::string Id;       ///< Chosen by the sender; a resend carries the same id.
-  std::string Operator; ///< Who sent it.
+  std::string Id;       ///< Chosen by the sender; a resend carries the same id. A name.
+  std::string Operator; ///< Who sent it. A name, see checkName().
   /// Version that the sender expects the record to have (the Changed.Version of the record); 0:
   /// any. For a change that creates a record under a generated id, it is the version of the record
   /// that the change is about: the customer of a key, the route of a move, the latest shift with
--- a/src/config/ConfigStore.cpp
+++ b/src/config/ConfigStore.cpp
@@ -182,15 +182,14 @@
 }
 
 void ConfigStore::rememberRemoval(const RecordKey &key, const Stamp &stamp) {
+  // One entry per record, so that a restored voter forgets the same removals as the others.
+  if (auto it = Removals.find(key); it != Removals.end())
+    RemovalOrder.erase({it->second.Version, key});
   Removals.insert_or_assign(key, stamp);
-  RemovalOrder.emplace_back(key, stamp.Version);
+  RemovalOrder.emplace(stamp.Version, key);
   while (RemovalOrder.size() > Settings.RememberedRemovals) {
-    auto [oldest, version] = RemovalOrder.front();
-    RemovalOrder.pop_front();
-    // A record that was removed again later has a newer entry in the queue.
-    auto it = Removals.find(oldest);
-    if (it != Removals.end() && it->second.Version == version)
-      Removals.erase(it);
+    Removals.erase(RemovalOrder.begin()->second);
+    RemovalOrder.erase(RemovalOrder.begin());
   }
 }
 
@@ -262,11 +261,8 @@
     commands.push_back({id, it.Fingerprint, toJson(it.Result)});
   }
   Json removals = Json::array();
-  for (const auto &[key, version] : RemovalOrder) {
-    auto it = Removals.find(key);
-    if (it != Removals.end() && it->second.Version == version)
-      removals.push_back({toJson(key.first), key.second, toJson(it->second)});
-  }
+  for (const auto &[version, key] : RemovalOrder)
+    removals.push_back({toJson(key.first), key.second, toJson(Removals.at(key))});
   return core::encodeCbor({{"format", SnapshotFormat},
                            {"version", toJson(Version)},
                            {"digest", Digest},
--- a/src/config/ConfigStore.h
+++ b/src/config/ConfigStore.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -98,7 +99,7 @@
   std::map<std::string, Remembered> Commands;
   std::deque<std::string> CommandOrder;
   std::map<RecordKey, Stamp> Removals;
-  std::deque<std::pair<RecordKey, core::ConfigVersion>> RemovalOrder;
+  std::set<std::pair<core::ConfigVersion, RecordKey>> RemovalOrder; ///< One entry per removal.
   std::deque<HistoryEntry> History;
   size_t HistorySize = 0;          ///< Bytes of all entries.
   core::ConfigVersion HistoryBase; ///< Deltas reach back to this version.
--- a/src/config/Encoding.cpp
+++ b/src/config/Encoding.cpp
@@ -33,11 +33,11 @@
 
 /// Returns the member, or null JSON if the value is not a map or lacks it.
 const Json &member(const Json &j, const char *name) {
-  static const Json Missing;
+  static const Json missing;
   if (!j.is_object())
-    return Missing;
+    return missing;
   auto it = j.find(name);
-  return it == j.end() ? Missing : *it;
+  return it == j.end() ? missing : *it;
 }
 
 absl::Status malformed(const char *what) {
--- a/src/config/Encoding.h
+++ b/src/config/Encoding.h
@@ -326,8 +326,8 @@
     return true;
   } else {
     static_assert(std::is_same_v<T, int64_t>);
-    constexpr auto Max = static_cast<uint64_t>(std::numeric_limits<int64_t>::max());
-    if (!j.is_number_integer() || (j.is_number_unsigned() && j.get<uint64_t>() > Max))
+    constexpr auto max = static_cast<uint64_t>(std::numeric_limits<int64_t>::max());
+    if (!j.is_number_integer() || (j.is_number_unsigned() && j.get<uint64_t>() > max))
       return false;
     out = j.get<int64_t>();
     return true;
--- a/src/config/tests/ConfigStoreTest.cpp
+++ b/src/config/tests/ConfigStoreTest.cpp
@@ -161,6 +161,7 @@
   assertInvalid(store, target("t9", "v1", 0), "IP:PORT");
   assertInvalid(store, DeleteTarget{core::TargetId("t0")}, "drain it first");
   assertInvalid(store, StartDrain{DrainKind::Region, "mars", {}}, "holds no target");
+  assertInvalid(store, StartDrain{DrainKind::Domain, "eu", {}}, "holds no target");
   assertInvalid(store, CancelDrain{DrainKind::Target, "t0"}, "not draining");
   assertInvalid(store, StartShift{"eu", "mars", 10, deadline}, "named mars");
   assertInvalid(store, StartShift{"eu", "us", 1000, core::Duration{1999}}, "needs 2000 ms");
@@ -245,6 +246,24 @@
   });
 }
 
+/// Guards against removals of one record that push out those of others, and against voters that
+/// forget different removals after a restart.
+Test(ConfigStore, repeatedRemovalsTakeOneEntry) {
+  ConfigStoreSettings settings;
+  settings.RememberedRemovals = 2;
+  ConfigStore store = populated(settings);
+  core::KeyId key = store.records().Keys.begin()->first;
+  store.apply(command("withdraw", WithdrawKey{key}));
+  for (int n = 0; n < 3; ++n) {
+    applyChange(store, StartDrain{DrainKind::Region, "eu", {}});
+    applyChange(store, CancelDrain{DrainKind::Region, "eu"});
+  }
+  cr_assert_eq(applyChange(store, WithdrawKey{key}, 2).Winner, "withdraw");
+  applyChange(store, StartDrain{DrainKind::Region, "us", {}});
+  applyChange(store, CancelDrain{DrainKind::Region, "us"});
+  cr_assert_eq(applyChange(store, WithdrawKey{key}, 2).Winner, "");
+}
+
 /// Guards against damaged snapshots that end the process or replace the state in part.
 Test(ConfigStore, damagedSnapshotIsRefusedWhole) {
   const ConfigStore source = populated();
