--- a/src/auth/Credentials.cpp
+++ b/src/auth/Credentials.cpp
@@ -17,11 +17,11 @@
 }
 
 std::string_view trimmed(std::string_view text) {
-  constexpr std::string_view Blank = " \t";
-  size_t first = text.find_first_not_of(Blank);
+  constexpr std::string_view blanks = " \t";
+  size_t first = text.find_first_not_of(blanks);
   if (first == std::string_view::npos)
     return {};
-  return text.substr(first, text.find_last_not_of(Blank) - first + 1);
+  return text.substr(first, text.find_last_not_of(blanks) - first + 1);
 }
 
 int hexValue(char c) {
--- a/src/operator_language/Answer.cpp
+++ b/src/operator_language/Answer.cpp
@@ -70,9 +70,9 @@
 } // namespace
 
 Answer answerFor(const config::Outcome &outcome) {
-  constexpr std::array<Answer::Kind, 3> Kinds{Answer::Accepted, Answer::Conflict, Answer::Invalid};
+  constexpr std::array<Answer::Kind, 3> kinds{Answer::Accepted, Answer::Conflict, Answer::Invalid};
   Answer answer;
-  answer.What = Kinds[outcome.What];
+  answer.What = kinds[outcome.What];
   answer.Version = outcome.At;
   answer.Reason = outcome.Reason;
   answer.Subject = outcome.Subject;
--- a/src/operator_language/Answer.h
+++ b/src/operator_language/Answer.h
@@ -17,7 +17,7 @@
 /// Body of a request to the operator interface.
 struct OperatorRequest {
   std::string Statement;
-  std::string Id; ///< Command id of a change; a resend carries the same one.
+  std::string Id; ///< Command id of a change, also if the statement names one.
 };
 
 /// Body of an answer of the operator interface.
--- a/src/operator_language/Parser.cpp
+++ b/src/operator_language/Parser.cpp
@@ -62,7 +62,7 @@
   }
 
   core::Duration duration(Slot slot) {
-    constexpr int64_t MaxMs = int64_t{366} * 24 * 3600 * 1000;
+    constexpr int64_t maxMs = int64_t{366} * 24 * 3600 * 1000;
     const std::string &written = text(slot);
     size_t unitAt = written.find_first_not_of("0123456789");
     std::string_view unit = std::string_view(written).substr(unitAt);
@@ -72,7 +72,7 @@
                     : unit == "m" ? 60'000
                     : unit == "h" ? 3'600'000
                                   : 86'400'000;
-    if (!absl::SimpleAtoi(written.substr(0, unitAt), &n) || n < 1 || n > MaxMs / scale) {
+    if (!absl::SimpleAtoi(written.substr(0, unitAt), &n) || n < 1 || n > maxMs / scale) {
       fail(value(slot).Column, "a duration from 1ms to 366d");
       return {};
     }
--- a/src/operator_language/RecordQueries.cpp
+++ b/src/operator_language/RecordQueries.cpp
@@ -226,8 +226,8 @@
     int64_t Ms;
     const char *Name;
   };
-  constexpr Unit Units[] = {{86'400'000, "d"}, {3'600'000, "h"}, {60'000, "m"}, {1000, "s"}};
-  for (const Unit &it : Units)
+  constexpr Unit units[] = {{86'400'000, "d"}, {3'600'000, "h"}, {60'000, "m"}, {1000, "s"}};
+  for (const Unit &it : units)
     if (d.Ms != 0 && d.Ms % it.Ms == 0)
       return std::to_string(d.Ms / it.Ms) + it.Name;
   return std::to_string(d.Ms) + "ms";
