Add briarsparctl

Cause: operators need one program that survives the loss of a VM or of an answer. Change: statements from arguments, a script or a prompt go to the first server that decides them, each attempt with the same command id; keys are generated here and only their digest is sent; watch follows a move; exit codes tell rejected, unreachable, unknown and taken back apart; bash completion comes from the help table.

--- /dev/null
+++ b/src/ctl/Program.cpp
@@ -0,0 +1,135 @@
+#include "ctl/Program.h"
+
+#include "ctl/Completion.h"
+#include "operator_language/Help.h"
+
+#include <CLI/CLI.hpp>
+
+#include <chrono>
+#include <fstream>
+#include <thread>
+
+namespace briarspar::ctl {
+
+namespace {
+
+struct Options {
+  std::vector<std::string> Servers;
+  std::string KeyFile;
+  std::string Script;
+  std::vector<std::string> Words; ///< The words of one statement.
+  bool Json = false;
+};
+
+class SleepingWaiter final : public Waiter {
+public:
+  void wait(core::Duration d) override {
+    std::this_thread::sleep_for(std::chrono::milliseconds(d.Ms));
+  }
+};
+
+int codeOf(ExitCode code) { return static_cast<int>(code); }
+
+int usageError(const ProgramStreams &streams, std::string_view what) {
+  streams.Err << "briarsparctl: " << what << "\n";
+  return codeOf(ExitCode::Usage);
+}
+
+void define(CLI::App &app, Options &options) {
+  app.add_option("--server", options.Servers, "HOST:PORT of a VM; repeat it to name others to try")
+      ->envname("BRIARSPAR_SERVER")
+      ->allow_extra_args(false);
+  app.add_option("--key-file", options.KeyFile, "file whose first line is the operator key")
+      ->envname("BRIARSPAR_KEY_FILE");
+  app.add_option("--file", options.Script, "script with one statement a line");
+  app.add_flag("--json", options.Json, "print JSON");
+  app.add_option("statement", options.Words, "one statement; without it and --file, a prompt");
+  app.footer("Statements:\n" + operator_language::helpText());
+}
+
+absl::StatusOr<std::string> readKey(const std::string &path) {
+  std::ifstream file(path);
+  std::string key;
+  if (!std::getline(file, key))
+    return absl::InvalidArgumentError("cannot read a key from " + path);
+  key.erase(key.find_last_not_of(" \t\r") + 1);
+  if (key.empty() || key.find_first_of(" \t\r") != std::string::npos)
+    return absl::InvalidArgumentError("the first line of " + path + " is not a key");
+  return key;
+}
+
+std::string joined(const std::vector<std::string> &words) {
+  std::string out;
+  for (const std::string &it : words)
+    out += (out.empty() ? "" : " ") + it;
+  return out;
+}
+
+ExitCode runTool(Tool &tool, const Options &options, std::ifstream &script,
+                 const ProgramStreams &streams) {
+  if (!options.Words.empty())
+    return tool.run(joined(options.Words));
+  if (!options.Script.empty())
+    return tool.runScript(script, options.Script);
+  return tool.runPrompt(streams.In);
+}
+
+int runParsed(const Options &options, const ProgramStreams &streams) {
+  std::string statement = joined(options.Words);
+  if (statement == "completion bash") {
+    streams.Out << bashCompletion();
+    return codeOf(ExitCode::Ok);
+  }
+  bool isHelp = !options.Words.empty() && options.Words[0] == "help";
+  if (options.Servers.empty() && !isHelp)
+    return usageError(streams, "--server HOST:PORT is missing");
+  std::vector<Server> servers;
+  for (const std::string &it : options.Servers) {
+    absl::StatusOr<Server> server = parseServer(it);
+    if (!server.ok())
+      return usageError(streams, std::string(server.status().message()));
+    servers.push_back(*std::move(server));
+  }
+  std::string key;
+  if (!isHelp) {
+    absl::StatusOr<std::string> read = readKey(options.KeyFile);
+    if (!read.ok())
+      return usageError(streams, std::string(read.status().message()));
+    key = *std::move(read);
+  }
+  std::ifstream script;
+  if (!options.Script.empty()) {
+    script.open(options.Script);
+    if (!script || !options.Words.empty())
+      return usageError(streams, script ? "give a statement or --file, not both"
+                                        : "cannot read " + options.Script);
+  }
+  if (options.Words.empty() && options.Script.empty() && !streams.IsTerminal)
+    return usageError(streams, "give a statement or --file");
+  HttpTransport transport(key);
+  Client client(transport, std::move(servers));
+  auth::OpenSslRandomSource random;
+  SleepingWaiter waiter;
+  ToolSettings settings;
+  settings.Json = options.Json;
+  Tool tool(client, random, waiter, streams.Out, streams.Err, settings);
+  return codeOf(runTool(tool, options, script, streams));
+}
+
+} // namespace
+
+int runProgram(int argc, const char *const *argv, const ProgramStreams &streams) {
+  CLI::App app("Queries and changes a running briarspar system.", "briarsparctl");
+  Options options;
+  define(app, options);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError &e) {
+    // CLI11 has its own exit codes; help is the only one that is not an error.
+    return app.exit(e, streams.Out, streams.Err) == 0 ? codeOf(ExitCode::Ok)
+                                                      : codeOf(ExitCode::Usage);
+  }
+  return runParsed(options, streams);
+}
+
+} // namespace briarspar::ctl
--- /dev/null
+++ b/src/ctl/Transport.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "absl/status/statusor.h"
+#include "core/Clock.h"
+
+#include <string>
+#include <string_view>
+
+namespace briarspar::ctl {
+
+struct Server {
+  std::string Host;
+  int Port = 0;
+};
+
+/// Parses HOST:PORT or [IP]:PORT.
+absl::StatusOr<Server> parseServer(std::string_view text);
+
+/// What became of one request.
+struct HttpReply {
+  enum Kind {
+    NotConnected, ///< The request was never sent.
+    Lost,         ///< The request may have arrived; no whole answer came back.
+    Answered,
+  };
+
+  Kind What = NotConnected;
+  int Status = 0;     ///< HTTP status; Answered only.
+  std::string Body;   ///< Answered only.
+  std::string Reason; ///< Why there is no answer.
+};
+
+/// Sends requests to the operator interface. Called from one thread.
+class Transport {
+public:
+  virtual ~Transport() = default;
+  virtual HttpReply post(const Server &server, const std::string &body) = 0;
+};
+
+struct HttpTransportSettings {
+  core::Duration ConnectTimeout{2'000};
+  /// A change of leader takes up to 2.5 s and a change is in force within 3 s; the rest is margin.
+  core::Duration ReadTimeout{15'000};
+};
+
+/// HTTP by cpp-httplib, one connection per request.
+class HttpTransport final : public Transport {
+public:
+  explicit HttpTransport(std::string operatorKey, const HttpTransportSettings &settings = {});
+  HttpReply post(const Server &server, const std::string &body) override;
+
+private:
+  std::string OperatorKey;
+  HttpTransportSettings Settings;
+};
+
+} // namespace briarspar::ctl
