--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -9,6 +9,8 @@
 pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
 pkg_check_modules(criterion REQUIRED IMPORTED_TARGET criterion)
 find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
+# The packaged cpp-httplib is compiled with OpenSSL and compression. Its classes differ in size without the
+# same definitions, which only its pkg-config file lists.
 pkg_check_modules(httplib REQUIRED IMPORTED_TARGET cpp-httplib)
 
 add_library(briarspar_test_deps INTERFACE)
