--- a/src/agreement/PosixFileSystem.cpp
+++ b/src/agreement/PosixFileSystem.cpp
@@ -105,12 +105,12 @@
   Descriptor fd(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
   if (!fd.valid())
     return errnoStatus(errno, "open", path);
-  constexpr size_t BlockBytes = 1024 * 1024;
+  constexpr size_t blockBytes = 1024 * 1024;
   std::string content;
   size_t used = 0;
   for (;;) {
-    content.resize(used + BlockBytes);
-    ssize_t n = ::read(fd.get(), content.data() + used, BlockBytes);
+    content.resize(used + blockBytes);
+    ssize_t n = ::read(fd.get(), content.data() + used, blockBytes);
     if (n < 0 && errno == EINTR)
       continue;
     if (n < 0)
