--- a/src/balance/CrashGuard.cpp
+++ b/src/balance/CrashGuard.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/status/status.h"
 #include "core/Codec.h"
+#include "core/Hash.h"
 
 #include <algorithm>
 #include <utility>
@@ -21,6 +22,9 @@
 /// each other's ended records for ever, because a report ages on its way.
 constexpr int64_t ReportedTenths = 9;
 
+/// Crashes of one request that are remembered.
+constexpr size_t MaxCrashesKept = 8;
+
 /// Crashes of one version that are remembered.
 constexpr size_t MaxEvents = 64;
 
@@ -34,12 +38,12 @@
     row.at(0).get_to(entry.Fingerprint);
     for (const Json &crash : row.at(1)) {
       CrashReport::Crash c;
-      crash.at(0).get_to(c.Target);
-      c.Age.Ms = std::max<int64_t>(0, crash.at(1).get<int64_t>());
+      crash.at(0).get_to(c.Id);
+      crash.at(1).get_to(c.Target);
+      c.Age.Ms = std::max<int64_t>(0, crash.at(2).get<int64_t>());
+      crash.at(3).get_to(c.Cleared);
       entry.Crashes.push_back(std::move(c));
     }
-    if (row.at(2).is_number())
-      entry.ClearedAge = Duration{std::max<int64_t>(0, row.at(2).get<int64_t>())};
     report.Entries.push_back(std::move(entry));
   }
 }
@@ -48,10 +52,9 @@
   Json j = Json::array();
   for (const CrashReport::Entry &entry : report.Entries) {
     Json crashes = Json::array();
-    for (const CrashReport::Crash &crash : entry.Crashes)
-      crashes.push_back(Json::array({Json(crash.Target), Json(crash.Age.Ms)}));
-    const Json cleared = entry.ClearedAge ? Json(entry.ClearedAge->Ms) : Json();
-    j.push_back(Json::array({Json(entry.Fingerprint), std::move(crashes), cleared}));
+    for (const CrashReport::Crash &c : entry.Crashes)
+      crashes.push_back(Json::array({c.Id, c.Target, c.Age.Ms, c.Cleared}));
+    j.push_back(Json::array({Json(entry.Fingerprint), std::move(crashes)}));
   }
   return core::encodeCbor(j);
 }
@@ -70,25 +73,40 @@
 }
 
 size_t CrashGuard::Record::count() const {
-  size_t n = 0;
-  for (const auto &[target, times] : Crashes)
-    n += times.size();
-  return n;
+  return static_cast<size_t>(std::count_if(Crashes.begin(), Crashes.end(),
+                                           [](const auto &c) { return !c.second.Cleared; }));
+}
+
+Time CrashGuard::Record::latest() const {
+  Time latest = Crashes.begin()->second.At;
+  for (const auto &[id, crash] : Crashes)
+    latest = crash.At > latest ? crash.At : latest;
+  return latest;
 }
 
-CrashGuard::CrashGuard(const CrashGuardSettings &settings) : Settings(settings) {}
+CrashGuard::CrashGuard(uint64_t origin, const CrashGuardSettings &settings)
+    : Origin(origin), Settings(settings) {}
 
 bool CrashGuard::admits(uint64_t fingerprint, Time now) const {
   std::lock_guard<std::mutex> lock(Mutex);
   auto it = Entries.find(fingerprint);
-  return it == Entries.end() || now >= it->second.Latest + Settings.Quarantine ||
-         it->second.count() < Settings.MaxCrashes;
+  return it == Entries.end() || it->second.count() < Settings.MaxCrashes ||
+         now >= it->second.latest() + Settings.Quarantine;
 }
 
 uint32_t CrashGuard::recordCrash(uint64_t fingerprint, const TargetId &target,
                                  const core::VersionId &version, Time now) {
   std::lock_guard<std::mutex> lock(Mutex);
-  add(Entries[fingerprint], target, now);
+  Record &record = Entries[fingerprint];
+  const bool isKnown =
+      std::any_of(record.Crashes.begin(), record.Crashes.end(), [&](const auto &c) {
+        return c.second.Target == target && now < c.second.At + Settings.SameCrash;
+      });
+  if (!isKnown) {
+    const uint64_t number = ++LastCrash;
+    const std::string_view bytes(reinterpret_cast<const char *>(&number), sizeof number);
+    add(record, core::hash64(bytes, Origin), {target, now, false});
+  }
   trim(now);
 
   EventList &events = Versions[version];
@@ -127,33 +145,33 @@
   });
 }
 
-void CrashGuard::recordGood(uint64_t fingerprint, Time now) {
+void CrashGuard::recordGood(uint64_t fingerprint) {
   std::lock_guard<std::mutex> lock(Mutex);
   auto it = Entries.find(fingerprint);
   // A refused request stays refused; an answer that was under way does not release it.
-  if (it != Entries.end() && it->second.count() < Settings.MaxCrashes)
-    clear(it->second, now);
+  if (it == Entries.end() || it->second.count() >= Settings.MaxCrashes)
+    return;
+  for (auto &[id, crash] : it->second.Crashes)
+    crash.Cleared = true;
 }
 
 CrashReport CrashGuard::report(Time now) const {
   std::lock_guard<std::mutex> lock(Mutex);
   std::vector<std::pair<int64_t, uint64_t>> byAge;
-  for (const auto &[fingerprint, record] : Entries)
-    if (ageAt(now, record.Latest).Ms < Settings.Quarantine.Ms * ReportedTenths / 10)
-      byAge.emplace_back(ageAt(now, record.Latest).Ms, fingerprint);
+  for (const auto &[fingerprint, record] : Entries) {
+    const int64_t age = ageAt(now, record.latest()).Ms;
+    if (age < Settings.Quarantine.Ms * ReportedTenths / 10)
+      byAge.emplace_back(age, fingerprint);
+  }
   std::sort(byAge.begin(), byAge.end());
   if (byAge.size() > Settings.MaxReportEntries)
     byAge.resize(Settings.MaxReportEntries);
   CrashReport report;
   for (const auto &[age, fingerprint] : byAge) {
-    const Record &record = Entries.at(fingerprint);
     CrashReport::Entry entry;
     entry.Fingerprint = fingerprint;
-    for (const auto &[target, times] : record.Crashes)
-      for (Time at : times)
-        entry.Crashes.push_back({target, ageAt(now, at)});
-    if (record.ClearedAt)
-      entry.ClearedAge = ageAt(now, *record.ClearedAt);
+    for (const auto &[id, crash] : Entries.at(fingerprint).Crashes)
+      entry.Crashes.push_back({id, crash.Target, ageAt(now, crash.At), crash.Cleared});
     report.Entries.push_back(std::move(entry));
   }
   return report;
@@ -161,61 +179,34 @@
 
 void CrashGuard::merge(const CrashReport &report, Time now) {
   std::lock_guard<std::mutex> lock(Mutex);
-  for (const CrashReport::Entry &entry : report.Entries) {
-    Record &record = Entries[entry.Fingerprint];
-    for (const CrashReport::Crash &crash : entry.Crashes)
-      if (crash.Age < Settings.Quarantine)
-        add(record, crash.Target, now - crash.Age);
-    // A record that is refused here is not cleared by an answer that another VM received before it
-    // knew of both crashes.
-    const bool isRefused = record.count() >= Settings.MaxCrashes;
-    if (entry.ClearedAge && *entry.ClearedAge < Settings.Quarantine && !isRefused)
-      clear(record, now - *entry.ClearedAge);
-  }
+  for (const CrashReport::Entry &entry : report.Entries)
+    for (const CrashReport::Crash &c : entry.Crashes)
+      if (c.Age < Settings.Quarantine)
+        add(Entries[entry.Fingerprint], c.Id, {c.Target, now - c.Age, c.Cleared});
   trim(now);
 }
 
-void CrashGuard::add(Record &record, const TargetId &target, Time at) const {
-  if (record.ClearedAt && at <= *record.ClearedAt)
-    return;
-  std::vector<Time> &times = record.Crashes[target];
-  for (Time &known : times)
-    if ((at - known).Ms < Settings.SameCrash.Ms && (known - at).Ms < Settings.SameCrash.Ms) {
-      // The earliest time is the nearest to the crash; later ones include the way of a report.
-      known = at < known ? at : known;
-      return;
-    }
-  if (times.size() >= Settings.MaxCrashes)
+void CrashGuard::add(Record &record, uint64_t id, const Crash &crash) {
+  auto known = record.Crashes.find(id);
+  if (known == record.Crashes.end()) {
+    if (record.Crashes.size() < MaxCrashesKept)
+      record.Crashes.emplace(id, crash);
     return;
-  times.push_back(at);
-  if (at > record.Latest || record.count() == 1)
-    record.Latest = at;
-}
-
-void CrashGuard::clear(Record &record, Time at) {
-  if (!record.ClearedAt || at > *record.ClearedAt)
-    record.ClearedAt = at;
-  for (auto it = record.Crashes.begin(); it != record.Crashes.end();) {
-    std::vector<Time> &times = it->second;
-    times.erase(
-        std::remove_if(times.begin(), times.end(), [&](Time t) { return t <= *record.ClearedAt; }),
-        times.end());
-    it = times.empty() ? record.Crashes.erase(it) : std::next(it);
   }
-  if (*record.ClearedAt > record.Latest)
-    record.Latest = *record.ClearedAt;
+  // The earliest time is the nearest to the crash; later ones include the way of a report.
+  known->second.At = std::min(known->second.At, crash.At);
+  known->second.Cleared = known->second.Cleared || crash.Cleared;
 }
 
 void CrashGuard::trim(Time now) {
   std::vector<std::pair<int64_t, uint64_t>> byTime;
   for (auto it = Entries.begin(); it != Entries.end();) {
     const Record &record = it->second;
-    const bool isEmpty = record.Crashes.empty() && !record.ClearedAt;
-    if (isEmpty || now >= record.Latest + Settings.Quarantine) {
+    if (record.Crashes.empty() || now >= record.latest() + Settings.Quarantine) {
       it = Entries.erase(it);
       continue;
     }
-    byTime.emplace_back(record.Latest.Ms, it->first);
+    byTime.emplace_back(record.latest().Ms, it->first);
     ++it;
   }
   if (byTime.size() <= Settings.MaxEntries)
--- a/src/balance/CrashGuard.h
+++ b/src/balance/CrashGuard.h
@@ -27,17 +27,18 @@
   size_t MaxReportEntries = 256;      ///< Fingerprints per report.
 };
 
-/// Fingerprints of requests during which target processes ended. Reports may be merged repeatedly
-/// and in any order; a lost one is covered by the next.
+/// Fingerprints of requests during which target processes ended. Crashes carry an id, so that
+/// merging is idempotent and independent of the order; a lost report is covered by the next.
 struct CrashReport {
   struct Crash {
+    uint64_t Id = 0; ///< Distinct over all VMs.
     core::TargetId Target;
     core::Duration Age;
+    bool Cleared = false; ///< The request was answered afterwards, so it was there by chance.
   };
   struct Entry {
     uint64_t Fingerprint = 0;
     std::vector<Crash> Crashes;
-    std::optional<core::Duration> ClearedAge; ///< Crashes at least this old do not count.
   };
   std::vector<Entry> Entries;
 };
@@ -47,12 +48,13 @@
 
 /// Recognises requests that end target processes, over all VMs. Safe to call from any thread.
 ///
-/// Before a VM answers the caller of a request that ended a process, or tries it on another target,
-/// it sends report() to the leader and waits for the acknowledgement, so that a resend through
-/// another VM finds the record.
+/// The bound over all VMs holds for resends that follow each other if a VM answers the caller of a
+/// request that ended a process only after its report() has reached the VMs that may serve a
+/// resend. Copies that run on several targets at the same moment are not prevented.
 class CrashGuard {
 public:
-  explicit CrashGuard(const CrashGuardSettings &settings = {});
+  /// `origin` differs between runs and between VMs, for example a hash of VM id and incarnation.
+  explicit CrashGuard(uint64_t origin, const CrashGuardSettings &settings = {});
 
   /// True when a request may be sent to a target.
   bool admits(uint64_t fingerprint, core::Time now) const;
@@ -65,7 +67,7 @@
                        const core::VersionId &version, core::Time now);
 
   /// Takes a good answer. It clears a request that was in flight on a crashing target by chance.
-  void recordGood(uint64_t fingerprint, core::Time now);
+  void recordGood(uint64_t fingerprint);
 
   /// Returns the latest crashes as a bounded report.
   CrashReport report(core::Time now) const;
@@ -76,12 +78,17 @@
   size_t size() const;
 
 private:
+  struct Crash {
+    core::TargetId Target;
+    core::Time At;
+    bool Cleared = false;
+  };
+
   /// What is known about one fingerprint.
   struct Record {
-    std::map<core::TargetId, std::vector<core::Time>> Crashes;
-    std::optional<core::Time> ClearedAt; ///< Crashes up to then do not count.
-    core::Time Latest;
+    std::map<uint64_t, Crash> Crashes; ///< By id.
     size_t count() const;
+    core::Time latest() const;
   };
 
   /// The end of one target process, with the requests that were in flight on it.
@@ -94,14 +101,15 @@
   };
   using EventList = std::vector<Event>;
 
-  void add(Record &record, const core::TargetId &target, core::Time at) const;
-  static void clear(Record &record, core::Time at);
+  static void add(Record &record, uint64_t id, const Crash &crash);
   void trim(core::Time now);
   Event &eventOf(EventList &events, const core::TargetId &target, core::Time now) const;
   static bool isRepeated(const EventList &events, uint64_t fingerprint, const Event &event);
 
+  const uint64_t Origin;
   const CrashGuardSettings Settings;
   mutable std::mutex Mutex;
+  uint64_t LastCrash = 0;
   std::map<uint64_t, Record> Entries;
   std::map<core::VersionId, EventList> Versions;
 };
--- a/src/balance/FairQueue.cpp
+++ b/src/balance/FairQueue.cpp
@@ -39,6 +39,14 @@
   flow.NextTag += RequestCost / flow.Weight;
 }
 
+/// While all slots are busy, a request waits for the next one to end, however few requests its
+/// customer has sent. A few free slots spare the customers behind that wait.
+bool FairQueue::leavesReserve(const Flow &flow, uint32_t freeSlots, uint32_t allSlots) const {
+  // A small number of slots rounds to no reserve, so that a single customer is always served.
+  const uint64_t reserve = uint64_t{allSlots} * Settings.ReservePermille / 1000;
+  return freeSlots <= reserve && reserve != 0 && flow.NextTag >= VirtualTime;
+}
+
 PushResult FairQueue::push(const Waiting &request, Time now) {
   std::lock_guard<std::mutex> lock(Mutex);
   collectExpired(now);
@@ -79,13 +87,15 @@
     Ready.insert({flow.NextTag, it->first});
 }
 
-std::optional<Waiting> FairQueue::pop(Time now) {
+std::optional<Waiting> FairQueue::pop(Time now, uint32_t freeSlots, uint32_t allSlots) {
   std::lock_guard<std::mutex> lock(Mutex);
   collectExpired(now);
   if (Ready.empty())
     return std::nullopt;
   auto it = Flows.find(Ready.begin()->second);
   Flow &flow = it->second;
+  if (leavesReserve(flow, freeSlots, allSlots))
+    return std::nullopt;
   const Waiting next = flow.Queue.front();
   erase(next.Handle);
   Ready.erase({flow.NextTag, it->first});
--- a/src/balance/FairQueue.h
+++ b/src/balance/FairQueue.h
@@ -18,7 +18,8 @@
 
 /// Bounds of a FairQueue.
 struct FairQueueSettings {
-  size_t MaxWaiting = 4096;            ///< Requests that wait, all customers together.
+  uint32_t ReservePermille = 30; ///< Share of the slots that the leading customer leaves free.
+  size_t MaxWaiting = 4096;      ///< Requests that wait, all customers together.
   size_t MaxWaitingPerCustomer = 1024; ///< Requests of one customer that wait.
   uint32_t CreditRequests = 64;        ///< Unused share that a customer of weight 1 may catch up.
 };
@@ -57,8 +58,10 @@
   /// Counts a request that was served without waiting.
   void passed(const core::CustomerId &customer);
 
-  /// Returns the next request to serve, never one past its deadline.
-  std::optional<Waiting> pop(core::Time now);
+  /// Returns the next request to serve, never one past its deadline. Call it while slots are free.
+  /// A customer that is ahead of the others leaves the last few of the free slots to them;
+  /// `allSlots` counts the slots in use too. 0 for both turns this off.
+  std::optional<Waiting> pop(core::Time now, uint32_t freeSlots = 0, uint32_t allSlots = 0);
 
   /// Removes and returns the requests whose deadline has passed. They have not run.
   std::vector<Waiting> expire(core::Time now);
@@ -84,6 +87,7 @@
   FlowMap::iterator flowOf(const core::CustomerId &customer);
   void catchUp(Flow &flow) const;
   void charge(Flow &flow);
+  bool leavesReserve(const Flow &flow, uint32_t freeSlots, uint32_t allSlots) const;
   FlowMap::iterator longestFlow();
   void erase(uint64_t handle);
   void collectExpired(core::Time now);
--- a/src/balance/SlotLedger.cpp
+++ b/src/balance/SlotLedger.cpp
@@ -16,6 +16,9 @@
 /// Between scans for silent VMs. A scan per report would cost the square of the number of VMs.
 constexpr Duration ScanInterval{100};
 
+/// Region of a target that the configuration does not list.
+const core::RegionId NoRegion;
+
 /// Slots that a VM may keep beyond its share while nobody else needs them.
 uint32_t slackOf(uint32_t share) { return 1 + share / 4; }
 
@@ -374,7 +377,6 @@
 }
 
 const core::RegionId &SlotLedger::regionOf(const TargetId &target) const {
-  static const core::RegionId NoRegion;
   auto it = Targets.find(target);
   return it == Targets.end() ? NoRegion : it->second.Where.Region;
 }
--- a/src/balance/TargetChooser.cpp
+++ b/src/balance/TargetChooser.cpp
@@ -17,6 +17,9 @@
 /// A target that stays healthy this long after an ejection starts again with the shortest one.
 constexpr Duration ForgetEjections{60'000};
 
+/// Beyond this the doubled ejection exceeds any useful maximum.
+constexpr uint32_t MaxDoublings = 16;
+
 /// How much an outcome counts towards an ejection. A connection that cannot be opened is stronger
 /// evidence than a failed answer.
 uint32_t blameOf(Outcome::Kind kind) {
@@ -191,12 +194,13 @@
 }
 
 int64_t TargetChooser::rampPermille(const Target &target, Time now) const {
+  if (Settings.Ramp.Ms == 0)
+    return FullPermille;
   const int64_t start = Settings.RampStartPermille;
   if (!target.FirstUse)
     return start;
   const int64_t age = std::min((now - *target.FirstUse).Ms, Settings.Ramp.Ms);
-  return Settings.Ramp.Ms == 0 ? FullPermille
-                               : start + (FullPermille - start) * age / Settings.Ramp.Ms;
+  return start + (FullPermille - start) * age / Settings.Ramp.Ms;
 }
 
 bool TargetChooser::isUnderRamp(const Target &target, Time now) const {
@@ -290,8 +294,6 @@
 }
 
 void TargetChooser::eject(Target &target, Time now) {
-  // Beyond this the doubled ejection exceeds any useful maximum.
-  constexpr uint32_t MaxDoublings = 16;
   const int64_t doubled = Settings.FirstEjection.Ms << std::min(target.Ejections, MaxDoublings);
   target.State = Health::Ejected;
   target.EjectedUntil = now + Duration{std::min(doubled, Settings.LongestEjection.Ms)};
--- /dev/null
+++ b/src/balance/tests/BudgetsTest.cpp
@@ -0,0 +1,197 @@
+#include "balance/CrashGuard.h"
+#include "balance/HedgePolicy.h"
+#include "balance/RetryBudget.h"
+#include "core/testing/Property.h"
+
+#include <pcg_random.hpp>
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace briarspar::balance;
+using namespace briarspar::core;
+
+/// Guards against retries and hedges that together exceed 10% of the traffic at any time, and
+/// against a budget that is never granted.
+Test(RetryBudget, extraRequestsStayWithinTheShare) {
+  testing::checkProperty("extra <= 10% of first attempts", [](const std::vector<uint8_t> &script) {
+    RetryBudget budget;
+    HedgePolicy hedges(budget);
+    uint64_t first = 0;
+    uint64_t extra = 0;
+    for (uint8_t byte : script) {
+      for (int n = 0; n < byte % 8; ++n) {
+        budget.onRequest();
+        ++first;
+      }
+      RC_ASSERT_FALSE(budget.tryTake(false));
+      HedgedRequest request;
+      if (byte % 3 == 0)
+        request.answered(Leg::First);
+      const bool sent = byte % 2 == 0 ? hedges.tryHedge(request, true) : budget.tryTake(true);
+      RC_ASSERT_FALSE(sent && byte % 2 == 0 && byte % 3 == 0);
+      extra += sent;
+      RC_ASSERT(extra * 10 <= first);
+    }
+    for (int n = 0; n < 10; ++n)
+      budget.onRequest();
+    RC_ASSERT(budget.tryTake(true));
+  });
+}
+
+/// Guards against a hedge before the latency is known, of a request that is not idempotent, or at a
+/// delay that follows old latencies.
+Test(HedgePolicy, delayFollowsTheQuantile) {
+  RetryBudget budget;
+  HedgePolicy hedges(budget);
+  const RouteId route("r");
+  pcg32 rng(7);
+  std::uniform_int_distribution<int64_t> latency(1, 200);
+  for (int n = 0; n < 99; ++n)
+    hedges.record(route, Duration{latency(rng)});
+  cr_assert_not(hedges.delay(route, true).has_value());
+  for (int n = 0; n < 901; ++n)
+    hedges.record(route, Duration{latency(rng)});
+  cr_assert_not(hedges.delay(route, false).has_value());
+  cr_expect_geq(hedges.delay(route, true)->Ms, 180);
+  cr_expect_leq(hedges.delay(route, true)->Ms, 200);
+  for (int n = 0; n < 1000; ++n)
+    hedges.record(route, Duration{400 + latency(rng)});
+  cr_expect_geq(hedges.delay(route, true)->Ms, 580);
+  for (int n = 0; n < 1000; ++n)
+    hedges.record(route, Duration{latency(rng)});
+  cr_expect_leq(hedges.delay(route, true)->Ms, 200);
+}
+
+/// Guards against two answers to one caller, none, or a leg that runs on after the other has won.
+Test(HedgedRequest, oneLegDelivers) {
+  testing::checkProperty("one answer of two legs",
+                         [](bool hedged, bool hedgeFirst, bool goodOne, bool goodTwo) {
+                           HedgedRequest request;
+                           if (hedged)
+                             RC_ASSERT(request.startHedge());
+                           std::vector<Leg> order = {Leg::First};
+                           if (hedged)
+                             order.insert(hedgeFirst ? order.begin() : order.end(), Leg::Hedge);
+                           int delivered = 0;
+                           bool otherRuns = hedged;
+                           for (Leg leg : order) {
+                             const bool isGood = leg == Leg::First ? goodOne : goodTwo;
+                             if (isGood) {
+                               const HedgedRequest::Verdict verdict = request.answered(leg);
+                               RC_ASSERT(verdict.CancelOther == (verdict.Deliver && otherRuns));
+                               delivered += verdict.Deliver;
+                             } else {
+                               delivered += request.failed(leg);
+                             }
+                             otherRuns = false;
+                           }
+                           RC_ASSERT(delivered == 1);
+                           RC_ASSERT_FALSE(request.startHedge());
+                         });
+}
+
+namespace {
+
+const VersionId Version("v1");
+constexpr uint64_t Poison = 666;
+
+TargetId targetId(uint64_t n) { return TargetId("t" + std::to_string(n)); }
+
+} // namespace
+
+/// Guards against a request that ends a third process because its resends arrive at other VMs,
+/// while reports are lost, duplicated and delayed, and against innocents that are refused with it.
+Test(CrashGuard, twoProcessesAtMostOverAllVms) {
+  testing::checkProperty("two crashes at most", [](const std::vector<uint8_t> &script) {
+    CrashGuard leader(0);
+    std::array<CrashGuard, 3> vms = {CrashGuard(1), CrashGuard(2), CrashGuard(3)};
+    std::vector<CrashReport> delayed;
+    Time now{1000};
+    uint64_t crashes = 0;
+    const auto spread = [&](const CrashReport &report) {
+      const auto received = decodeCrashReport(encode(report));
+      RC_ASSERT(received.ok());
+      leader.merge(*received, now);
+      for (CrashGuard &vm : vms)
+        vm.merge(leader.report(now), now + Duration{20});
+    };
+    for (uint8_t byte : script) {
+      now = now + Duration{2000};
+      CrashGuard &vm = vms[byte % 3];
+      if (vm.admits(Poison, now)) {
+        vm.recordCrash(Poison, targetId(byte % 2), Version, now);
+        ++crashes;
+        spread(vm.report(now));
+      }
+      const uint64_t innocent = byte;
+      RC_ASSERT(vm.admits(innocent, now));
+      vm.recordGood(innocent);
+      delayed.push_back(vm.report(now));
+      spread(delayed[delayed.size() - 1 - byte % std::min<size_t>(delayed.size(), 10)]);
+      RC_ASSERT(crashes <= 2U);
+    }
+    // The records end, although reports that repeat them went round.
+    now = now + CrashGuardSettings().Quarantine + Duration{20};
+    RC_ASSERT(vms[0].admits(Poison, now));
+  });
+}
+
+/// Guards against a request that stays refused for ever because VMs that exchange reports renew
+/// each other's records.
+Test(CrashGuard, recordsEndWhileReportsGoRound) {
+  CrashGuardSettings settings;
+  settings.Quarantine = Duration{1000};
+  CrashGuard a(1, settings);
+  CrashGuard b(2, settings);
+  a.recordCrash(Poison, targetId(1), Version, Time{0});
+  a.recordCrash(Poison, targetId(2), Version, Time{0});
+  CrashReport toA;
+  CrashReport toB;
+  for (Time now; now.Ms < 3000; now = now + Duration{10}) {
+    a.merge(toA, now);
+    b.merge(toB, now);
+    toA = b.report(now);
+    toB = a.report(now);
+    if (now.Ms == 500)
+      cr_expect_not(b.admits(Poison, now));
+  }
+  cr_expect_eq(a.size() + b.size(), 0U);
+}
+
+/// Guards against a version blamed for one request, or for requests that shared its targets, and
+/// against a version that is never blamed although it crashes on everything.
+Test(CrashGuard, onlyUnrelatedCrashesBlameTheVersion) {
+  CrashGuard guard(1);
+  uint32_t counted = 0;
+  for (uint64_t target : {1, 2, 3}) {
+    const Time now{static_cast<int64_t>(target) * 2000};
+    counted += guard.recordCrash(Poison, targetId(target), Version, now);
+    for (uint64_t n = 0; n < 4; ++n)
+      counted += guard.recordCrash(10 * target + n, targetId(target), Version, now + Duration{5});
+  }
+  cr_expect_eq(counted, 0U);
+  const VersionId bad("v2");
+  for (uint64_t n = 0; n < 5; ++n)
+    counted += guard.recordCrash(100 + n, targetId(n), bad, Time{static_cast<int64_t>(n) * 2000});
+  cr_expect_eq(counted, 5U);
+}
+
+/// Guards against memory that grows with the number of crashing requests, and against a request in
+/// flight by chance that stays suspect after it has been answered.
+Test(CrashGuard, recordsAreBoundedAndCleared) {
+  CrashGuardSettings settings;
+  settings.MaxEntries = 10;
+  settings.MaxReportEntries = 5;
+  CrashGuard guard(1, settings);
+  for (uint64_t n = 0; n < 100; ++n)
+    guard.recordCrash(n, targetId(n), Version, Time{static_cast<int64_t>(n)});
+  cr_expect_eq(guard.size(), 10U);
+  cr_expect_eq(guard.report(Time{100}).Entries.size(), 5U);
+  guard.recordGood(99);
+  guard.recordCrash(99, targetId(1), Version, Time{5000});
+  cr_expect(guard.admits(99, Time{5000}));
+}
--- /dev/null
+++ b/src/balance/tests/SlotHolderTest.cpp
@@ -0,0 +1,128 @@
+#include "balance/SlotHolder.h"
+#include "balance/SlotLedger.h"
+#include "core/testing/Property.h"
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace briarspar::balance;
+using namespace briarspar::core;
+
+namespace {
+
+const TargetId Target("t");
+const PoolId TestPool("pool");
+
+struct Permission final : ServingPermission {
+  bool valid(Time) const override { return true; }
+};
+
+struct Fixture {
+  ManualClock Clock;
+  Permission Serving;
+  SlotHolder Holder{VmId("a"), Incarnation(1), Clock, Serving};
+
+  Fixture() { setSlots(5); }
+  void setSlots(uint32_t n) {
+    const TargetInfo info{Target, TestPool, VersionId("v"), Place{}, n};
+    Holder.setTargets({info}, 2);
+  }
+  /// Lets a report interval pass and returns the report.
+  SlotReport report() {
+    Clock.advance(Duration{500});
+    auto report = Holder.tick(Term(1), Clock.now());
+    cr_assert(report.has_value());
+    return *report;
+  }
+  void answer(uint64_t sequence, uint32_t limit) {
+    Holder.receive({VmId("a"), Incarnation(1), Term(1), sequence, {{Target, limit}}}, Clock.now());
+  }
+};
+
+} // namespace
+
+/// Guards against a returned slot that is used again after the report that returns it.
+Test(SlotHolder, calledBackSlotsStopBeforeTheReport) {
+  Fixture f;
+  f.answer(f.report().Sequence, 5);
+  for (int n = 0; n < 3; ++n)
+    cr_assert(f.Holder.acquire(Target));
+  f.answer(f.report().Sequence, 1);
+  f.Holder.release(Target);
+  cr_expect_not(f.Holder.acquire(Target));
+  cr_expect_eq(f.report().Held.at(Target), 2U);
+  f.Holder.release(Target);
+  cr_expect_not(f.Holder.acquire(Target));
+  f.Holder.release(Target);
+  cr_expect(f.Holder.acquire(Target));
+}
+
+/// Guards against a stopped clock of a paused process that hides the end of its limits.
+Test(SlotHolder, limitsEndATermAfterTheirReport) {
+  Fixture f;
+  const SlotReport report = f.report();
+  f.Clock.advance(Duration{900});
+  f.answer(report.Sequence, 5);
+  f.Clock.advance(shortenForClockRate(Duration{3000}) - Duration{901});
+  cr_expect(f.Holder.acquire(Target));
+  f.Clock.advance(Duration{1});
+  cr_expect_not(f.Holder.acquire(Target));
+  cr_expect_eq(f.report().Held.at(Target), 1U);
+}
+
+/// Guards against new work on a target that drains, and against a drain that cuts running requests
+/// off from their slots.
+Test(SlotLedger, drainedTargetGetsNoNewWork) {
+  Fixture f;
+  SlotLedger ledger;
+  const TargetInfo open{Target, TestPool, VersionId("v"), Place{}, 5};
+  ledger.setVms({VmInfo{VmId("a"), Place{}}});
+  ledger.setTargets({open});
+  ledger.becomeLeader(Term(1), Time{0});
+  const auto exchange = [&] {
+    if (auto answer = ledger.report(f.report(), f.Clock.now()))
+      f.Holder.receive(*answer, f.Clock.now());
+  };
+  f.Holder.setWaiting(TestPool, 3);
+  // A run that is as young as this one may have had a predecessor; its slots are waited for.
+  f.Clock.advance(Duration{40'000});
+  exchange();
+  cr_assert(f.Holder.acquire(Target));
+  TargetInfo drained = open;
+  drained.Slots = 0;
+  ledger.setTargets({drained});
+  exchange();
+  cr_expect_not(f.Holder.acquire(Target));
+  cr_expect_geq(ledger.granted(Target), 1U);
+  f.Holder.release(Target);
+  exchange();
+  cr_expect_eq(ledger.granted(Target), 0U);
+}
+
+/// Guards against two traffic threads that take the same slot.
+Test(SlotHolder, threadsShareTheLimit) {
+  Fixture f;
+  f.answer(f.report().Sequence, 3);
+  std::atomic<int> inFlight{0};
+  std::atomic<int> worst{0};
+  std::vector<std::thread> threads;
+  for (int n = 0; n < 6; ++n)
+    threads.emplace_back([&] {
+      for (int round = 0; round < 5000; ++round) {
+        if (!f.Holder.acquire(Target))
+          continue;
+        const int now = ++inFlight;
+        for (int seen = worst; seen < now && !worst.compare_exchange_weak(seen, now);) {
+        }
+        --inFlight;
+        f.Holder.release(Target);
+      }
+    });
+  for (std::thread &t : threads)
+    t.join();
+  cr_expect_leq(worst, 3);
+  cr_expect_geq(worst, 1);
+  cr_expect_eq(f.Holder.inUse(Target), 0U);
+}
