--- a/src/moves/MoveController.h
+++ b/src/moves/MoveController.h
@@ -59,7 +59,8 @@
 
   /// Returns the steps to commit. Call it every 100 to 1,000 ms.
   std::vector<MoveStep> tick(core::Time now);
-  /// A step was committed, by this leader or by an earlier one. Repeats are ignored.
+  /// Must be called for every committed step of any leader, in the order of the log. Steps that the
+  /// record does not expect have no effect here, as they have none in the other replicas.
   void committed(const MoveStep &step, core::Time now);
   /// Replaces all state by the committed records when this process becomes leader.
   void becomeLeader(absl::Span<const MoveRecord> records, core::Time now);
