Grant the slots of new targets without a wait

Cause: after every change of leader, and at the first start, no slot was granted for up to 33 s, because a leader waits for the reports of VMs that might hold slots of its predecessor; requests on a new route were refused as no-capacity for 20 to 25 s in the first runs of the whole path. Change: only targets that an earlier leader can have granted are withheld, and the wait follows the longest deadline of the configured routes instead of a constant of 30 s.

--- a/src/balance/SlotLedger.cpp
+++ b/src/balance/SlotLedger.cpp
@@ -52,6 +52,8 @@
     info.Slots = 0;
   Pools.clear();
   for (const TargetInfo &info : targets) {
+    if (!HasInherited)
+      Inherited.insert(info.Id);
     auto known = Targets.find(info.Id);
     if (known != Targets.end())
       moveUse(info.Id, known->second.Where.Region, info.Where.Region);
@@ -60,6 +62,7 @@
     pool.Targets.push_back(info.Id);
     pool.Slots += info.Slots;
   }
+  HasInherited = Leading;
   // A target that is still held is remembered for the use of its region.
   for (auto it = Targets.begin(); it != Targets.end();) {
     const bool isUnused = it->second.Slots == 0 && countIn(GrantedOn, it->first) == 0;
@@ -88,6 +91,10 @@
   Leading = true;
   Term = term;
   LeaderSince = now;
+  Inherited.clear();
+  for (const auto &[id, info] : Targets)
+    Inherited.insert(id);
+  HasInherited = false;
 }
 
 void SlotLedger::stepDown() {
@@ -124,15 +131,14 @@
 
   SlotMap limits = report.Held;
   callBackExcess(holding, limits);
-  if (!waitsForReports(now)) {
-    std::set<PoolId> pools;
-    for (const auto &[pool, n] : report.Demand)
-      pools.insert(pool);
-    for (const auto &[target, n] : report.Held)
-      pools.insert(Targets[target].Pool);
-    for (const PoolId &pool : pools)
-      allocate(report.Vm, vm, pool, limits, now);
-  }
+  Withheld = waitsForReports(now);
+  std::set<PoolId> pools;
+  for (const auto &[pool, n] : report.Demand)
+    pools.insert(pool);
+  for (const auto &[target, n] : report.Held)
+    pools.insert(Targets[target].Pool);
+  for (const PoolId &pool : pools)
+    allocate(report.Vm, vm, pool, limits, now);
   return SlotAnswer{report.Vm, report.Run, Term, report.Sequence, std::move(limits)};
 }
 
@@ -364,6 +370,8 @@
 }
 
 uint32_t SlotLedger::freeOn(const TargetId &target) const {
+  if (Withheld && Inherited.count(target) != 0)
+    return 0;
   const uint32_t used = granted(target);
   const uint32_t slots = slotsOf(target);
   return slots > used ? slots - used : 0;
--- a/src/balance/SlotLedger.h
+++ b/src/balance/SlotLedger.h
@@ -132,7 +132,7 @@
   void shrink(const Vm &vm, const Pool &pool, SlotMap &limits, uint32_t n) const;
   uint32_t wishOf(const Holding &holding, const PoolId &pool) const;
   uint32_t reserveOf(const Pool &pool) const;
-  uint32_t freeOn(const core::TargetId &target, core::Time now) const;
+  uint32_t freeOn(const core::TargetId &target) const;
   uint32_t freeIn(const Pool &pool) const;
   uint32_t slotsOf(const core::TargetId &target) const;
   const core::RegionId &regionOf(const core::TargetId &target) const;
@@ -148,6 +148,7 @@
   /// need no wait for the reports of VMs.
   std::set<core::TargetId> Inherited;
   bool HasInherited = false;
+  bool Withheld = false; ///< Slots of inherited targets are not granted yet.
   RegionBudget Regions;
   std::map<core::VmId, Vm> Vms;
   std::map<core::TargetId, TargetInfo> Targets;
--- a/src/balance/tests/SlotHolderTest.cpp
+++ b/src/balance/tests/SlotHolderTest.cpp
@@ -126,3 +126,26 @@
   cr_expect_geq(worst, 1);
   cr_expect_eq(f.Holder.inUse(Target), 0U);
 }
+
+/// Guards against a new target that gets no work until every VM has been silent or running for longer
+/// than the longest deadline, and against slots of an earlier leader that are granted twice.
+Test(SlotLedger, slotsOfANewTargetNeedNoWait) {
+  SlotLedger ledger;
+  ledger.setVms({{VmId("a"), {}}, {VmId("b"), {}}});
+  TargetInfo old{TargetId("old"), PoolId("p"), {}, {}, 4};
+  TargetInfo added{TargetId("new"), PoolId("p"), {}, {}, 4};
+  ledger.setTargets({old});
+  ledger.becomeLeader(Term(2), Time{0});
+  ledger.setTargets({old});
+  ledger.setTargets({old, added});
+  SlotReport report;
+  report.Vm = VmId("a");
+  report.Run = Incarnation(1);
+  report.Leader = Term(2);
+  report.Sequence = 1;
+  report.Demand[PoolId("p")] = 8;
+  auto answer = ledger.report(report, Time{10});
+  cr_assert(answer.has_value());
+  cr_assert_gt(answer->Limits[TargetId("new")], 0);
+  cr_assert_eq(answer->Limits[TargetId("old")], 0);
+}
--- a/src/daemon/LeaderSide.cpp
+++ b/src/daemon/LeaderSide.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -18,6 +19,9 @@
 /// Service time assumed for a region without finished requests.
 constexpr uint64_t DefaultServiceMs = 50;
 
+/// Requests of a silent VM are assumed to run for at least this long.
+constexpr core::Duration ShortestLongestDeadline{1000};
+
 constexpr char DeltaMark = 'D';
 constexpr char FullStateMark = 'F';
 
@@ -130,6 +134,10 @@
   for (const auto &[id, target] : records.Targets)
     targets.push_back(targetInfo(records, target));
   Slots.setTargets(targets);
+  core::Duration longest = ShortestLongestDeadline;
+  for (const auto &[id, route] : records.Routes)
+    longest = std::max(longest, route.Deadline);
+  Slots.setLongestDeadline(longest);
 
   for (const auto &[id, cap] : records.Caps)
     Moves.setCap(core::RegionId(id.Value), {cap.Permille * 10, cap.Per});
