--- a/src/balance/tests/BudgetsTest.cpp
+++ b/src/balance/tests/BudgetsTest.cpp
@@ -180,6 +180,17 @@
   cr_expect_eq(counted, 5U);
 }
 
+/// Guards against a delayed duplicate of a report that counts as a second crash.
+Test(CrashGuard, duplicatedReportCountsOnce) {
+  CrashGuard reporter(1);
+  CrashGuard receiver(2);
+  reporter.recordCrash(Poison, targetId(1), Version, Time{0});
+  for (int64_t delay : {0, 5000, 20'000})
+    receiver.merge(reporter.report(Time{0}), Time{delay});
+  cr_expect(receiver.admits(Poison, Time{20'000}));
+  cr_expect_eq(receiver.report(Time{20'000}).Entries.at(0).Crashes.size(), 1U);
+}
+
 /// Guards against memory that grows with the number of crashing requests, and against a request in
 /// flight by chance that stays suspect after it has been answered.
 Test(CrashGuard, recordsAreBoundedAndCleared) {
