Do not renew limits from requests that outlived them

Reports now list usable limits apart from held slots, and the ledger renews a limit only as far as its own books, or an earlier leader's grant during the wait, cover it.

--- a/src/balance/SlotHolder.cpp
+++ b/src/balance/SlotHolder.cpp
@@ -85,13 +85,20 @@
   auto it = Slots.find(target);
   if (it == Slots.end())
     return 0;
-  // Held slots add up to at most the target's slots; the rest is divided equally.
   const Slot &slot = it->second;
-  const uint32_t spare = Settings.MaxConnectionsPerTarget > slot.TargetSlots
-                             ? Settings.MaxConnectionsPerTarget - slot.TargetSlots
-                             : 0;
   const uint32_t held = limitsValid(Clock.now()) ? std::max(slot.Limit, slot.InUse) : slot.InUse;
-  return (slot.TargetSlots == 0 ? 0 : spare / VmCount) + held;
+  if (slot.TargetSlots == 0)
+    return held;
+  const uint32_t share = Settings.MaxConnectionsPerTarget / VmCount;
+  if (share >= slot.TargetSlots)
+    return share;
+  // In a large fleet an equal share is less than a VM may have in flight. The slots are counted
+  // twice: as held by the VMs that use them, and by paused VMs that have not closed their
+  // connections.
+  const uint32_t reserved = 2 * slot.TargetSlots;
+  const uint32_t spare =
+      Settings.MaxConnectionsPerTarget > reserved ? Settings.MaxConnectionsPerTarget - reserved : 0;
+  return spare / VmCount + held;
 }
 
 std::optional<SlotReport> SlotHolder::tick(core::Term leader, Time now) {
@@ -122,6 +129,8 @@
     slot.Reported = std::max(slot.Limit, slot.InUse);
     if (slot.Reported != 0)
       report.Held[target] = slot.Reported;
+    if (slot.Limit != 0)
+      report.Usable[target] = slot.Limit;
   }
   for (auto &[pool, demand] : Demands) {
     if (now >= demand.WindowStart + Settings.DemandWindow) {
--- a/src/balance/SlotLedger.cpp
+++ b/src/balance/SlotLedger.cpp
@@ -110,6 +110,7 @@
     return std::nullopt;
   Vm &vm = known->second;
   tick(now);
+  SlotMap limits = licensed(vm, report, now);
   if (!vm.Current || vm.Current->Run != report.Run)
     beginRun(vm, report, now);
 
@@ -122,7 +123,6 @@
   holding.Demand = report.Demand;
   takeHeld(holding, report.Held);
 
-  SlotMap limits = report.Held;
   callBackExcess(holding, limits);
   if (!waitsForReports(now)) {
     std::set<PoolId> pools;
@@ -136,6 +136,23 @@
   return SlotAnswer{report.Vm, report.Run, Term, report.Sequence, std::move(limits)};
 }
 
+/// Returns the limits of a holder that are still covered by a grant. A request that outlived the
+/// limit it was admitted under is held, but it must not renew that limit: the ledger may have given
+/// the slot to another VM meanwhile.
+SlotLedger::SlotMap SlotLedger::licensed(const Vm &vm, const SlotReport &report, Time now) const {
+  SlotMap limits;
+  for (const auto &[target, usable] : report.Usable) {
+    uint32_t covered = 0;
+    if (vm.Current && vm.Current->Run == report.Run)
+      covered = countIn(vm.Current->Granted, target);
+    else if (!vm.Current && waitsForReports(now))
+      covered = usable; // Granted by an earlier leader.
+    if (const uint32_t limit = std::min(usable, covered))
+      limits[target] = limit;
+  }
+  return limits;
+}
+
 bool SlotLedger::isCurrent(const Vm &vm, const SlotReport &report) {
   if (!vm.Current || report.Run > vm.Current->Run)
     return true;
--- a/src/balance/SlotLedger.h
+++ b/src/balance/SlotLedger.h
@@ -114,6 +114,7 @@
     std::optional<Division> Shares;
   };
 
+  SlotMap licensed(const Vm &vm, const SlotReport &report, core::Time now) const;
   static bool isCurrent(const Vm &vm, const SlotReport &report);
   void beginRun(Vm &vm, const SlotReport &report, core::Time now);
   void retire(Holding &&holding, core::Time until);
--- a/src/balance/SlotMessages.cpp
+++ b/src/balance/SlotMessages.cpp
@@ -44,6 +44,7 @@
   j.at("sequence").get_to(r.Sequence);
   j.at("uptime").get_to(r.Uptime.Ms);
   r.Held = countsFrom<core::TargetId>(j.at("held"));
+  r.Usable = countsFrom<core::TargetId>(j.at("usable"));
   r.Demand = countsFrom<PoolId>(j.at("demand"));
 }
 
@@ -62,6 +63,7 @@
                            {"sequence", report.Sequence},
                            {"uptime", report.Uptime.Ms},
                            {"held", countsToJson(report.Held)},
+                           {"usable", countsToJson(report.Usable)},
                            {"demand", countsToJson(report.Demand)}});
 }
 
--- a/src/balance/SlotMessages.h
+++ b/src/balance/SlotMessages.h
@@ -38,7 +38,9 @@
   uint64_t Sequence = 0;                   ///< Increases within a run, over changes of leader too.
   core::Duration Uptime;                   ///< Since the process started.
   std::map<core::TargetId, uint32_t> Held; ///< Slots in use or usable; absent means none.
-  std::map<PoolId, uint32_t> Demand;       ///< Slots wanted, in use included.
+  std::map<core::TargetId, uint32_t>
+      Usable;                        ///< Limits in force; a request may end after its limit.
+  std::map<PoolId, uint32_t> Demand; ///< Slots wanted, in use included.
 };
 
 /// The leader's answer to one report. It replaces all limits of the holder.
--- a/src/balance/tests/SlotHolderTest.cpp
+++ b/src/balance/tests/SlotHolderTest.cpp
@@ -101,6 +101,30 @@
   cr_expect_eq(ledger.granted(Target), 0U);
 }
 
+/// Guards against a paused VM whose requests in flight, or whose delayed report, give it limits
+/// back that another VM holds by now.
+Test(SlotLedger, outlivedRequestsRenewNoLimit) {
+  for (uint32_t usable : {0U, 5U}) {
+    SlotLedger ledger;
+    ledger.setVms({VmInfo{VmId("a"), Place{}}, VmInfo{VmId("b"), Place{}}});
+    ledger.setTargets({TargetInfo{Target, TestPool, VersionId("v"), Place{}, 5}});
+    ledger.becomeLeader(Term(1), Time{0});
+    const auto report = [&](const char *vm, uint64_t sequence, uint32_t held, uint32_t limit,
+                            Time now) {
+      SlotReport r{VmId(vm), Incarnation(1), Term(1), sequence, Duration{90'000}, {}, {}, {}};
+      r.Held[Target] = held;
+      r.Usable[Target] = limit;
+      r.Demand[TestPool] = 9;
+      return ledger.report(r, now)->Limits[Target];
+    };
+    // The earlier leader had granted everything to a.
+    cr_expect_eq(report("a", 1, 5, 5, Time{0}), 5U);
+    const Time later{40'000};
+    cr_expect_geq(report("b", 1, 0, 0, later), 1U);
+    cr_expect_eq(report("a", 2, 5, usable, later), 0U);
+  }
+}
+
 /// Guards against two traffic threads that take the same slot.
 Test(SlotHolder, threadsShareTheLimit) {
   Fixture f;
