--- a/src/moves/DrainTracker.cpp
+++ b/src/moves/DrainTracker.cpp
@@ -39,8 +39,8 @@
     vm.Incarnation = report.SourceIncarnation;
     vm.Sequence = 0;
   } else if (vm.Expired || (vm.Reported && report.Sequence <= vm.Sequence)) {
-    // After its lease ended, a VM assigns nothing before it has applied the drain, so the time bound
-    // set by vmExpired() holds; a late report must not replace it.
+    // After its lease ended, a VM assigns nothing before it has applied the drain, so the time
+    // bound set by vmExpired() holds; a late report must not replace it.
     return;
   }
   vm.Known = true;
--- a/src/moves/MoveController.cpp
+++ b/src/moves/MoveController.cpp
@@ -223,8 +223,8 @@
   Moves.clear();
   Ended.clear();
   Budget.becomeLeader(now);
-  // A move that was refused for a conflict ends with its first step, so among open moves of the same
-  // region or route the one with committed steps is the one that was accepted.
+  // A move that was refused for a conflict ends with its first step, so among open moves of the
+  // same region or route the one with committed steps is the one that was accepted.
   for (const MoveRecord &record : records)
     if (record.Version > 0)
       start(record, now);
--- a/src/moves/MoveRecord.cpp
+++ b/src/moves/MoveRecord.cpp
@@ -46,7 +46,6 @@
   case StepKind::BeginDrain:
     return phase == MovePhase::Moving;
   case StepKind::BeginReturn:
-    return phase != MovePhase::Returning;
   case StepKind::Finish:
     return phase != MovePhase::Returning;
   case StepKind::Checkpoint:
--- a/tools/move_trials/main.cpp
+++ b/tools/move_trials/main.cpp
@@ -10,7 +10,7 @@
 #include <array>
 #include <cstdio>
 #include <fstream>
-#include <memory>
+#include <map>
 #include <queue>
 #include <random>
 #include <string>
@@ -42,6 +42,7 @@
   moves::MoveReason Reason = moves::MoveReason::None;
   double DetectSeconds = -1; // From the first faulty request until the step back was emitted.
   bool Detected = false;
+  bool Clear = false;                  // The fault is strong and its route busy.
   double NewBefore = 0, AllBefore = 0; // Requests from the first faulty one until detection.
   double NewAfter = 0, AllAfter = 0;   // Requests after detection.
 };
@@ -63,6 +64,16 @@
   bool operator>(const Delayed &o) const { return At != o.At ? At > o.At : Sequence > o.Sequence; }
 };
 
+// A fault that a person would see at once: at least a fifth of the requests fail or latency
+// triples, on a route with at least 100 requests per second.
+bool clearFault(const Scenario &s) {
+  bool strong = s.FaultErrors >= 0.2 || s.FaultLatencyRatio >= 3;
+  return strong && !isGood(s.Kind) &&
+         std::any_of(s.Routes.begin(), s.Routes.end(), [](const Scenario::Route &route) {
+           return route.Faulty && route.Rate >= 100;
+         });
+}
+
 /// One move under one policy.
 class Trial {
 public:
@@ -85,6 +96,7 @@
     R.Done = record.Phase == moves::MovePhase::Done;
     R.InTime = R.Done && record.Elapsed <= record.Limit;
     R.Reason = record.Reason;
+    R.Clear = clearFault(S);
     return R;
   }
 
@@ -246,12 +258,15 @@
 
 nlohmann::json summarise(Fault kind, const std::string &policy,
                          const std::vector<Result> &results) {
-  double done = 0, inTime = 0, newBefore = 0, allBefore = 0, newAfter = 0, allAfter = 0;
+  double done = 0, inTime = 0, newBefore = 0, allBefore = 0, newAfter = 0, allAfter = 0, clear = 0,
+         clearMissed = 0;
   std::vector<double> detect, worstAfter;
   std::map<std::string, int> reasons;
   for (const Result &r : results) {
     done += r.Done;
     inTime += r.InTime;
+    clear += r.Clear;
+    clearMissed += r.Clear && r.Done;
     newBefore += r.NewBefore;
     allBefore += r.AllBefore;
     newAfter += r.NewAfter;
@@ -268,6 +283,8 @@
                    {"moves", results.size()},
                    {"done", done},
                    {"done_in_time", inTime},
+                   {"clear_faults", clear},
+                   {"clear_faults_missed", clearMissed},
                    {"reasons", reasons},
                    {"detect_median_s", quantile(detect, 0.5)},
                    {"detect_p95_s", quantile(detect, 0.95)},
@@ -279,16 +296,19 @@
 }
 
 void printTable(const nlohmann::json &rows) {
-  std::printf("%-23s %-10s %6s %8s %8s %9s %9s %9s %9s %9s\n", "scenario", "policy", "moves",
-              "false%", "missed%", "detect50", "detect95", "before%", "after%", "worst%");
-  for (const auto &row : rows)
-    std::printf("%-23s %-10s %6d %8.2f %8.2f %9.1f %9.1f %9.2f %9.3f %9.3f\n",
+  std::printf("%-23s %-10s %6s %8s %7s %7s %11s %9s %9s %8s %8s %8s\n", "scenario", "policy",
+              "moves", "in_time%", "false%", "missed%", "clear miss", "detect50", "detect95",
+              "before%", "after%", "worst%");
+  for (const auto &row : rows) {
+    auto number = [&row](const char *key) { return row.value(key, 0.0); };
+    std::printf("%-23s %-10s %6.0f %8.2f %7.2f %7.2f %5.0f/%-5.0f %9.1f %9.1f %8.2f %8.3f %8.3f\n",
                 row["scenario"].get<std::string>().c_str(),
-                row["policy"].get<std::string>().c_str(), row["moves"].get<int>(),
-                100 * row.value("false_reversals", 0.0), 100 * row.value("misses", 0.0),
-                row["detect_median_s"].get<double>(), row["detect_p95_s"].get<double>(),
-                100 * row["share_before"].get<double>(), 100 * row["share_after"].get<double>(),
-                100 * row["share_after_worst_move"].get<double>());
+                row["policy"].get<std::string>().c_str(), number("moves"),
+                100 * number("done_in_time") / number("moves"), 100 * number("false_reversals"),
+                100 * number("misses"), number("clear_faults_missed"), number("clear_faults"),
+                number("detect_median_s"), number("detect_p95_s"), 100 * number("share_before"),
+                100 * number("share_after"), 100 * number("share_after_worst_move"));
+  }
 }
 
 bool withinBounds(const nlohmann::json &rows) {
