Index open version moves by route and keep forced moves over leaders

Cause: every statistics report walked all moves, ended ones included; a shift whose source had no measured load was granted without a charge at its destination; a new leader could send the callers of a failed region to other regions than its predecessor had. Change: a map from route to the open move; no planned share without the source's load; setForced restores committed forced moves; ended moves are forgotten in the order in which they ended.

--- a/src/moves/MoveController.cpp
+++ b/src/moves/MoveController.cpp
@@ -179,6 +179,11 @@
       drain.CallerTtl = Settings.Budget.Ttl;
     active->Drain.emplace(drain, Vms, now);
   }
+  if (record.ended())
+    EndedOrder.push_back(record.Id);
+  else
+    for (const core::RouteId &id : record.Routes)
+      OpenRoutes.emplace(id, record.Id);
   Active &result = *active;
   Moves[record.Id] = std::move(active);
   return result;
@@ -221,6 +226,8 @@
 
 void MoveController::becomeLeader(absl::Span<const MoveRecord> records, core::Time now) {
   Moves.clear();
+  OpenRoutes.clear();
+  EndedOrder.clear();
   Ended.clear();
   Budget.becomeLeader(now);
   // A move that was refused for a conflict ends with its first step, so among open moves of the
@@ -359,6 +366,9 @@
   bool rising = goal > record.Share;
   BasisPoints distance = rising ? goal - record.Share : record.Share - goal;
   core::RegionId capped = cappedRegion(record);
+  // Without the source's load it is unknown how much arrives at the destination.
+  if (!Budget.loadOf(capped, now))
+    return std::nullopt;
   core::RegionId arrivesAt = rising ? record.To : capped;
   std::optional<BudgetLease> lease = Budget.lease(capped, arrivesAt, distance, move.FullLoad, now);
   if (!lease)
@@ -493,31 +503,26 @@
     return;
   move.Routes.clear();
   move.Drain.reset();
+  for (const core::RouteId &route : move.Record.Routes) {
+    auto open = OpenRoutes.find(route);
+    if (open != OpenRoutes.end() && open->second == step.Id)
+      OpenRoutes.erase(open);
+  }
   Ended.push_back(*outcome(step.Id));
-  forgetOldest();
-}
-
-void MoveController::forgetOldest() {
-  size_t ended = std::count_if(Moves.begin(), Moves.end(),
-                               [](const auto &entry) { return entry.second->Record.ended(); });
-  for (auto it = Moves.begin(); ended > MaxEndedMoves && it != Moves.end();)
-    if (it->second->Record.ended()) {
-      it = Moves.erase(it);
-      --ended;
-    } else {
-      ++it;
-    }
+  EndedOrder.push_back(step.Id);
+  for (; EndedOrder.size() > MaxEndedMoves; EndedOrder.pop_front())
+    Moves.erase(EndedOrder.front());
 }
 
 void MoveController::observe(const VersionStats &stats, core::Time now) {
-  for (auto &[id, move] : Moves) {
-    bool isNew = stats.Version == move->Record.NewVersion;
-    if (!isNew && stats.Version != move->Record.OldVersion)
-      continue;
-    auto route = move->Routes.find(stats.Route);
-    if (route != move->Routes.end())
-      route->second.add(stats, isNew, Settings.PairWait, now);
-  }
+  auto open = OpenRoutes.find(stats.Route);
+  if (open == OpenRoutes.end())
+    return;
+  Active &move = *Moves.at(open->second);
+  auto route = move.Routes.find(stats.Route);
+  bool isNew = stats.Version == move.Record.NewVersion;
+  if (route != move.Routes.end() && (isNew || stats.Version == move.Record.OldVersion))
+    route->second.add(stats, isNew, Settings.PairWait, now);
 }
 
 void MoveController::observe(const InFlightReport &report, core::Time now) {
@@ -565,6 +570,11 @@
   Budget.setCap(region, cap);
 }
 
+void MoveController::setForced(const core::RegionId &region, std::vector<ForcedMove> forced,
+                               uint64_t load) {
+  Budget.setForced(region, std::move(forced), load);
+}
+
 std::vector<ForcedMove> MoveController::returnForced(const core::RegionId &region, core::Time now) {
   return Budget.returnForced(region, now);
 }
--- a/src/moves/MoveController.h
+++ b/src/moves/MoveController.h
@@ -9,6 +9,7 @@
 #include "moves/VersionStats.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -71,6 +72,8 @@
   void vmExpired(const core::VmId &vm, core::Time now);
   /// Returns where the callers of a failed region go; see ShiftBudget::failRegion.
   std::vector<ForcedMove> regionFailed(const core::RegionId &region, core::Time now);
+  /// Restores the committed forced moves of a region that is down; see ShiftBudget::setForced.
+  void setForced(const core::RegionId &region, std::vector<ForcedMove> forced, uint64_t load);
   /// Gives back one step of the callers of a region that is up again; see
   /// ShiftBudget::returnForced.
   std::vector<ForcedMove> returnForced(const core::RegionId &region, core::Time now);
@@ -101,7 +104,6 @@
   std::optional<MoveStep> nextVersion(Active &move, core::Time now);
   std::optional<MoveStep> shareUnderBudget(Active &move, BasisPoints goal, core::Time now);
   std::optional<MoveStep> ending(Active &move, core::Time now) const;
-  void forgetOldest();
   MoveReason reasonToEnd(const Active &move, core::Time now) const;
   bool mayRaise(const Active &move, core::Duration dwell, core::Time now) const;
   core::Duration dwellOf(const MoveRecord &record) const;
@@ -112,6 +114,8 @@
   ShiftBudget Budget;
   std::vector<core::VmId> Vms;
   std::map<core::MoveId, std::shared_ptr<Active>> Moves;
+  std::map<core::RouteId, core::MoveId> OpenRoutes; // The open version move of each route.
+  std::deque<core::MoveId> EndedOrder;
   std::vector<MoveOutcome> Ended;
 };
 
--- a/src/moves/ShiftBudget.cpp
+++ b/src/moves/ShiftBudget.cpp
@@ -1,6 +1,7 @@
 #include "moves/ShiftBudget.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace briarspar::moves {
 
@@ -210,6 +211,16 @@
   return failed.Forced;
 }
 
+void ShiftBudget::setForced(const core::RegionId &id, std::vector<ForcedMove> forced,
+                            uint64_t load) {
+  Region &region = Regions[id];
+  region.Load.Region = id;
+  region.Load.Up = false;
+  region.Seen = true;
+  region.LoadAtFailure = load;
+  region.Forced = std::move(forced);
+}
+
 std::vector<ForcedMove> ShiftBudget::forcedOf(const core::RegionId &region) const {
   auto it = Regions.find(region);
   return it != Regions.end() ? it->second.Forced : std::vector<ForcedMove>();
--- a/src/moves/ShiftBudget.h
+++ b/src/moves/ShiftBudget.h
@@ -87,6 +87,10 @@
   /// shares.
   /// Callers of earlier failed regions that were sent here are distributed again; see forcedOf().
   std::vector<ForcedMove> failRegion(const core::RegionId &region, core::Time now);
+  /// Restores the forced moves of a region that is down, as committed under an earlier leader, so
+  /// that a change of leader does not send those callers elsewhere. `load` is the region's load
+  /// when it failed, in requests per second.
+  void setForced(const core::RegionId &region, std::vector<ForcedMove> forced, uint64_t load);
   /// Where the callers of a region that is or was down go at present.
   std::vector<ForcedMove> forcedOf(const core::RegionId &region) const;
   /// Gives back one step of the callers of a region that is up again, under its cap: a region that
--- a/src/moves/tests/PartsTest.cpp
+++ b/src/moves/tests/PartsTest.cpp
@@ -197,6 +197,20 @@
   cr_assert(budget.lease(RegionId("a"), RegionId("b"), 100, 1'000, free + Duration{1}).has_value());
 }
 
+/// Guards against a change of leader that sends the callers of a failed region to other places, and
+/// against a region that gets all its callers back at once when it returns.
+Test(ShiftBudget, forcedMovesSurviveALeaderAndReturnUnderTheCap) {
+  ShiftBudget budget;
+  budget.setForced(RegionId("c"), {{RegionId("a"), 2'000}}, 1'000);
+  for (const char *region : {"a", "b"})
+    budget.observe(load(region, 100, 5'000), Time{0});
+  cr_assert_eq(budget.failRegion(RegionId("c"), Time{0}).size(), 1);
+  cr_assert_eq(budget.forcedOf(RegionId("c"))[0].Basis, 2'000);
+  budget.observe(load("c", 0, 5'000), Time{20'000});
+  cr_assert_eq(budget.returnForced(RegionId("c"), Time{20'000})[0].Basis, 1'500);
+  cr_assert_eq(budget.returnForced(RegionId("c"), Time{20'000})[0].Basis, 1'500);
+}
+
 /// Guards against planned shifts while forced callers are still arriving, and on stale loads.
 Test(ShiftBudget, plannedShiftsWaitForForcedOnesAndFreshLoads) {
   ShiftBudget budget;
