--- a/src/daemon/LeaderSide.cpp
+++ b/src/daemon/LeaderSide.cpp
@@ -1,6 +1,6 @@
 #include "daemon/LeaderSide.h"
 
-#include "absl/strings/str_cat.h"
+#include "core/Hash.h"
 
 #include <algorithm>
 #include <array>
@@ -41,7 +41,8 @@
     : Voter(voter), Events(events), Send(std::move(sender)),
       Leases(
           {}, *this, [this](core::Time now) { return Voter.leads(now); }, this),
-      Quota({}, [this](core::Time now) { return Voter.leads(now); }) {}
+      Quota({}, [this](core::Time now) { return Voter.leads(now); }),
+      Crashes(core::hash64("leader", voter.replica().self().Data.Value)) {}
 
 bool LeaderSide::receive(const core::VmId &from, std::string_view kind, std::string_view bytes,
                          core::Time now) {
--- a/src/daemon/RequestPipeline.cpp
+++ b/src/daemon/RequestPipeline.cpp
@@ -332,7 +332,7 @@
   if (kind == balance::Outcome::Cancelled)
     return;
   if (kind == balance::Outcome::Good)
-    Side.crashes().recordGood(exchange.Fingerprint, Clock.now());
+    Side.crashes().recordGood(exchange.Fingerprint);
   const core::RouteId &route = exchange.Route->Record.Id;
   if (kind == balance::Outcome::Good)
     Side.stats().record(route, choice.Version, VersionOutcome::Good, latency);
--- a/src/daemon/VmSide.cpp
+++ b/src/daemon/VmSide.cpp
@@ -1,5 +1,7 @@
 #include "daemon/VmSide.h"
 
+#include "core/Hash.h"
+
 #include <array>
 
 namespace briarspar::daemon {
@@ -11,6 +13,11 @@
 /// Renewals without an answer after which another voter is asked.
 constexpr uint32_t UnansweredBeforeNextVoter = 2;
 
+/// Distinguishes the crash records of runs and of VMs.
+uint64_t originOf(const core::VmId &vm, core::Incarnation run) {
+  return core::hash64(vm.Value, run.Value);
+}
+
 std::string bytesOf(const core::Json &j) {
   const auto &bytes = j.get_binary();
   return std::string(bytes.begin(), bytes.end());
@@ -23,7 +30,8 @@
     : Identity(identity), Clock(clock), Events(events), Send(std::move(sender)), Listener(listener),
       Lease({}, identity.Vm, identity.Run, *this, std::move(random), this), Permission(*this),
       Quota({}, identity.Vm, identity.Run), Slots(identity.Vm, identity.Run, clock, Permission),
-      Chooser(identity.Where, Slots, {}, &events), Claims(identity.Vm, identity.Run, Permission) {
+      Chooser(identity.Where, Slots, {}, &events), Crashes(originOf(identity.Vm, identity.Run)),
+      Claims(identity.Vm, identity.Run, Permission) {
   Context.OwnRegion = identity.Where.Region;
   Context.LookupTtl = identity.LookupTtl;
   publish(clock.now());
