Give mirrored move steps valid command ids

Cause: a drain's id holds a slash, which a command id may not, so the configuration never showed a drain as done. Change: the ids are a counter.

--- a/src/daemon/GroupMachine.cpp
+++ b/src/daemon/GroupMachine.cpp
@@ -163,10 +163,7 @@
 
 void GroupMachine::mirrorToConfig(const moves::MoveRecord &record) {
   config::Command command;
-  command.Id = absl::StrCat("step-", record.Id.Value, "-", record.Version, "-", ++MirrorCount);
-  // A drain's id is long; the counter alone keeps the command id unique.
-  if (command.Id.size() > config::MaxNameBytes)
-    command.Id = absl::StrCat("step-", MirrorCount);
+  command.Id = absl::StrCat("step-", ++MirrorCount);
   command.Operator = "move-controller";
   command.ProposedAt = LogTime;
   std::string reason(moves::reasonName(record.Reason));
--- a/tests/fleet/test_promises.py
+++ b/tests/fleet/test_promises.py
@@ -113,7 +113,7 @@
 class AtMostOnce(FleetTest):
     def test_resends_through_every_vm_run_once(self):
         """Guards against a second run when a caller resends through other VMs, at once and later."""
-        self.serve("book", "once", "/book", options=("--service-ms", "100"))
+        self.serve("book", "once", "/book", service_ms=100)
         answers = []
 
         def send(vm):
