Give the key test a source that does not repeat

Change: the counter has 16 bits and the bytes after the first 256 are in another order; the checks are the same.

--- a/src/auth/tests/AuthTest.cpp
+++ b/src/auth/tests/AuthTest.cpp
@@ -17,18 +17,21 @@
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
 const std::string Key = "bsk_0123456789abcdefghij";
 
-/// Counts upwards, so that the bytes of every key are known.
+/// Counts upwards, so that the bytes of every key are known. The bytes after the first 256 are in
+/// another order, so that no two of the first 16 keys are equal.
 class CountingSource final : public RandomSource {
 public:
   absl::Status fill(absl::Span<uint8_t> bytes) override {
-    for (uint8_t &it : bytes)
-      it = Next++;
+    for (uint8_t &it : bytes) {
+      it = static_cast<uint8_t>(Next ^ (Next >> 8));
+      ++Next;
+    }
     return Fail ? absl::UnavailableError("no entropy") : absl::OkStatus();
   }
   bool Fail = false;
 
 private:
-  uint8_t Next = 0;
+  uint16_t Next = 0;
 };
 
 config::Outcome apply(config::ConfigStore &store, config::Change what) {
