Fix an invalid read and case-count bounds in two fault tests

RC_ASSERT evaluates both sides of a logical operator, so the check of 'not run' read the first run of an id that never ran; AddressSanitizer reported it. The bounds on the work done assumed 100 cases and failed with fewer.

The condition is computed before the assertion, and the bounds are per case. Saying 'not run' without an answer of the table still fails the test.

--- a/src/balance/tests/SlotFaultsTest.cpp
+++ b/src/balance/tests/SlotFaultsTest.cpp
@@ -275,12 +275,14 @@
 /// clocks of different speed and changes of leader at once; and against slots that stay lost
 /// afterwards.
 Test(SlotFaults, limitsHoldAndSharesReturn) {
+  size_t worlds = 0;
   size_t served = 0;
   testing::checkProperty("slots, regions and links within their limits", [&](uint64_t seed) {
     World world(seed);
     world.run();
     served += world.served();
+    ++worlds;
   });
   // A world in which nothing is granted would pass every limit.
-  cr_assert_gt(served, 20'000U);
+  cr_assert_gt(served, 200 * worlds);
 }
--- a/src/idempotency/tests/ClaimFaultsTest.cpp
+++ b/src/idempotency/tests/ClaimFaultsTest.cpp
@@ -273,8 +273,10 @@
       RC_ASSERT(run != Executions.end());
       RC_ASSERT(reply.Answer == answerOf(id));
     }
+    // RC_ASSERT evaluates both sides of a logical operator.
+    const bool ranBefore = run != Executions.end() && run->second.front() <= t.Started;
     if (reply.What == CallerReply::NotRun)
-      RC_ASSERT(run == Executions.end() || run->second.front() > t.Started);
+      RC_ASSERT_FALSE(ranBefore);
     RC_ASSERT(reply.What != CallerReply::BodyMismatch);
   }
 
@@ -303,13 +305,15 @@
 /// Guards against a second dispatch of an id, a lost or doubled reply, and an untrue "not run",
 /// under loss, duplicates, delays, one-way cuts, pauses, restarts and changes of leader at once.
 Test(ClaimFaults, oneDispatchAndTruthfulReplies) {
+  size_t worlds = 0;
   size_t executed = 0;
   testing::checkProperty("at most one dispatch of an id", [&](uint64_t seed) {
     World world(seed);
     world.run();
     world.check();
     executed += world.executed();
+    ++worlds;
   });
   // A world in which nothing runs would pass every other check.
-  cr_assert_gt(executed, 1000U);
+  cr_assert_gt(executed, 10 * worlds);
 }
