Tell every VM of a crash at once

Cause: a crashing request that was sent again through other VMs ended all four targets of the fleet test, because a reused connection hid the crash and the other VMs learned of it only with their next renewal. Change: a broken exchange on a reused connection counts as a crash when the target refuses a new connection; the leader notifies every VM before it acknowledges the report.

--- a/src/balance/SlotLedger.cpp
+++ b/src/balance/SlotLedger.cpp
@@ -244,7 +244,8 @@
   }
   const bool isShort = pool.Shares->Contended || free <= reserve;
   const uint32_t keep = isShort ? share : share + slackOf(share);
-  if (held > keep)
+  // The shares are not known before every VM has reported.
+  if (held > keep && !Withheld)
     shrink(vm, pool, limits, held - keep);
 }
 
--- a/src/daemon/LeaderSide.cpp
+++ b/src/daemon/LeaderSide.cpp
@@ -123,7 +123,11 @@
   for (const core::CustomerId &id : gone)
     Quota.removeCustomer(id, now);
 
+  // A VM without a record may still hold slots while its lease lasts, so it stays listed.
   std::vector<balance::VmInfo> vms;
+  for (const auto &[id, run] : Serving)
+    if (records.Vms.count(id) == 0)
+      vms.push_back({id, {}});
   std::vector<core::VmId> ids;
   for (const auto &[id, vm] : records.Vms) {
     vms.push_back({id, {vm.Region, vm.Domain}});
@@ -290,6 +294,11 @@
     return;
   Crashes.merge(*report, now);
   std::string merged = balance::encode(Crashes.report(now));
+  // The other VMs learn of a crash before the reporter answers its caller, who may send the request
+  // again through any of them. Crashes are rare, so the notice goes to every VM.
+  for (const auto &[vm, run] : Serving)
+    if (vm != from)
+      Send(vm, kind::CrashNotice, merged);
   Send(from, kind::CrashAck, merged);
 }
 
--- a/src/daemon/Messages.h
+++ b/src/daemon/Messages.h
@@ -21,6 +21,7 @@
 constexpr std::string_view ClaimResult = "claim-result";     ///< Leader to VM.
 constexpr std::string_view Crash = "crash";                  ///< CrashReport, VM to leader.
 constexpr std::string_view CrashAck = "crash-ack";           ///< Merged CrashReport, leader to VM.
+constexpr std::string_view CrashNotice = "crash-notice";     ///< New crashes, leader to all VMs.
 constexpr std::string_view Command = "command";              ///< config::Command, VM to leader.
 constexpr std::string_view CommandResult = "command-result"; ///< config::Outcome, leader to VM.
 constexpr std::string_view Join = "join";                    ///< New voter identity, VM to leader.
--- a/src/daemon/RequestPipeline.cpp
+++ b/src/daemon/RequestPipeline.cpp
@@ -31,6 +31,9 @@
 /// takes 35 ms; a longer wait holds the caller for little gain.
 constexpr core::Duration CrashAckWait{300};
 
+/// Longest wait for a connection that tells whether a target's process ended.
+constexpr core::Duration CrashProbeTimeout{100};
+
 /// Suggested wait before a refused caller tries again, when nothing better is known.
 constexpr core::Duration DefaultRetryAfter{1000};
 
@@ -300,6 +303,7 @@
   end.Refused = checkBeforeSending(exchange);
   if (end.Refused)
     return end;
+  end.Address = address;
   end.Answer = Targets.exchange(address, request, exchange.Deadline);
   end.Status = end.Answer.Status;
   return end;
@@ -346,8 +350,10 @@
 std::optional<uint32_t> RequestPipeline::reportIfCrash(const Exchange &exchange,
                                                        const balance::Choice &choice,
                                                        const AttemptEnd &end) {
+  if (end.Status != ExchangeStatus::Broken)
+    return std::nullopt;
   // A reused connection may have been closed by an idle target, which is no crash.
-  if (end.Status != ExchangeStatus::Broken || end.Answer.ReusedConnection)
+  if (end.Answer.ReusedConnection && forwarding::acceptsConnections(end.Address, CrashProbeTimeout))
     return std::nullopt;
   uint64_t seen = CrashAcks.current();
   uint32_t blamed =
--- a/src/daemon/RequestPipeline.h
+++ b/src/daemon/RequestPipeline.h
@@ -61,6 +61,7 @@
   struct AttemptEnd {
     forwarding::ExchangeStatus Status = forwarding::ExchangeStatus::NotSent;
     forwarding::TargetAnswer Answer;
+    forwarding::TargetAddress Address;
     core::TargetId Target; ///< Empty when no target was chosen.
     std::optional<forwarding::Refusal>
         Refused; ///< Set when nothing was sent for a reason of our own.
--- a/src/daemon/VmSide.cpp
+++ b/src/daemon/VmSide.cpp
@@ -39,12 +39,13 @@
 
 bool VmSide::receive(const core::VmId &from, std::string_view kind, std::string_view bytes,
                      core::Time now) {
-  static const std::array<std::pair<std::string_view, Handler>, 6> Handlers{{
+  static const std::array<std::pair<std::string_view, Handler>, 7> Handlers{{
       {kind::RenewalAnswer, &VmSide::onRenewalAnswer},
       {kind::GrantAnswer, &VmSide::onGrantAnswer},
       {kind::SlotsAnswer, &VmSide::onSlotsAnswer},
       {kind::ClaimResult, &VmSide::onClaimResult},
       {kind::CrashAck, &VmSide::onCrashAck},
+      {kind::CrashNotice, &VmSide::onCrashNotice},
       {kind::CommandResult, &VmSide::onCommandResult},
   }};
   for (const auto &[name, handler] : Handlers) {
@@ -190,11 +191,8 @@
   if (!report.ok())
     return;
   LeaderTerm = report->Term;
-  if (!report->Crashes.empty()) {
-    absl::StatusOr<balance::CrashReport> crashes = balance::decodeCrashReport(report->Crashes);
-    if (crashes.ok())
-      Crashes.merge(*crashes, now);
-  }
+  if (!report->Crashes.empty())
+    onCrashNotice(core::VmId(), report->Crashes, now);
   std::set<core::VmId> excluded(report->Excluded.begin(), report->Excluded.end());
   if (excluded != Context.Excluded) {
     Context.Excluded = std::move(excluded);
@@ -236,11 +234,14 @@
   flushClaims();
 }
 
-void VmSide::onCrashAck(const core::VmId &from, std::string_view bytes, core::Time now) {
+void VmSide::onCrashNotice(const core::VmId &from, std::string_view bytes, core::Time now) {
   absl::StatusOr<balance::CrashReport> report = balance::decodeCrashReport(bytes);
-  if (!report.ok())
-    return;
-  Crashes.merge(*report, now);
+  if (report.ok())
+    Crashes.merge(*report, now);
+}
+
+void VmSide::onCrashAck(const core::VmId &from, std::string_view bytes, core::Time now) {
+  onCrashNotice(from, bytes, now);
   Listener.onCrashAck();
 }
 
--- a/src/daemon/VmSide.h
+++ b/src/daemon/VmSide.h
@@ -107,6 +107,7 @@
   void onGrantAnswer(const core::VmId &from, std::string_view bytes, core::Time now);
   void onSlotsAnswer(const core::VmId &from, std::string_view bytes, core::Time now);
   void onClaimResult(const core::VmId &from, std::string_view bytes, core::Time now);
+  void onCrashNotice(const core::VmId &from, std::string_view bytes, core::Time now);
   void onCrashAck(const core::VmId &from, std::string_view bytes, core::Time now);
   void onCommandResult(const core::VmId &from, std::string_view bytes, core::Time now);
 
--- a/src/forwarding/TargetClient.cpp
+++ b/src/forwarding/TargetClient.cpp
@@ -2,6 +2,11 @@
 
 #include "absl/strings/numbers.h"
 
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <chrono>
 
@@ -9,14 +14,13 @@
 
 namespace {
 
-/// True if the end of the answer can be told from a connection that was cut: its length is known, it
-/// is chunked, or it has no body by definition.
+/// True if the end of the answer can be told from a connection that was cut: its length is known,
+/// it is chunked, or it has no body by definition.
 bool isFramed(const TargetRequest &request, const httplib::Response &response) {
   constexpr int NoContent = 204;
   constexpr int NotModified = 304;
   return response.has_header("Content-Length") || response.has_header("Transfer-Encoding") ||
-         request.Method == "HEAD" || response.status == NoContent ||
-         response.status == NotModified;
+         request.Method == "HEAD" || response.status == NoContent || response.status == NotModified;
 }
 
 } // namespace
@@ -35,6 +39,28 @@
   return address;
 }
 
+bool acceptsConnections(const TargetAddress &address, core::Duration timeout) {
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(static_cast<uint16_t>(address.Port));
+  if (::inet_pton(AF_INET, address.Host.c_str(), &to.sin_addr) != 1)
+    return false;
+  int sock = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (sock < 0)
+    return false;
+  int rc = ::connect(sock, reinterpret_cast<sockaddr *>(&to), sizeof to);
+  if (rc != 0 && errno == EINPROGRESS) {
+    pollfd wait{sock, POLLOUT, 0};
+    int error = 1;
+    socklen_t n = sizeof error;
+    if (::poll(&wait, 1, static_cast<int>(timeout.Ms)) == 1)
+      ::getsockopt(sock, SOL_SOCKET, SO_ERROR, &error, &n);
+    rc = error;
+  }
+  ::close(sock);
+  return rc == 0;
+}
+
 void Cancellation::cancel() {
   std::lock_guard<std::mutex> lock(Mutex);
   Requested = true;
--- a/src/forwarding/TargetClient.h
+++ b/src/forwarding/TargetClient.h
@@ -55,6 +55,10 @@
   std::string Body;
 };
 
+/// Returns whether a new connection to the address is accepted within `timeout`. A target whose
+/// process ended refuses it.
+bool acceptsConnections(const TargetAddress &address, core::Duration timeout);
+
 /// Lets another thread cancel one exchange.
 class Cancellation {
 public:
--- a/src/forwarding/tests/TargetClientTest.cpp
+++ b/src/forwarding/tests/TargetClientTest.cpp
@@ -126,6 +126,17 @@
   cr_assert(f.get(address).Status == ExchangeStatus::NotSent);
 }
 
+/// Guards against an ended target process that looks like one that closed an idle connection.
+Test(TargetClient, endedTargetRefusesConnections) {
+  TargetAddress address;
+  {
+    RawTarget target("");
+    address = target.address();
+    cr_assert(acceptsConnections(address, {1000}));
+  }
+  cr_assert_not(acceptsConnections(address, {1000}));
+}
+
 /// Guards against a late answer that reaches the next request on a reused connection.
 Test(TargetClient, timedOutConnectionIsNotReused) {
   RawTarget target("", 400);
--- a/tests/fleet/test_promises.py
+++ b/tests/fleet/test_promises.py
@@ -35,8 +35,8 @@
         self.fleet.accept(f"create route {route} path {path} keyed {semantics} deadline {deadline}")
         for number in range(targets):
             region = f"r{number % 3 + 1}"
-            self.fleet.add_target(f"{route}-{number + 1}", route, region=region, domain=f"{region}-d1", **options)
-        self.fleet.wait_in_force()
+            last = self.fleet.add_target(f"{route}-{number + 1}", route, region=region, domain=f"{region}-d1", **options)
+        self.fleet.wait_in_force(last["version"])
         for vm in self.fleet.vms.values():
             identity = {"Idempotency-Key": f"warm-{vm.name}"}
             wait_for(lambda vm=vm: request(vm.caller_port, "POST", path, self.key, "{}", identity).status == 200,
@@ -185,8 +185,8 @@
 
     def test_equal_numbers_give_one_acceptance(self):
         """Guards against two operators whose changes of one version are both accepted."""
-        self.fleet.accept("create customer shop rate 10 burst 10 weight 1")
-        self.fleet.wait_in_force()
+        created = self.fleet.accept("create customer shop rate 10 burst 10 weight 1")
+        self.fleet.wait_in_force(created["version"])
         version = self.fleet.show("customers")[0]["changed"]
         answers = []
 
@@ -200,7 +200,7 @@
         for thread in threads:
             thread.join()
         self.assertEqual(sorted(it["kind"] for it in answers), ["accepted", "conflict"])
-        self.assertIn("race-", next(it["reason"] for it in answers if it["kind"] == "conflict"))
+        self.assertIn("race-", next(it["winner"] for it in answers if it["kind"] == "conflict"))
 
     def test_resent_command_gets_the_first_outcome(self):
         """Guards against a command that acts twice after its answer was lost."""
