Send peer messages without Nagle's delay

Cause: after a crash report the leader's notices to the other VMs arrived up to 40 ms late, because a small message that follows another one waited for the acknowledgement of the first (Nagle's algorithm); a request sent again through other VMs ended three or four targets. Ruled out: the merge of reports (the new in-memory test passes), the acknowledgement (events show it within 2 ms), the crash probe. Change: no_delay on both ends of peer connections; event 902 for ended targets; in-memory tests of the whole control node for crash notices, versions and rates under faults. Every control message gains, grants and claims included.

--- a/src/core/EventCatalogue.h
+++ b/src/core/EventCatalogue.h
@@ -30,6 +30,7 @@
   /* balance */                                                                                    \
   X(900, TargetUnhealthy, "target marked unhealthy")                                               \
   X(901, RequestQuarantined, "request refused because it ended target processes")                  \
+  X(902, TargetEnded, "target process ended during a request")                                     \
   /* moves */                                                                                      \
   X(1000, MoveStarted, "move started")                                                             \
   X(1001, MoveStep, "move advanced one step")                                                      \
--- a/src/daemon/RequestPipeline.cpp
+++ b/src/daemon/RequestPipeline.cpp
@@ -360,7 +360,11 @@
       Side.crashes().recordCrash(exchange.Fingerprint, choice.Target, choice.Version, Clock.now());
   AskCrashReport();
   // A resend through another VM must find the record, so the caller gets no answer before.
-  CrashAcks.waitAfter(seen, CrashAckWait);
+  bool acknowledged = CrashAcks.waitAfter(seen, CrashAckWait);
+  Events.emit({core::EventId::TargetEnded,
+               {{"target", choice.Target.Value},
+                {"route", exchange.Route->Record.Id.Value},
+                {"acknowledged", acknowledged}}});
   return blamed;
 }
 
--- /dev/null
+++ b/src/daemon/tests/ControlNodeTest.cpp
@@ -0,0 +1,162 @@
+#include "core/testing/Property.h"
+#include "daemon/testing/InMemoryFleet.h"
+
+#include <map>
+#include <string>
+
+using namespace briarspar;
+using namespace briarspar::daemon;
+using daemon::testing::InMemoryFleet;
+using daemon::testing::InMemoryFleetSettings;
+
+namespace {
+
+/// A fleet with a leader, leases everywhere and one customer.
+struct Fixture {
+  explicit Fixture(uint64_t seed = 1) : Fleet(settings(seed)) {
+    cr_assert(Fleet.advanceUntil([&] { return Fleet.leader().has_value(); }, {10'000}));
+    for (uint32_t n = 0; n < Fleet.size(); ++n) {
+      balance::Place place = Fleet.placeOf(n);
+      Fleet.propose(config::PutVm{InMemoryFleet::nameOf(n), "127.0.0.1:" + std::to_string(1000 + n),
+                                  "127.0.0.1:" + std::to_string(2000 + n), place.Region,
+                                  place.Domain});
+    }
+    Fleet.propose(config::CreateCustomer{Shop, 100, 50, 1});
+    cr_assert(Fleet.advanceUntil([&] { return allServe(); }, {30'000}));
+  }
+
+  static InMemoryFleetSettings settings(uint64_t seed) {
+    InMemoryFleetSettings settings;
+    settings.Seed = seed;
+    return settings;
+  }
+
+  bool allServe() { return Fleet.servingNodes() == Fleet.size(); }
+
+  core::ConfigVersion versionAt(uint32_t n) { return Fleet.node(n).vm().state()->Version; }
+
+  core::CustomerId Shop{"shop"};
+  InMemoryFleet Fleet;
+};
+
+/// Applies a random fault to the fleet, or ends one.
+void injectFault(InMemoryFleet &fleet) {
+  auto n = *rc::gen::inRange<uint32_t>(0, fleet.size());
+  auto other = *rc::gen::inRange<uint32_t>(0, fleet.size());
+  switch (*rc::gen::inRange(0, 6)) {
+  case 0:
+    if (fleet.isUp(n))
+      fleet.crash(n);
+    break;
+  case 1:
+    if (!fleet.isUp(n))
+      fleet.restart(n);
+    break;
+  case 2:
+    fleet.network().cut(n, other);
+    break;
+  case 3:
+    fleet.network().healAll();
+    break;
+  case 4:
+    fleet.network().setPaused(n, !fleet.network().isPaused(n));
+    break;
+  case 5:
+    fleet.network().settings().LossPermille = *rc::gen::inRange<uint32_t>(0, 300);
+    break;
+  }
+}
+
+void endFaults(InMemoryFleet &fleet) {
+  fleet.network().healAll();
+  fleet.network().settings().LossPermille = 0;
+  for (uint32_t n = 0; n < fleet.size(); ++n) {
+    fleet.network().setPaused(n, false);
+    if (!fleet.isUp(n))
+      fleet.restart(n);
+  }
+}
+
+} // namespace
+
+/// Guards against a crashing request that other VMs run because they learn of the crash too late.
+Test(ControlNode, crashIsKnownEverywhereBeforeItIsAcknowledged) {
+  Fixture f;
+  constexpr uint64_t Fingerprint = 42;
+  for (uint32_t n : {3U, 4U}) {
+    VmSide &vm = f.Fleet.node(n).vm();
+    core::TargetId target("t" + std::to_string(n));
+    vm.crashes().recordCrash(Fingerprint, target, core::VersionId("v1"), f.Fleet.clock().now());
+    vm.sendCrashReport(f.Fleet.clock().now());
+    f.Fleet.advance({100});
+  }
+  for (uint32_t n = 0; n < f.Fleet.size(); ++n)
+    cr_expect_not(f.Fleet.node(n).vm().crashes().admits(Fingerprint, f.Fleet.clock().now()));
+}
+
+/// Guards against a configuration that goes back at a VM, and against a version that is reported in force
+/// everywhere while a VM serves with an older one, under two and more faults at once.
+Test(ControlNode, versionsNeverRevertUnderFaults) {
+  core::testing::checkProperty("a version never reverts while serving", [] {
+    Fixture f(*rc::gen::inRange<uint64_t>(1, 1'000'000));
+    std::map<uint32_t, std::pair<uint64_t, core::ConfigVersion>> seen;
+    auto faults = *rc::gen::inRange(2, 6);
+    for (int round = 0; round < faults; ++round) {
+      injectFault(f.Fleet);
+      injectFault(f.Fleet);
+      f.Fleet.propose(config::UpdateCustomer{f.Shop, 100 + static_cast<uint64_t>(round), {}, {}});
+      for (int step = 0; step < 20; ++step) {
+        f.Fleet.advance({100});
+        core::ConfigVersion inForce;
+        std::optional<uint32_t> leader = f.Fleet.leader();
+        if (leader) {
+          core::ConfigVersion version = f.Fleet.node(*leader).voter()->machine().config().version();
+          if (f.Fleet.node(*leader).leader()->inForceEverywhere(version, f.Fleet.clock().now()))
+            inForce = version;
+        }
+        for (uint32_t n = 0; n < f.Fleet.size(); ++n) {
+          if (!f.Fleet.isUp(n) || !f.Fleet.node(n).vm().mayServe(f.Fleet.clock().now()))
+            continue;
+          RC_ASSERT(f.versionAt(n) >= inForce);
+          RC_ASSERT(f.versionAt(n) >= seen[n].second);
+          seen[n].second = f.versionAt(n);
+        }
+      }
+    }
+    endFaults(f.Fleet);
+    RC_ASSERT(f.Fleet.advanceUntil([&] { return f.allServe(); }, {60'000}));
+  });
+}
+
+/// Guards against more admissions than the rate and burst allow while owners and VMs fail.
+Test(ControlNode, rateHoldsOverTheFleetUnderFaults) {
+  core::testing::checkProperty("admitted <= burst + rate * length", [] {
+    Fixture f(*rc::gen::inRange<uint64_t>(1, 1'000'000));
+    std::vector<int64_t> admitted;
+    for (int step = 0; step < 600; ++step) {
+      if (step % 60 == 0)
+        injectFault(f.Fleet);
+      f.Fleet.advance({10});
+      for (uint32_t n = 0; n < f.Fleet.size(); ++n) {
+        if (!f.Fleet.isUp(n) || f.Fleet.network().isPaused(n))
+          continue;
+        quota::QuotaHolder &quota = f.Fleet.node(n).vm().quota();
+        quota::Admission admission = quota.tryAdmit(f.Shop, f.Fleet.clock().now());
+        if (admission.What == quota::Admission::Wait)
+          quota.cancelWait(f.Shop);
+        if (admission.What == quota::Admission::Admitted)
+          admitted.push_back(f.Fleet.clock().now().Ms);
+      }
+    }
+    // The tightest interval that starts at an admission: a bucket that is filled at the rate.
+    constexpr int64_t Rate = 100;
+    constexpr int64_t Burst = 50;
+    for (size_t from = 0; from < admitted.size(); ++from)
+      for (size_t to = from; to < admitted.size(); ++to) {
+        int64_t count = static_cast<int64_t>(to - from) + 1;
+        int64_t length = admitted[to] - admitted[from];
+        if (count * 1000 > Burst * 1000 + Rate * length)
+          RC_FAIL("rate exceeded");
+      }
+  });
+}
--- a/src/transport/WebsocketTransport.cpp
+++ b/src/transport/WebsocketTransport.cpp
@@ -100,6 +100,15 @@
     end.init_asio(&Io);
     end.set_max_message_size(Settings.MaxFrameBytes);
     end.set_open_handshake_timeout(Settings.HandshakeTimeout.Ms);
+    // Small messages follow each other without an answer between them; with Nagle's algorithm the
+    // second one would wait up to 40 ms for the acknowledgement of the first.
+    end.set_tcp_post_init_handler([&end](connection_hdl h) {
+      websocketpp::lib::error_code ec;
+      auto handle = end.get_con_from_hdl(h, ec);
+      asio::error_code ignored;
+      if (!ec)
+        handle->get_raw_socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    });
     end.set_message_handler([this](connection_hdl h, auto message) {
       onFrame(h, message->get_opcode() == text, message->get_payload());
     });
