--- a/src/placement/AffinityGrouper.cpp
+++ b/src/placement/AffinityGrouper.cpp
@@ -11,7 +11,9 @@
 
 uint64_t AffinityGrouper::bound(uint64_t arriving) const {
   double mean = static_cast<double>(Total + arriving) / Settings.SiteCount;
-  return static_cast<uint64_t>(std::ceil(mean * (1 + Settings.MaxImbalance))) + 1;
+  // A product that is a whole number may come out slightly above it; it is not rounded up further.
+  constexpr double roundingError = 1e-9;
+  return static_cast<uint64_t>(std::ceil(mean * (1 + Settings.MaxImbalance) - roundingError)) + 1;
 }
 
 SiteId AffinityGrouper::best(const std::vector<uint32_t> &targets, uint64_t limit) {
