Send work elsewhere at once when targets are gone

Cause: after two targets had ended, requests on the route were refused with target-unreachable although two targets had free slots: a VM's demand counted as met by its slots on the ended targets, and the retry did not wait for others. A read at another VM right after a change of leader saw the configuration before it. Change: a target that takes no connection is ejected at its first failure; slot reports name the targets that the VM avoids, and their slots do not meet its demand; a request that was sent nowhere may wait for a slot; the move controller hears of rejected steps; the test waits until the change is in force at the VM it reads.

--- a/src/balance/SlotLedger.cpp
+++ b/src/balance/SlotLedger.cpp
@@ -128,6 +128,7 @@
   holding.LastReport = now;
   holding.Expired = false;
   holding.Demand = report.Demand;
+  holding.Avoided = report.Avoided;
   takeHeld(holding, report.Held);
 
   callBackExcess(holding, limits);
@@ -229,7 +230,7 @@
   divide(poolId, pool, now);
   uint32_t held = 0;
   for (const TargetId &target : pool.Targets)
-    held += countIn(limits, target);
+    held += vm.Current->Avoided.count(target) == 0 ? countIn(limits, target) : 0;
   const uint32_t wish = wishOf(*vm.Current, poolId);
   const uint32_t reserve = reserveOf(pool);
   const uint32_t level = pool.Shares->Level + static_cast<uint32_t>(pool.Shares->OneMore.count(id));
@@ -289,6 +290,8 @@
     const TargetId *best = nullptr;
     std::pair<int, int64_t> bestKey;
     for (const TargetId &target : pool.Targets) {
+      if (holding.Avoided.count(target) != 0)
+        continue;
       const uint32_t free = freeOn(target);
       const bool isCalledBack = countIn(limits, target) < countIn(holding.Granted, target);
       if (free == 0 || isCalledBack || Regions.headroom(holding.Region, regionOf(target)) == 0)
--- a/src/balance/SlotLedger.h
+++ b/src/balance/SlotLedger.h
@@ -90,6 +90,7 @@
     bool Expired = false;
     SlotMap Granted;
     std::map<PoolId, uint32_t> Demand;
+    std::set<core::TargetId> Avoided; ///< As reported; their slots do not meet the demand.
   };
 
   /// Slots of an ended run, held back until its last requests have ended.
@@ -145,8 +146,8 @@
   bool Leading = false;
   core::Term Term;
   core::Time LeaderSince;
-  /// Targets that an earlier leader may have granted. Others were added in this term, so their slots
-  /// need no wait for the reports of VMs.
+  /// Targets that an earlier leader may have granted. Others were added in this term, so their
+  /// slots need no wait for the reports of VMs.
   std::set<core::TargetId> Inherited;
   bool HasInherited = false;
   bool Withheld = false; ///< Slots of inherited targets are not granted yet.
--- a/src/balance/SlotMessages.cpp
+++ b/src/balance/SlotMessages.cpp
@@ -46,6 +46,7 @@
   r.Held = countsFrom<core::TargetId>(j.at("held"));
   r.Usable = countsFrom<core::TargetId>(j.at("usable"));
   r.Demand = countsFrom<PoolId>(j.at("demand"));
+  j.at("avoided").get_to(r.Avoided);
 }
 
 static void from_json(const Json &j, SlotAnswer &a) {
@@ -64,7 +65,8 @@
                            {"uptime", report.Uptime.Ms},
                            {"held", countsToJson(report.Held)},
                            {"usable", countsToJson(report.Usable)},
-                           {"demand", countsToJson(report.Demand)}});
+                           {"demand", countsToJson(report.Demand)},
+                           {"avoided", report.Avoided}});
 }
 
 std::string encode(const SlotAnswer &answer) {
--- a/src/balance/SlotMessages.h
+++ b/src/balance/SlotMessages.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -41,6 +42,7 @@
   std::map<core::TargetId, uint32_t>
       Usable;                        ///< Limits in force; a request may end after its limit.
   std::map<PoolId, uint32_t> Demand; ///< Slots wanted, in use included.
+  std::set<core::TargetId> Avoided;  ///< Targets that the VM sends nothing to at present.
 };
 
 /// The leader's answer to one report. It replaces all limits of the holder.
--- a/src/balance/TargetChooser.cpp
+++ b/src/balance/TargetChooser.cpp
@@ -281,7 +281,10 @@
   const bool failsOften =
       samples >= Settings.MinSamples &&
       target.WindowFailed * FullPermille >= int64_t{samples} * Settings.FailurePermilleToEject;
-  if (target.FailuresInRow >= Settings.FailuresToEject || failsOften)
+  // A target that takes no connection runs nothing; waiting for more failures would only cost
+  // requests.
+  const bool isGone = kind == Outcome::NoConnect;
+  if (isGone || target.FailuresInRow >= Settings.FailuresToEject || failsOften)
     eject(target, now);
 }
 
--- a/src/balance/tests/SlotHolderTest.cpp
+++ b/src/balance/tests/SlotHolderTest.cpp
@@ -111,7 +111,7 @@
     ledger.becomeLeader(Term(1), Time{0});
     const auto report = [&](const char *vm, uint64_t sequence, uint32_t held, uint32_t limit,
                             Time now) {
-      SlotReport r{VmId(vm), Incarnation(1), Term(1), sequence, Duration{90'000}, {}, {}, {}};
+      SlotReport r{VmId(vm), Incarnation(1), Term(1), sequence, Duration{90'000}, {}, {}, {}, {}};
       r.Held[Target] = held;
       r.Usable[Target] = limit;
       r.Demand[TestPool] = 9;
@@ -151,8 +151,8 @@
   cr_expect_eq(f.Holder.inUse(Target), 0U);
 }
 
-/// Guards against a new target that gets no work until every VM has been silent or running for longer
-/// than the longest deadline, and against slots of an earlier leader that are granted twice.
+/// Guards against a new target that gets no work until every VM has been silent or running for
+/// longer than the longest deadline, and against slots of an earlier leader that are granted twice.
 Test(SlotLedger, slotsOfANewTargetNeedNoWait) {
   SlotLedger ledger;
   ledger.setVms({{VmId("a"), {}}, {VmId("b"), {}}});
--- a/src/daemon/GroupMachine.cpp
+++ b/src/daemon/GroupMachine.cpp
@@ -108,14 +108,14 @@
   LogTime = std::max(LogTime, command->At);
   if (auto *what = std::get_if<config::Command>(&command->What)) {
     what->ProposedAt = LogTime;
-    return applyConfig(std::move(*what));
+    return applyConfig(*what);
   }
   if (const auto *claim = std::get_if<idempotency::ClaimCommand>(&command->What))
     return idempotency::encode(Claims.apply(*claim, LogTime));
   return applyStep(std::get<moves::MoveStep>(command->What));
 }
 
-std::string GroupMachine::applyConfig(config::Command command) {
+std::string GroupMachine::applyConfig(const config::Command &command) {
   config::Outcome outcome = Config.apply(command);
   if (outcome.What == config::Outcome::Accepted && !outcome.Replayed)
     openMove(command, outcome);
@@ -152,10 +152,11 @@
 }
 
 std::string GroupMachine::applyStep(const moves::MoveStep &step) {
+  // The controller learns of rejected steps too, so that it does not wait for them.
+  Committed.push_back(step);
   auto it = Moves.find(step.Id);
   if (it == Moves.end() || !moves::applyStep(it->second, step))
     return "";
-  Applied.push_back(step);
   if (step.Kind != moves::StepKind::Checkpoint)
     mirrorToConfig(it->second);
   return "applied";
@@ -191,7 +192,7 @@
   Config.apply(command);
 }
 
-std::vector<moves::MoveStep> GroupMachine::takeSteps() { return std::exchange(Applied, {}); }
+std::vector<moves::MoveStep> GroupMachine::takeSteps() { return std::exchange(Committed, {}); }
 
 std::string GroupMachine::snapshot() const {
   Json moves = Json::array();
--- a/src/daemon/GroupMachine.h
+++ b/src/daemon/GroupMachine.h
@@ -40,11 +40,12 @@
   /// Latest applied log time.
   core::Time logTime() const { return LogTime; }
 
-  /// Returns the steps applied since the last call, for the move controller of the leader.
+  /// Returns the steps committed since the last call, rejected ones included, for the move
+  /// controller of the leader.
   std::vector<moves::MoveStep> takeSteps();
 
 private:
-  std::string applyConfig(config::Command command);
+  std::string applyConfig(const config::Command &command);
   std::string applyStep(const moves::MoveStep &step);
   void openMove(const config::Command &command, const config::Outcome &outcome);
   void mirrorToConfig(const moves::MoveRecord &record);
@@ -52,7 +53,7 @@
   config::ConfigStore Config;
   idempotency::ClaimTable Claims;
   std::map<core::MoveId, moves::MoveRecord> Moves;
-  std::vector<moves::MoveStep> Applied;
+  std::vector<moves::MoveStep> Committed;
   core::Time LogTime;
   uint64_t MirrorCount = 0; ///< Numbers the configuration commands that mirror steps.
 };
--- a/src/daemon/LeaderSide.cpp
+++ b/src/daemon/LeaderSide.cpp
@@ -46,7 +46,7 @@
 
 bool LeaderSide::receive(const core::VmId &from, std::string_view kind, std::string_view bytes,
                          core::Time now) {
-  static const std::array<std::pair<std::string_view, Handler>, 7> Handlers{{
+  static const std::array<std::pair<std::string_view, Handler>, 7> handlers{{
       {kind::Renewal, &LeaderSide::onRenewalMessage},
       {kind::Grant, &LeaderSide::onGrant},
       {kind::Slots, &LeaderSide::onSlots},
@@ -55,7 +55,7 @@
       {kind::Command, &LeaderSide::onCommand},
       {kind::Join, &LeaderSide::onJoin},
   }};
-  for (const auto &[name, handler] : Handlers) {
+  for (const auto &[name, handler] : handlers) {
     if (name != kind)
       continue;
     tick(now);
@@ -72,8 +72,11 @@
   if (!leads && Leading)
     Slots.stepDown();
   Leading = leads;
-  if (!Leading)
+  if (!Leading) {
+    // Only the leader drives moves; a follower's steps would pile up.
+    Voter.machine().takeSteps();
     return;
+  }
   if (!HasAdopted || Adopted != version())
     adoptConfig(now);
   Members.tick(now);
@@ -105,6 +108,10 @@
 
 void LeaderSide::adoptMoves(core::Time now) {
   Voter.machine().takeSteps();
+  std::vector<core::VmId> vms;
+  for (const auto &[id, vm] : Voter.machine().config().records().Vms)
+    vms.push_back(id);
+  Moves.setVms(vms);
   std::vector<moves::MoveRecord> records;
   for (const auto &[id, record] : Voter.machine().moves())
     records.push_back(record);
--- a/src/daemon/OperatorApi.cpp
+++ b/src/daemon/OperatorApi.cpp
@@ -1,5 +1,6 @@
 #include "daemon/OperatorApi.h"
 
+#include "auth/Credentials.h"
 #include "auth/KeyDigest.h"
 #include "operator_language/RecordQueries.h"
 #include "transport/Frame.h"
@@ -56,11 +57,11 @@
       Events(events) {}
 
 std::optional<std::string> OperatorApi::operatorOf(const httplib::Request &req) const {
-  constexpr std::string_view Bearer = "Bearer ";
   std::string header = req.get_header_value("Authorization");
-  if (header.compare(0, Bearer.size(), Bearer) != 0)
+  std::string_view key = auth::keyInHeader("Authorization", header);
+  if (key.empty())
     return std::nullopt;
-  std::string digest = auth::toHex(auth::digestOfKey(header.substr(Bearer.size())));
+  std::string digest = auth::toHex(auth::digestOfKey(key));
   std::optional<std::string> found;
   for (const OperatorSettings &it : Options.Operators)
     if (CRYPTO_memcmp(it.KeySha256.data(), digest.data(), digest.size()) == 0)
--- a/src/daemon/RequestPipeline.cpp
+++ b/src/daemon/RequestPipeline.cpp
@@ -37,6 +37,9 @@
 /// Suggested wait before a refused caller tries again, when nothing better is known.
 constexpr core::Duration DefaultRetryAfter{1000};
 
+/// Other VMs that a refusal names.
+constexpr size_t MaxOtherVms = 3;
+
 constexpr int ServiceUnavailable = 503;
 
 Refusal refuse(RefusalCode code, std::string detail = {}) {
@@ -116,12 +119,12 @@
 }
 
 RequestPipeline::Result RequestPipeline::run(Exchange &exchange) {
-  static constexpr std::array<Step, 6> Steps{
+  static constexpr std::array<Step, 6> steps{
       &RequestPipeline::checkRoute,   &RequestPipeline::checkLease,
       &RequestPipeline::checkKey,     &RequestPipeline::checkRequestId,
       &RequestPipeline::checkCrashes, &RequestPipeline::admitByRate,
   };
-  for (Step step : Steps)
+  for (Step step : steps)
     if (std::optional<Refusal> refusal = (this->*step)(exchange))
       return *refusal;
   return isOnce(*exchange.Route) ? runOnce(exchange) : runIdempotent(exchange);
@@ -212,15 +215,16 @@
 RequestPipeline::Result RequestPipeline::runIdempotent(Exchange &exchange) {
   Retries.onRequest();
   std::vector<core::TargetId> used;
-  AttemptEnd end = attempt(exchange, used);
+  AttemptEnd end = attempt(exchange, used, /*nothingSent=*/true);
+  bool nothingSent = true;
   while (!end.Refused && mayRetry(end.Answer) && used.size() + 1 < MaxAttempts) {
     used.push_back(end.Target);
-    bool nothingSent = end.Status == ExchangeStatus::NotSent;
-    if (!nothingSent && !Retries.tryTake(/*idempotent=*/true))
+    nothingSent = nothingSent && end.Status == ExchangeStatus::NotSent;
+    if (end.Status != ExchangeStatus::NotSent && !Retries.tryTake(/*idempotent=*/true))
       break;
     if (!Side.crashes().admits(exchange.Fingerprint, Clock.now()))
       return refuse(RefusalCode::RequestQuarantined);
-    AttemptEnd next = attempt(exchange, used);
+    AttemptEnd next = attempt(exchange, used, nothingSent);
     if (next.Refused)
       break;
     end = std::move(next);
@@ -239,10 +243,10 @@
   idempotency::CallerReply reply = Claims.run(start, [&](const idempotency::Dispatch &) {
     idempotency::DispatchResult result;
     std::vector<core::TargetId> used;
-    AttemptEnd end = attempt(exchange, used);
+    AttemptEnd end = attempt(exchange, used, /*nothingSent=*/true);
     while (!end.Refused && end.Status == ExchangeStatus::NotSent && used.size() + 1 < MaxAttempts) {
       used.push_back(end.Target);
-      end = attempt(exchange, used);
+      end = attempt(exchange, used, /*nothingSent=*/true);
     }
     if (end.Status == ExchangeStatus::NotSent) {
       result.What = idempotency::DispatchResult::NotSent;
@@ -267,11 +271,16 @@
 }
 
 RequestPipeline::AttemptEnd RequestPipeline::attempt(Exchange &exchange,
-                                                     const std::vector<core::TargetId> &exclude) {
+                                                     const std::vector<core::TargetId> &exclude,
+                                                     bool nothingSent) {
   balance::PoolId pool = poolOf(*exchange.Route);
   std::optional<balance::Choice> choice =
       exclude.empty() ? Slots.acquire(exchange.Customer, pool, exchange.Deadline)
                       : Slots.tryAcquire(pool, exclude);
+  // Targets that took no connection are ejected by now, so a request that was sent nowhere may
+  // wait.
+  if (!choice && nothingSent)
+    choice = Slots.acquire(exchange.Customer, pool, exchange.Deadline);
   if (!choice) {
     AttemptEnd end;
     end.Refused = refuseForNow(RefusalCode::NoCapacity);
@@ -425,9 +434,8 @@
 
 std::vector<std::string> RequestPipeline::otherVms(const ServingState &state) const {
   std::vector<std::string> out;
-  constexpr size_t MaxOthers = 3;
   for (const auto &[id, vm] : state.Records.Vms)
-    if (id != Side.identity().Vm && out.size() < MaxOthers &&
+    if (id != Side.identity().Vm && out.size() < MaxOtherVms &&
         !config::isDraining(state.Records, vm))
       out.push_back(vm.TrafficAddress);
   return out;
--- a/src/daemon/RequestPipeline.h
+++ b/src/daemon/RequestPipeline.h
@@ -80,7 +80,10 @@
   Result run(Exchange &exchange);
   Result runIdempotent(Exchange &exchange);
   Result runOnce(Exchange &exchange);
-  AttemptEnd attempt(Exchange &exchange, const std::vector<core::TargetId> &exclude);
+  /// Tries one target other than `exclude`. A request that was sent nowhere yet may wait for a
+  /// slot.
+  AttemptEnd attempt(Exchange &exchange, const std::vector<core::TargetId> &exclude,
+                     bool nothingSent);
   AttemptEnd sendTo(Exchange &exchange, const balance::Choice &choice);
   std::optional<forwarding::Refusal> checkBeforeSending(const Exchange &exchange) const;
   void recordEnd(const Exchange &exchange, const balance::Choice &choice, const AttemptEnd &end,
--- a/src/daemon/VmSide.cpp
+++ b/src/daemon/VmSide.cpp
@@ -39,7 +39,7 @@
 
 bool VmSide::receive(const core::VmId &from, std::string_view kind, std::string_view bytes,
                      core::Time now) {
-  static const std::array<std::pair<std::string_view, Handler>, 7> Handlers{{
+  static const std::array<std::pair<std::string_view, Handler>, 7> handlers{{
       {kind::RenewalAnswer, &VmSide::onRenewalAnswer},
       {kind::GrantAnswer, &VmSide::onGrantAnswer},
       {kind::SlotsAnswer, &VmSide::onSlotsAnswer},
@@ -48,7 +48,7 @@
       {kind::CrashNotice, &VmSide::onCrashNotice},
       {kind::CommandResult, &VmSide::onCommandResult},
   }};
-  for (const auto &[name, handler] : Handlers) {
+  for (const auto &[name, handler] : handlers) {
     if (name != kind)
       continue;
     (this->*handler)(from, bytes, now);
@@ -65,8 +65,12 @@
   }
   for (const quota::GrantRequest &request : Quota.tick(now))
     sendToLeader(kind::Grant, quota::encode(request));
-  if (std::optional<balance::SlotReport> report = Slots.tick(LeaderTerm, now))
+  if (std::optional<balance::SlotReport> report = Slots.tick(LeaderTerm, now)) {
+    for (const auto &[target, n] : report->Held)
+      if (Chooser.isEjected(target))
+        report->Avoided.insert(target);
     sendToLeader(kind::Slots, balance::encode(*report));
+  }
   Claims.tick(now);
   flushClaims();
   for (std::string &command : Commands.due(now))
--- a/src/daemon/tests/ControlNodeTest.cpp
+++ b/src/daemon/tests/ControlNodeTest.cpp
@@ -94,8 +94,8 @@
     cr_expect_not(f.Fleet.node(n).vm().crashes().admits(Fingerprint, f.Fleet.clock().now()));
 }
 
-/// Guards against a configuration that goes back at a VM, and against a version that is reported in force
-/// everywhere while a VM serves with an older one, under two and more faults at once.
+/// Guards against a configuration that goes back at a VM, and against a version that is reported in
+/// force everywhere while a VM serves with an older one, under two and more faults at once.
 Test(ControlNode, versionsNeverRevertUnderFaults) {
   core::testing::checkProperty("a version never reverts while serving", [] {
     Fixture f(*rc::gen::inRange<uint64_t>(1, 1'000'000));
--- a/src/daemon/tests/SettingsTest.cpp
+++ b/src/daemon/tests/SettingsTest.cpp
@@ -1,5 +1,5 @@
-#include "core/testing/Property.h"
 #include "daemon/Settings.h"
+#include "core/testing/Property.h"
 
 #include <string>
 
@@ -50,8 +50,7 @@
 
 /// Guards against settings that end the process instead of giving an error.
 Test(Settings, arbitraryTextIsAnError) {
-  briarspar::core::testing::checkProperty("text without settings is refused",
-                                          [](const std::string &text) {
-                                            RC_ASSERT(!parseSettings(text).ok());
-                                          });
+  briarspar::core::testing::checkProperty(
+      "text without settings is refused",
+      [](const std::string &text) { RC_ASSERT(!parseSettings(text).ok()); });
 }
--- a/src/transport/Transport.h
+++ b/src/transport/Transport.h
@@ -10,7 +10,7 @@
 
 namespace asio {
 class io_context;
-}
+} // namespace asio
 
 namespace briarspar::transport {
 
--- a/tests/fleet/test_promises.py
+++ b/tests/fleet/test_promises.py
@@ -180,6 +180,8 @@
         wait_for(lambda: all(it.status().get("lease_valid") for it in others), "leases of the new leader")
         accepted = self.fleet.accept("create customer second rate 10 burst 10 weight 1", vm=others[0])
         self.assertGreater(accepted["version"], version)
+        last = others[-1]
+        wait_for(lambda: last.status().get("version", 0) >= accepted["version"], "the change is in force there")
         names = {it["name"] for it in self.fleet.show("customers", vm=others[-1])}
         self.assertIn("first", names)
 
--- a/tools/load_client/LoadClient.cpp
+++ b/tools/load_client/LoadClient.cpp
@@ -1,5 +1,5 @@
-// Bounded HTTP load on loopback: a number of kept-alive callers that each send requests one after the
-// other. Prints one JSON line with the rate, latency quantiles and outcomes.
+// Bounded HTTP load on loopback: a number of kept-alive callers that each send requests one after
+// the other. Prints one JSON line with the rate, latency quantiles and outcomes.
 
 #include <CLI/CLI.hpp>
 #include <httplib.h>
@@ -55,8 +55,7 @@
   if (options.RatePerCaller <= 0)
     return;
   auto due = std::chrono::duration<double>(static_cast<double>(sent) / options.RatePerCaller);
-  std::this_thread::sleep_until(start +
-                                std::chrono::duration_cast<std::chrono::nanoseconds>(due));
+  std::this_thread::sleep_until(start + std::chrono::duration_cast<std::chrono::nanoseconds>(due));
 }
 
 void runCaller(const Options &options, std::atomic<size_t> &next, SteadyTime start, SteadyTime end,
@@ -73,8 +72,8 @@
     SteadyTime before = std::chrono::steady_clock::now();
     httplib::Result answer = client.send(requestOf(options, number));
     auto took = std::chrono::steady_clock::now() - before;
-    result.LatenciesUs.push_back(static_cast<uint32_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(took).count()));
+    result.LatenciesUs.push_back(
+        static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::microseconds>(took).count()));
     ++result.Outcomes[answer ? std::to_string(answer->status) : "failed"];
   }
 }
