--- a/src/forwarding/TargetClient.cpp
+++ b/src/forwarding/TargetClient.cpp
@@ -14,11 +14,12 @@
 
 namespace {
 
+constexpr int NoContent = 204;
+constexpr int NotModified = 304;
+
 /// True if the end of the answer can be told from a connection that was cut: its length is known,
 /// it is chunked, or it has no body by definition.
 bool isFramed(const TargetRequest &request, const httplib::Response &response) {
-  constexpr int NoContent = 204;
-  constexpr int NotModified = 304;
   return response.has_header("Content-Length") || response.has_header("Transfer-Encoding") ||
          request.Method == "HEAD" || response.status == NoContent || response.status == NotModified;
 }
--- a/src/transport/WebsocketTransport.cpp
+++ b/src/transport/WebsocketTransport.cpp
@@ -1,5 +1,4 @@
 #define ASIO_STANDALONE
-#define _WEBSOCKETPP_CPP11_STL_
 
 #include "transport/Transport.h"
 
@@ -52,7 +51,7 @@
     setUp(ServerEnd);
     setUp(ClientEnd);
     ServerEnd.set_reuse_addr(true);
-    ServerEnd.set_open_handler([this](connection_hdl h) { onOpen(h, nullptr); });
+    ServerEnd.set_open_handler([this](const connection_hdl &h) { onOpen(h, nullptr); });
     websocketpp::lib::error_code ec;
     ServerEnd.listen(
         asio::ip::tcp::endpoint(asio::ip::make_address(Settings.Listen.Host), Settings.Listen.Port),
@@ -102,18 +101,18 @@
     end.set_open_handshake_timeout(Settings.HandshakeTimeout.Ms);
     // Small messages follow each other without an answer between them; with Nagle's algorithm the
     // second one would wait up to 40 ms for the acknowledgement of the first.
-    end.set_tcp_post_init_handler([&end](connection_hdl h) {
+    end.set_tcp_post_init_handler([&end](const connection_hdl &h) {
       websocketpp::lib::error_code ec;
       auto handle = end.get_con_from_hdl(h, ec);
       asio::error_code ignored;
       if (!ec)
         handle->get_raw_socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     });
-    end.set_message_handler([this](connection_hdl h, auto message) {
+    end.set_message_handler([this](const connection_hdl &h, auto message) {
       onFrame(h, message->get_opcode() == text, message->get_payload());
     });
-    end.set_close_handler([this](connection_hdl h) { onClosed(h); });
-    end.set_fail_handler([this](connection_hdl h) { onClosed(h); });
+    end.set_close_handler([this](const connection_hdl &h) { onClosed(h); });
+    end.set_fail_handler([this](const connection_hdl &h) { onClosed(h); });
   }
 
   ConnectionPtr find(const connection_hdl &h) {
@@ -149,7 +148,8 @@
     connection->Peer = to;
     Connections[connection->Handle] = connection;
     ByPeer[to] = connection;
-    handle->set_open_handler([this, connection](connection_hdl h) { onOpen(h, connection); });
+    handle->set_open_handler(
+        [this, connection](const connection_hdl &h) { onOpen(h, connection); });
     ClientEnd.connect(handle);
     return connection;
   }
--- a/tools/capacity/Capacity.cpp
+++ b/tools/capacity/Capacity.cpp
@@ -232,6 +232,9 @@
   void emit(const core::Event &) override {}
 };
 
+/// Echoes per measurement of the transport.
+constexpr int Rounds = 10'000;
+
 /// Returns the processor time of one message at one end, in microseconds: frame, MAC and websocket.
 double transportMicroseconds(size_t bytes) {
   core::SteadyClock clock;
@@ -246,7 +249,6 @@
   };
   auto a = make("a");
   auto b = make("b");
-  constexpr int Rounds = 10'000;
   int rounds = 0;
   core::Json body = core::Json::binary(std::vector<uint8_t>(bytes));
   if (!a->start([&](const transport::PeerMessage &) {
--- /dev/null
+++ b/tools/fleet/data_path.py
@@ -0,0 +1,61 @@
+"""Requests a second and latency through one VM, beside the same load on a target directly."""
+
+import json
+import subprocess
+import tempfile
+
+from fleet import BUILD, Fleet, Target, request, wait_for
+
+REQUESTS = 40_000
+CALLERS = (16, 64, 400)
+
+
+def load(port, key, callers):
+    command = [
+        str(BUILD / "tools/load_client"), "--port", str(port), "--path", "/read/x", "--callers", str(callers),
+        "--requests", str(REQUESTS), "--max-seconds", "60", "--key", key,
+    ]
+    return json.loads(subprocess.run(command, capture_output=True, text=True, check=True).stdout)
+
+
+def resident_mb(pid):
+    with open(f"/proc/{pid}/status", encoding="ascii") as file:
+        for line in file:
+            if line.startswith("VmRSS"):
+                return int(line.split()[1]) / 1000
+    return 0
+
+
+def main():
+    overrides = {"max_caller_connections": 512}
+    with tempfile.TemporaryDirectory(prefix="briarspar-data-path-") as folder:
+        with Fleet(folder, vms_per_domain=1, overrides=overrides) as fleet:
+            key = fleet.create_customer("shop", rate=10_000_000, burst=10_000_000)
+            fleet.accept("create route read path /read keyed idempotent deadline 10s")
+            for number in (1, 2):
+                options = {"service_ms": 0, "slots": 400, "options": ("--threads", "512")}
+                last = fleet.add_target(f"read-{number}", "read", **options)
+            fleet.wait_in_force(last["version"])
+            vm = fleet.vms["r1-d1-vm1"]
+            direct = Target(fleet.folder, "direct", service_ms=0, options=("--threads", "512"))
+            fleet.targets["direct"] = direct
+            wait_for(lambda: request(vm.caller_port, "GET", "/read/x", key).status == 200, "the route serves")
+            load(vm.caller_port, key, 16)
+            before = resident_mb(vm.process.child.pid)
+            for callers in CALLERS:
+                through = load(vm.caller_port, key, callers)
+                straight = load(direct.port, key, callers)
+                row = {
+                    "callers": callers,
+                    "through": through,
+                    "direct": straight,
+                    "p50_ratio": through["p50_us"] / max(1, straight["p50_us"]),
+                    "p99_ratio": through["p99_us"] / max(1, straight["p99_us"]),
+                    "vm_mb": resident_mb(vm.process.child.pid),
+                    "vm_mb_before": before,
+                }
+                print(json.dumps(row))
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/fleet/fleet.py
+++ b/tools/fleet/fleet.py
@@ -72,7 +72,7 @@
         self.slots = slots
         self.arguments = [
             str(BUILD / "tools/target_standin"), "--name", name, "--service-ms", str(service_ms),
-            "--slots", str(slots), "--threads", "64", *options,
+            "--slots", str(slots), *(options or ("--threads", "64")),
         ]
         self.log = folder / f"{name}.log"
         self.port = port
