--- a/src/daemon/LeaderSide.cpp
+++ b/src/daemon/LeaderSide.cpp
@@ -13,6 +13,10 @@
 /// Interval of the move controller at the leader.
 constexpr core::Duration MoveInterval{200};
 
+/// Interval of the duties that visit every VM. Done for each message instead, they would cost the
+/// leader the square of the fleet's size.
+constexpr core::Duration UpkeepInterval{50};
+
 /// Interval at which the loads of the regions are computed from the VMs' reports.
 constexpr core::Duration LoadInterval{1000};
 
@@ -58,14 +62,14 @@
   for (const auto &[name, handler] : handlers) {
     if (name != kind)
       continue;
-    tick(now);
+    refresh(now);
     (this->*handler)(from, bytes, now);
     return true;
   }
   return false;
 }
 
-void LeaderSide::tick(core::Time now) {
+void LeaderSide::refresh(core::Time now) {
   bool leads = Voter.leads(now);
   if (leads && !Leading)
     startTerm(now);
@@ -79,10 +83,20 @@
   }
   if (!HasAdopted || Adopted != version())
     adoptConfig(now);
-  Members.tick(now);
-  Slots.tick(now);
-  Leases.tick(now);
-  noticeExpiredVms(now);
+}
+
+void LeaderSide::tick(core::Time now) {
+  refresh(now);
+  if (!Leading)
+    return;
+  if (now >= NextUpkeep) {
+    NextUpkeep = now + UpkeepInterval;
+    Members.tick(now);
+    Slots.tick(now);
+    Leases.tick(now);
+    noticeExpiredVms(now);
+    findExcludedVms(now);
+  }
   if (now >= NextLoads) {
     NextLoads = now + LoadInterval;
     observeLoads(now);
@@ -210,11 +224,7 @@
   observeReport(renewal, now);
   LeaderReport report;
   report.Term = Voter.replica().term();
-  for (const core::VmId &vm : Members.vms()) {
-    membership::VmState state = Members.stateOf(vm, now);
-    if (state != membership::VmState::Live && state != membership::VmState::Joining)
-      report.Excluded.push_back(vm);
-  }
+  report.Excluded = Excluded;
   if (Crashes.size() > 0)
     report.Crashes = balance::encode(Crashes.report(now));
   return encode(report);
@@ -333,6 +343,15 @@
   (void)Voter.admit(id, now);
 }
 
+void LeaderSide::findExcludedVms(core::Time now) {
+  Excluded.clear();
+  for (const core::VmId &vm : Members.vms()) {
+    membership::VmState state = Members.stateOf(vm, now);
+    if (state != membership::VmState::Live && state != membership::VmState::Joining)
+      Excluded.push_back(vm);
+  }
+}
+
 void LeaderSide::noticeExpiredVms(core::Time now) {
   for (auto it = Serving.begin(); it != Serving.end();) {
     const auto &[vm, incarnation] = *it;
--- a/src/daemon/LeaderSide.h
+++ b/src/daemon/LeaderSide.h
@@ -58,6 +58,9 @@
   void onCommand(const core::VmId &from, std::string_view bytes, core::Time now);
   void onJoin(const core::VmId &from, std::string_view bytes, core::Time now);
 
+  /// Notices a change of leadership or of the configuration. Cheap; called for every message.
+  void refresh(core::Time now);
+  void findExcludedVms(core::Time now);
   void startTerm(core::Time now);
   void adoptConfig(core::Time now);
   void adoptMoves(core::Time now);
@@ -84,6 +87,8 @@
   std::set<core::CustomerId> Limited;              ///< Customers with a limit at the quota owner.
   std::map<core::VmId, VmReport> LoadReports;      ///< Latest report of each VM.
   std::map<core::VmId, core::Incarnation> Serving; ///< VMs whose lease has not been seen to end.
+  std::vector<core::VmId> Excluded;                ///< VMs that look-ups must not name.
+  core::Time NextUpkeep;
   core::Time NextMoves;
   core::Time NextLoads;
 };
--- a/src/transport/Frame.cpp
+++ b/src/transport/Frame.cpp
@@ -96,11 +96,11 @@
   int ok = RAND_bytes(buf.data(), static_cast<int>(size));
   assert(ok == 1 && "the cryptographic random source must work");
   (void)ok;
-  static const char Digits[] = "0123456789abcdef";
+  static const char digits[] = "0123456789abcdef";
   std::string out;
   for (unsigned char byte : buf) {
-    out.push_back(Digits[byte >> 4]);
-    out.push_back(Digits[byte & 15]);
+    out.push_back(digits[byte >> 4]);
+    out.push_back(digits[byte & 15]);
   }
   return out;
 }
--- a/tools/load_client/LoadClient.cpp
+++ b/tools/load_client/LoadClient.cpp
@@ -121,6 +121,7 @@
 
   std::vector<Result> results(options.Callers);
   std::vector<std::thread> callers;
+  callers.reserve(options.Callers);
   std::atomic<size_t> next{0};
   SteadyTime start = std::chrono::steady_clock::now();
   SteadyTime end = start + std::chrono::seconds(options.MaxSeconds);
