Share the description of targets and fix the demonstration's waits

Cause: the leader and the VMs built the same target description in two places; the demonstration read the moves before the VM had them and sent requests before the routes were in force (14 answers of 404). Change: one function; waits for the version.

--- a/src/daemon/LeaderSide.cpp
+++ b/src/daemon/LeaderSide.cpp
@@ -1,6 +1,7 @@
 #include "daemon/LeaderSide.h"
 
 #include "core/Hash.h"
+#include "daemon/ServingState.h"
 
 #include <algorithm>
 #include <array>
@@ -29,16 +30,6 @@
 constexpr char DeltaMark = 'D';
 constexpr char FullStateMark = 'F';
 
-balance::TargetInfo targetInfo(const config::Records &records, const config::TargetRecord &target) {
-  balance::TargetInfo info;
-  info.Id = target.Id;
-  info.Pool = balance::PoolId(target.Route.Value);
-  info.Version = target.Version;
-  info.Where = {target.Region, target.Domain};
-  info.Slots = config::isDraining(records, target) ? 0 : target.Slots;
-  return info;
-}
-
 } // namespace
 
 LeaderSide::LeaderSide(VoterSide &voter, core::EventSink &events, Sender sender)
@@ -158,7 +149,7 @@
   Moves.setVms(ids);
   std::vector<balance::TargetInfo> targets;
   for (const auto &[id, target] : records.Targets)
-    targets.push_back(targetInfo(records, target));
+    targets.push_back(targetInfoOf(records, target));
   Slots.setTargets(targets);
   core::Duration longest = ShortestLongestDeadline;
   for (const auto &[id, route] : records.Routes)
--- a/src/daemon/ServingState.cpp
+++ b/src/daemon/ServingState.cpp
@@ -28,16 +28,6 @@
   return view;
 }
 
-balance::TargetInfo infoOf(const config::Records &records, const config::TargetRecord &target) {
-  balance::TargetInfo info;
-  info.Id = target.Id;
-  info.Pool = balance::PoolId(target.Route.Value);
-  info.Version = target.Version;
-  info.Where = {target.Region, target.Domain};
-  info.Slots = config::isDraining(records, target) ? 0 : target.Slots;
-  return info;
-}
-
 /// Numbers the regions in the order of their names; every VM gets the same numbers.
 std::map<core::RegionId, placement::SiteId> numberRegions(const config::Records &records) {
   std::map<core::RegionId, placement::SiteId> sites;
@@ -89,6 +79,17 @@
 
 } // namespace
 
+balance::TargetInfo targetInfoOf(const config::Records &records,
+                                 const config::TargetRecord &target) {
+  balance::TargetInfo info;
+  info.Id = target.Id;
+  info.Pool = balance::PoolId(target.Route.Value);
+  info.Version = target.Version;
+  info.Where = {target.Region, target.Domain};
+  info.Slots = config::isDraining(records, target) ? 0 : target.Slots;
+  return info;
+}
+
 const RouteView *ServingState::routeFor(std::string_view path) const {
   for (const RouteView &route : Routes)
     if (isPrefixOf(route.Record.PathPrefix, path))
@@ -109,7 +110,7 @@
     return a.Record.PathPrefix.size() > b.Record.PathPrefix.size();
   });
   for (const auto &[id, target] : records.Targets)
-    state->Targets.push_back(infoOf(records, target));
+    state->Targets.push_back(targetInfoOf(records, target));
   state->Keys = auth::KeyVerifier(records);
   state->Lookups = lookupsOf(records, context);
   return state;
--- a/src/daemon/ServingState.h
+++ b/src/daemon/ServingState.h
@@ -43,6 +43,10 @@
   core::Duration LookupTtl{5000}; ///< Longest time for which callers cache a look-up.
 };
 
+/// Returns what the balance slice needs of a target; a draining target has no slots.
+balance::TargetInfo targetInfoOf(const config::Records &records,
+                                 const config::TargetRecord &target);
+
 /// Builds the serving state of a configuration.
 std::shared_ptr<const ServingState> buildServingState(const config::ConfigReplica &config,
                                                       const ServingContext &context);
--- a/tools/fleet/demo.py
+++ b/tools/fleet/demo.py
@@ -66,8 +66,8 @@
         region = f"r{number + 1}"
         fleet.add_target(f"closures-{number + 1}", "closures", region=region, domain=f"{region}-d1")
         fleet.add_target(f"bookings-{number + 1}", "bookings", region=region, domain=f"{region}-d1")
-        fleet.add_target(f"closures-new-{number + 1}", "closures", version="v2", region=region, domain=f"{region}-d1")
-    fleet.wait_in_force()
+        last = fleet.add_target(f"closures-new-{number + 1}", "closures", version="v2", region=region, domain=f"{region}-d1")
+    fleet.wait_in_force(last["version"])
     return keys
 
 
@@ -88,7 +88,7 @@
             wait_for(lambda: any(it["state"] == "done" for it in fleet.show("drains")), "the drain is done")
             ctl(fleet, fleet.folder, "show drains")
             ctl(fleet, fleet.folder, "move route closures to version v2 by 120s")
-            wait_for(lambda: all(it["state"] in ("done", "taken-back") for it in fleet.show("moves")),
+            wait_for(lambda: any(it["state"] in ("done", "taken-back") for it in fleet.show("moves")),
                      "the move has ended", 180)
             ctl(fleet, fleet.folder, "show moves")
             callers.stop()
