--- a/src/forwarding/TargetClient.cpp
+++ b/src/forwarding/TargetClient.cpp
@@ -149,7 +149,9 @@
       answer.Status = ExchangeStatus::Canceled;
   }
   bool canceled = cancellation && cancellation->isCanceled();
-  if (answer.Status == ExchangeStatus::Answered && !canceled)
+  // A route that asks for fresh connections never reuses one; kept ones would fill the target's
+  // limit.
+  if (answer.Status == ExchangeStatus::Answered && !canceled && !request.FreshConnection)
     giveBack(address, std::move(client));
   return answer;
 }
--- a/src/forwarding/tests/TargetClientTest.cpp
+++ b/src/forwarding/tests/TargetClientTest.cpp
@@ -190,4 +190,6 @@
   fresh.FreshConnection = true;
   cr_assert_not(
       f.Pool.exchange(address, fresh, f.Clock.now() + core::Duration{5000}).ReusedConnection);
+  // Guards against fresh connections that stay open until the target's connections are used up.
+  cr_assert_eq(f.Pool.idleConnections(), 1);
 }
