Answer every request that has arrived when a server stops

Cause: the HTTP library closes its listener and, with it, connections that the kernel has accepted and requests that wait for a thread. An idle kept-alive connection held up the stop until its idle timeout of 60 s.

Change: CallerConnections serves the library's connections over its own stream. A stop drops the first packet of new connections at the listener, hands the accepted ones to threads, answers what has arrived, closes idle connections at once and then closes the listener, so that later attempts are refused. From the start of a drain each answer closes its connection.

--- a/src/forwarding/HttpServer.cpp
+++ b/src/forwarding/HttpServer.cpp
@@ -114,10 +114,9 @@
 } // namespace
 
 HttpServer::HttpServer(const HttpServerSettings &settings, Handler handler)
-    : Settings(settings), OnRequest(std::move(handler)) {
+    : Settings(settings), OnRequest(std::move(handler)),
+      Server({settings.IdleTimeout, settings.ReadTimeout, MaxRequestsPerConnection}) {
   Server.new_task_queue = [n = settings.MaxConnections] { return new BoundedTaskQueue(n); };
-  Server.set_keep_alive_max_count(MaxRequestsPerConnection);
-  Server.set_keep_alive_timeout(std::max<int64_t>(1, settings.IdleTimeout.Ms / 1000));
   Server.set_read_timeout(std::chrono::milliseconds(settings.ReadTimeout.Ms));
   Server.set_write_timeout(std::chrono::milliseconds(settings.ReadTimeout.Ms));
   Server.set_payload_max_length(settings.MaxBodyBytes);
@@ -191,6 +190,8 @@
 void HttpServer::stop() {
   if (!Acceptor.joinable())
     return;
+  Server.finishAccepting(Listener);
+  Server.closeIdle();
   Server.stop();
   Acceptor.join();
 }
--- a/src/forwarding/HttpServer.h
+++ b/src/forwarding/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include "absl/status/status.h"
 #include "core/Clock.h"
+#include "forwarding/CallerConnections.h"
 
 #include <httplib.h>
 
@@ -35,7 +36,11 @@
   /// Binds and starts to accept. Returns Unavailable when the address cannot be bound.
   absl::Status start();
 
-  /// Stops accepting and waits until the connections in progress have been answered.
+  /// Closes each connection after its next answer, so that callers look for another VM.
+  void closeAfterAnswers() { Server.closeAfterAnswers(); }
+
+  /// Stops accepting and waits until every request that has arrived is answered. Connection
+  /// attempts from then on are refused; idle connections are closed.
   void stop();
 
   int port() const { return Port; }
@@ -46,7 +51,7 @@
 
   HttpServerSettings Settings;
   Handler OnRequest;
-  httplib::Server Server;
+  CallerConnections Server;
   std::thread Acceptor;
   int Port = 0;
   std::atomic<int> Listener{-1};
--- a/src/forwarding/tests/HttpServerTest.cpp
+++ b/src/forwarding/tests/HttpServerTest.cpp
@@ -86,6 +86,47 @@
   cr_assert(second->get_header_value("Briarspar-Outcome") == "not-run");
 }
 
+/// Guards against callers whose request is cut because the server stops while they connect.
+Test(HttpServer, stopUnderNewConnectionsCutsNoRequest, .timeout = 60) {
+  Fixture f;
+  std::atomic<int> answered{0};
+  std::atomic<int> cut{0};
+  auto call = [&] {
+    while (true) {
+      auto result = f.client().Post("/x", "body", "text/plain");
+      if (result.error() == httplib::Error::Connection)
+        return;
+      (result && result->body == "body" ? answered : cut) += 1;
+    }
+  };
+  std::vector<std::thread> callers;
+  for (int n = 0; n < 16; ++n)
+    callers.emplace_back(call);
+  while (answered < 200)
+    std::this_thread::yield();
+  f.Server.stop();
+  for (std::thread &it : callers)
+    it.join();
+  cr_assert_eq(cut.load(), 0);
+}
+
+/// Guards against a stop that waits for the idle timeout of a kept-alive connection, and against a
+/// kept-alive connection that stays open after a stop was announced.
+Test(HttpServer, keptAliveConnectionsEndWithTheServer, .timeout = 60) {
+  HttpServerSettings settings;
+  settings.IdleTimeout = core::Duration::seconds(3600);
+  Fixture f(settings);
+  httplib::Client idle = f.client();
+  idle.set_keep_alive(true);
+  cr_assert_eq(idle.Get("/x")->status, 200);
+  f.Server.closeAfterAnswers();
+  httplib::Client active = f.client();
+  active.set_keep_alive(true);
+  cr_assert(active.Get("/x")->get_header_value("Connection") == "close");
+  f.Server.stop();
+  cr_assert(!idle.Get("/x"));
+}
+
 /// Guards against a refusal code without a row, or two codes with one name.
 Test(Problem, everyCodeHasARow) {
   std::vector<std::string_view> names;
