Test cut links, the loss of a region and a full disk on real processes

Cause: these faults were injected in memory only. The first run with a file size limit of zero ended the daemon by SIGXFSZ instead of a failed write.

Change: a link stand-in between VMs that holds bytes while it is cut, suites CutLink, RegionLoss and FullDisk, and a shared fixture. The daemon ignores SIGXFSZ, so that the write reports its error.

--- a/src/daemon/main/Main.cpp
+++ b/src/daemon/main/Main.cpp
@@ -33,6 +33,8 @@
   sigset_t signals = stopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  // A write beyond the file size limit fails then like a write on a full disk.
+  std::signal(SIGXFSZ, SIG_IGN);
 
   absl::StatusOr<std::unique_ptr<Daemon>> daemon = Daemon::create(settings, options);
   if (!daemon.ok()) {
--- /dev/null
+++ b/tests/fleet/test_partitions.py
@@ -0,0 +1,114 @@
+"""Tests on real processes that lose a link, a region or their disk. Verdicts wait for events with generous limits; no
+measured time is asserted."""
+
+import resource
+import signal
+import unittest
+
+from fleet_test import FleetTest, request, wait_for
+
+
+class CutLink(FleetTest):
+    linked = True
+
+    def test_silently_cut_leader_serves_nothing_stale(self):
+        """Guards against a leader behind a silent partition that keeps granting, and against a VM that serves a
+        withdrawn key from the wrong side of the partition."""
+        self.serve()
+        identity = self.fleet.show("keys")[0]["id"]
+        cut = self.fleet.leader()
+        others = [it for it in self.vm_list() if it is not cut]
+        self.fleet.cut(cut)
+        wait_for(lambda: any(it.status().get("leads") for it in others if it.voter), "another leader")
+        wait_for(lambda: all(it.status().get("lease_valid") for it in others), "leases of the new leader")
+        version = self.fleet.accept(f"withdraw key {identity}", vm=others[0])["version"]
+        leader = next(it for it in others if it.status().get("leads"))
+        wait_for(lambda: leader.status().get("in_force", 0) >= version, "the withdrawal is in force everywhere")
+        ran = self.total("requests")
+        answer = request(cut.caller_port, "GET", "/read/x", self.key)
+        self.assertEqual((answer.status, answer.outcome), (503, "not-run"))
+        self.assertEqual(ran, self.total("requests"))
+        self.fleet.heal(cut)
+        wait_for(lambda: cut.status().get("lease_valid"), "the cut VM has a lease again")
+        self.assertGreaterEqual(cut.status()["version"], version)
+        self.assertEqual(request(cut.caller_port, "GET", "/read/x", self.key).code, "key-invalid")
+        self.assertEqual(ran, self.total("requests"))
+
+    def test_answers_of_a_cut_vm_stay_at_most_once(self):
+        """Guards against a second run when the VM that claimed a request is cut off, answers late and the caller resends
+        through another VM."""
+        self.serve("book", "once", "/book", deadline="10s")
+        cut = next(it for it in self.vm_list() if not it.voter)
+        other = next(it for it in self.vm_list() if it is not cut and not it.voter)
+        headers = {"Idempotency-Key": "b-1", "X-Standin-Ms": "1000"}
+        before = self.total("ids")
+        sender = self.in_background(lambda: request(cut.caller_port, "POST", "/book", self.key, "{}", headers))
+        wait_for(lambda: self.total("ids") > before, "the request runs")
+        self.fleet.cut(cut)
+        answer = request(other.caller_port, "POST", "/book", self.key, "{}", headers, timeout_s=60)
+        self.assertIn(answer.outcome, ("ran", "unknown"), answer.body)
+        self.fleet.heal(cut)
+        sender.join()
+        wait_for(lambda: cut.status().get("lease_valid"), "the cut VM has a lease again")
+        request(cut.caller_port, "POST", "/book", self.key, "{}", headers, timeout_s=60)
+        self.assertEqual(self.total("ids"), before + 1)
+        self.assertEqual(self.total("ids_run_twice"), 0)
+
+
+class RegionLoss(FleetTest):
+    def test_other_regions_serve_and_claims_survive(self):
+        """Guards against a region whose loss stops the others, loses a claim, or takes a version back."""
+        self.serve("book", "once", "/book", targets=3)
+        leader = self.fleet.leader()
+        headers = {"Idempotency-Key": "b-1"}
+        first = request(leader.caller_port, "POST", "/book", self.key, "{}", headers)
+        rest = [it for it in self.vm_list() if it.region != leader.region]
+        # The answer of a resend is read from the committed claim, so the claim is complete from here on.
+        self.assertEqual(request(rest[0].caller_port, "POST", "/book", self.key, "{}", headers).body, first.body)
+        version = leader.status()["version"]
+        lost = [it for it in self.vm_list() if it.region == leader.region]
+        for vm in lost:
+            vm.kill()
+        self.fleet.targets["book-" + leader.region[1]].process.end(signal.SIGKILL)
+        wait_for(lambda: all(it.status().get("lease_valid") for it in rest), "leases of a new leader")
+        for vm in rest:
+            again = request(vm.caller_port, "POST", "/book", self.key, "{}", headers)
+            self.assertEqual((again.status, again.body), (200, first.body))
+            identity = {"Idempotency-Key": f"after-{vm.name}"}
+            wait_for(lambda vm=vm, identity=identity:
+                     request(vm.caller_port, "POST", "/book", self.key, "{}", identity).status == 200, "new work")
+        for vm in lost:
+            vm.start()
+        for vm in lost:
+            wait_for(lambda vm=vm: vm.status().get("lease_valid"), f"{vm.name} has a lease again")
+            self.assertGreaterEqual(vm.status()["version"], version)
+        self.assertEqual(self.total("ids_run_twice"), 0)
+
+
+class FullDisk(FleetTest):
+    def test_voter_with_a_full_disk_stops_and_loses_nothing(self):
+        """Guards against a voter that acknowledges what it could not write, and against a fleet that stops with it."""
+        self.fleet.accept("create customer shop rate 1 burst 10 weight 1")
+        full = self.fleet.leader()
+        # A write beyond the process's file size limit fails like one on a full disk.
+        resource.prlimit(full.process.child.pid, resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
+        others = [it for it in self.vm_list() if it is not full]
+        accepted = {}
+
+        def change():
+            answer = self.fleet.operate("update customer shop rate 2", vm=others[0])
+            accepted.update(answer if answer["kind"] == "accepted" else {})
+            return accepted
+
+        wait_for(change, "a change is accepted by the others")
+        wait_for(lambda: any(it["name"] == "StorageFailed" for it in full.events()), "the voter reports its storage")
+        self.assertFalse(full.status().get("leads"))
+        full.kill()
+        full.start()
+        wait_for(lambda: full.status().get("lease_valid"), "the voter serves again")
+        self.assertGreaterEqual(full.status()["version"], accepted["version"])
+        self.assertEqual(self.fleet.show("customers", vm=full)[0]["rate"], 2)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
--- a/tests/fleet/test_promises.py
+++ b/tests/fleet/test_promises.py
@@ -3,47 +3,12 @@
 
 import http.client
 import json
-import pathlib
 import shutil
 import signal
-import sys
-import tempfile
 import threading
 import unittest
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent.parent / "tools/fleet"))
-
-from fleet import HOST, Fleet, request, wait_for  # noqa: E402
-
-
-class FleetTest(unittest.TestCase):
-    vms_per_domain = 1
-
-    def setUp(self):
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="briarspar-fleet-"))
-        self.fleet = Fleet(self.folder, self.vms_per_domain)
-        self.fleet.__enter__()
-        self.addCleanup(self.clean)
-
-    def clean(self):
-        self.fleet.close()
-        shutil.rmtree(self.folder, ignore_errors=True)
-
-    def serve(self, route="read", semantics="idempotent", path="/read", targets=2, deadline="5s", **options):
-        """Creates a customer, a route and targets, and waits until a request succeeds at every VM."""
-        self.key = self.fleet.create_customer("shop")
-        self.fleet.accept(f"create route {route} path {path} keyed {semantics} deadline {deadline}")
-        for number in range(targets):
-            region = f"r{number % 3 + 1}"
-            last = self.fleet.add_target(f"{route}-{number + 1}", route, region=region, domain=f"{region}-d1", **options)
-        self.fleet.wait_in_force(last["version"])
-        for vm in self.fleet.vms.values():
-            identity = {"Idempotency-Key": f"warm-{vm.name}"}
-            wait_for(lambda vm=vm: request(vm.caller_port, "POST", path, self.key, "{}", identity).status == 200,
-                     f"{vm.name} serves {path}")
-
-    def vm_list(self):
-        return list(self.fleet.vms.values())
+from fleet_test import HOST, FleetTest, request, wait_for
 
 
 class WholePath(FleetTest):
--- a/tools/fleet/fleet.py
+++ b/tools/fleet/fleet.py
@@ -12,6 +12,8 @@
 import threading
 import time
 
+from links import Link
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 BUILD = pathlib.Path(os.environ.get("BRIARSPAR_BUILD", ROOT / "build"))
 HOST = "127.0.0.1"
@@ -99,11 +101,20 @@
         self.caller_port = free_port()
         self.operator_port = free_port()
         self.process = None
+        self.links = {}
         self.data = fleet.folder / f"{name}.data"
 
+    def port_towards(self, peer):
+        """The port at which this VM reaches a peer, behind a link if the fleet has links."""
+        if not self.fleet.linked or peer is self:
+            return peer.peer_port
+        if peer.name not in self.links:
+            self.links[peer.name] = Link(HOST, peer.peer_port)
+        return self.links[peer.name].port
+
     def settings(self):
         peers = [
-            {"vm": it.name, "host": HOST, "port": it.peer_port, "voter": True}
+            {"vm": it.name, "host": HOST, "port": self.port_towards(it), "voter": True}
             for it in self.fleet.vms.values() if it.voter
         ]
         digest = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
@@ -185,8 +196,9 @@
 class Fleet:
     """Daemons over three regions with two failure domains each; one voter a region."""
 
-    def __init__(self, folder, vms_per_domain=2, overrides=None):
+    def __init__(self, folder, vms_per_domain=2, overrides=None, linked=False):
         self.folder = pathlib.Path(folder)
+        self.linked = linked
         self.overrides = overrides or {}
         self.vms = {}
         self.targets = {}
@@ -217,10 +229,27 @@
         self.wait_in_force()
 
     def close(self):
+        for vm in self.vms.values():
+            for link in vm.links.values():
+                link.close()
         for process in [*self.vms.values(), *self.targets.values()]:
             if process.process is not None and process.process.running():
                 process.process.end(signal.SIGKILL)
 
+    def links_of(self, vm):
+        """All links with the VM at one end."""
+        towards = [it.links[vm.name] for it in self.vms.values() if vm.name in it.links]
+        return [*vm.links.values(), *towards]
+
+    def cut(self, vm):
+        """Cuts the VM off from all others, silently: connections stay open and carry nothing."""
+        for link in self.links_of(vm):
+            link.cut()
+
+    def heal(self, vm):
+        for link in self.links_of(vm):
+            link.heal()
+
     def voters(self):
         return [it for it in self.vms.values() if it.voter]
 
