Keep the events of the system apart from those of requests

Cause: one ring of 8,192 events held both kinds, so at 60,000 requests a second an event of a move or a lease left the time line after 0.14 s. Each request event was also copied twice and freed under the lock, and each request looked up three metrics by label maps under exclusive locks.

Change: two rings with one sequence, events passed by value and freed outside the lock, and metrics found by their label values under a shared lock.

--- a/src/core/Event.h
+++ b/src/core/Event.h
@@ -33,7 +33,7 @@
 class EventSink {
 public:
   virtual ~EventSink() = default;
-  virtual void emit(const Event &event) = 0;
+  virtual void emit(Event event) = 0;
 };
 
 } // namespace briarspar::core
--- a/src/daemon/testing/InMemoryFleet.h
+++ b/src/daemon/testing/InMemoryFleet.h
@@ -126,7 +126,7 @@
 private:
   class NullSink final : public core::EventSink {
   public:
-    void emit(const core::Event &) override {}
+    void emit(core::Event /*event*/) override {}
   };
 
   class PcgSource final : public agreement::RandomSource {
--- a/src/observability/EventLog.cpp
+++ b/src/observability/EventLog.cpp
@@ -60,31 +60,47 @@
   openLog(settings.File);
 }
 
-void EventLog::emit(const core::Event &event) {
+void EventLog::emit(core::Event event) {
   TimelineEntry entry;
   entry.WallMs = wallClockMs();
   entry.Vm = Vm;
   entry.Id = event.Id;
-  entry.Details = event.Details;
-  {
-    std::lock_guard<std::mutex> lock(Mutex);
-    entry.Sequence = ++LastSequence;
-    Entries.push_back(entry);
-    if (Entries.size() > MaxEntries)
-      Entries.pop_front();
+  entry.Details = std::move(event.Details);
+  if (isPerRequest(entry.Id)) {
+    append(OfRequests, std::move(entry));
+    return;
   }
-  if (!isPerRequest(event.Id))
-    writeLine(entry);
+  writeLine(entry);
+  append(OfSystem, std::move(entry));
+}
+
+void EventLog::append(Entries &entries, TimelineEntry entry) {
+  // Freed after the lock is released, because freeing the details takes longer than the append.
+  TimelineEntry oldest;
+  std::lock_guard<std::mutex> lock(Mutex);
+  entry.Sequence = ++LastSequence;
+  entries.push_back(std::move(entry));
+  if (entries.size() <= MaxEntries)
+    return;
+  oldest = std::move(entries.front());
+  entries.pop_front();
 }
 
 std::vector<TimelineEntry> EventLog::since(uint64_t sequence, size_t limit) const {
+  auto isBefore = [](const TimelineEntry &a, const TimelineEntry &b) {
+    return a.Sequence < b.Sequence;
+  };
+  TimelineEntry last;
+  last.Sequence = sequence;
   std::lock_guard<std::mutex> lock(Mutex);
-  auto it = std::lower_bound(
-      Entries.begin(), Entries.end(), sequence + 1,
-      [](const TimelineEntry &entry, uint64_t value) { return entry.Sequence < value; });
+  auto system = std::upper_bound(OfSystem.begin(), OfSystem.end(), last, isBefore);
+  auto request = std::upper_bound(OfRequests.begin(), OfRequests.end(), last, isBefore);
   std::vector<TimelineEntry> out;
-  for (; it != Entries.end() && out.size() < limit; ++it)
-    out.push_back(*it);
+  while (out.size() < limit && (system != OfSystem.end() || request != OfRequests.end())) {
+    bool takeSystem =
+        request == OfRequests.end() || (system != OfSystem.end() && isBefore(*system, *request));
+    out.push_back(takeSystem ? *system++ : *request++);
+  }
   return out;
 }
 
--- a/src/observability/EventLog.h
+++ b/src/observability/EventLog.h
@@ -23,27 +23,33 @@
 void to_json(core::Json &j, const TimelineEntry &entry);
 
 struct EventLogSettings {
-  size_t MaxEntries = 8192; ///< Events kept in memory for the time line.
+  size_t MaxEntries = 8192; ///< Events kept in memory for the time line, of each of the two kinds.
   std::string File;         ///< Log file; empty writes to standard error.
 };
 
-/// Writes each event as one numbered log line and keeps the latest ones for the time line. Safe to
-/// call from any thread; the lock is held for one append.
+/// Writes each event as one numbered log line and keeps the latest ones for the time line. Events
+/// of single requests are kept apart and are not written, so that load neither displaces the events
+/// of the system nor fills the log. Safe to call from any thread; the lock is held for one append.
 class EventLog final : public core::EventSink {
 public:
   EventLog(core::VmId vm, const EventLogSettings &settings);
 
-  void emit(const core::Event &event) override;
+  void emit(core::Event event) override;
 
   /// Returns the kept events after `sequence`, oldest first, at most `limit` of them.
   std::vector<TimelineEntry> since(uint64_t sequence, size_t limit) const;
 
 private:
+  using Entries = std::deque<TimelineEntry>;
+
+  void append(Entries &entries, TimelineEntry entry);
+
   core::VmId Vm;
   size_t MaxEntries;
   mutable std::mutex Mutex;
   uint64_t LastSequence = 0;
-  std::deque<TimelineEntry> Entries;
+  Entries OfSystem;
+  Entries OfRequests;
 };
 
 } // namespace briarspar::observability
--- a/src/observability/Metrics.cpp
+++ b/src/observability/Metrics.cpp
@@ -2,6 +2,9 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <initializer_list>
+#include <string_view>
+
 namespace briarspar::observability {
 
 namespace {
@@ -13,6 +16,16 @@
   return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
 }
 
+/// Joins label values with a separator that no name may contain.
+std::string joinLabels(std::initializer_list<std::string_view> values) {
+  std::string key;
+  for (std::string_view value : values) {
+    key.append(value);
+    key.push_back('\n');
+  }
+  return key;
+}
+
 } // namespace
 
 Metrics::Metrics()
@@ -38,15 +51,24 @@
 
 void Metrics::countRequest(const std::string &route, const std::string &customer,
                            const std::string &outcome) {
-  Requests.Add({{"route", route}, {"customer", customer}, {"outcome", outcome}}).Increment();
+  auto create = [&]() -> prometheus::Counter & {
+    return Requests.Add({{"route", route}, {"customer", customer}, {"outcome", outcome}});
+  };
+  KnownRequests.find(joinLabels({route, customer, outcome}), create).Increment();
 }
 
 void Metrics::countRefusal(const std::string &customer, const std::string &code) {
-  Refusals.Add({{"customer", customer}, {"code", code}}).Increment();
+  auto create = [&]() -> prometheus::Counter & {
+    return Refusals.Add({{"customer", customer}, {"code", code}});
+  };
+  KnownRefusals.find(joinLabels({customer, code}), create).Increment();
 }
 
 void Metrics::observeLatency(const std::string &route, double ms) {
-  Latency.Add({{"route", route}}, LatencyBucketsMs).Observe(ms);
+  auto create = [&]() -> prometheus::Histogram & {
+    return Latency.Add({{"route", route}}, LatencyBucketsMs);
+  };
+  KnownLatency.find(route, create).Observe(ms);
 }
 
 std::string Metrics::render() const {
--- a/src/observability/Metrics.h
+++ b/src/observability/Metrics.h
@@ -7,10 +7,33 @@
 #include <prometheus/registry.h>
 
 #include <memory>
+#include <shared_mutex>
 #include <string>
+#include <unordered_map>
 
 namespace briarspar::observability {
 
+/// Finds the metrics of a family by their label values. The family itself hashes and checks all
+/// labels under one exclusive lock, which every request of every thread would take.
+template <class Metric> class MetricCache {
+public:
+  /// Returns the metric with this key, created by `create` at the first use.
+  template <class Create> Metric &find(const std::string &key, const Create &create) {
+    {
+      std::shared_lock<std::shared_mutex> lock(Mutex);
+      auto it = Known.find(key);
+      if (it != Known.end())
+        return *it->second;
+    }
+    std::unique_lock<std::shared_mutex> lock(Mutex);
+    return *Known.emplace(key, &create()).first->second;
+  }
+
+private:
+  std::shared_mutex Mutex;
+  std::unordered_map<std::string, Metric *> Known;
+};
+
 /// The metrics of one VM in the Prometheus text format. Safe to use from any thread.
 class Metrics {
 public:
@@ -39,6 +62,9 @@
   prometheus::Family<prometheus::Counter> &Requests;
   prometheus::Family<prometheus::Counter> &Refusals;
   prometheus::Family<prometheus::Histogram> &Latency;
+  MetricCache<prometheus::Counter> KnownRequests;
+  MetricCache<prometheus::Counter> KnownRefusals;
+  MetricCache<prometheus::Histogram> KnownLatency;
   prometheus::Gauge &LeaseValid;
   prometheus::Gauge &Leader;
   prometheus::Gauge &ConfigVersion;
--- a/src/transport/tests/WebsocketTransportTest.cpp
+++ b/src/transport/tests/WebsocketTransportTest.cpp
@@ -17,7 +17,7 @@
 
 class CountingSink final : public core::EventSink {
 public:
-  void emit(const core::Event &event) override { Ids.push_back(event.Id); }
+  void emit(core::Event event) override { Ids.push_back(event.Id); }
   size_t count(core::EventId id) const {
     size_t n = 0;
     for (core::EventId it : Ids)
--- a/tools/capacity/Capacity.cpp
+++ b/tools/capacity/Capacity.cpp
@@ -229,7 +229,7 @@
 
 class NullSink final : public core::EventSink {
 public:
-  void emit(const core::Event &) override {}
+  void emit(core::Event /*event*/) override {}
 };
 
 /// Echoes per measurement of the transport.
