Shorten the frames between processes and give up silent peers

Cause: of about 270 bytes of a control message, 160 were the frame, which named sender, receiver, incarnation and kind as text in every message. A connection to a host that was cut off silently stayed open for many minutes, and kernel back-off held messages after the cut had healed.

Change: each side names itself once in the handshake. Both handshakes go into the MAC keys of the connection, one key for each direction. A frame is the number of the kind, the body and 16 bytes of MAC; the sequence number is counted on both sides and covered by the MAC. Bodies are plain bytes instead of a nested CBOR value. TCP_USER_TIMEOUT closes a connection on which sent data is not acknowledged for a lease length.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -100,7 +100,7 @@
     parts.Random = &Random;
     Sender sender = [this](const core::VmId &to, std::string_view kind, std::string bytes) {
       if (Peers)
-        Peers->send(to, std::string(kind), core::Json::binary({bytes.begin(), bytes.end()}));
+        Peers->send(to, kind, std::move(bytes));
     };
     Timeline.setSender(sender);
     absl::StatusOr<std::unique_ptr<ControlNode>> node = ControlNode::create(
@@ -196,6 +196,9 @@
     settings.Incarnation = Identity.Run;
     settings.Listen = {Options.Host, Options.PeerPort};
     settings.Secret = Options.Secret;
+    settings.Kinds.assign(kind::All.begin(), kind::All.end());
+    // A peer that does not acknowledge for a lease length has lost its lease.
+    settings.PeerTimeout = lease::LeaseGrantorSettings().Length;
     Peers = transport::makeWebsocketTransport(Control.io(), Clock, Log, settings);
     for (const PeerSettings &peer : Options.Peers)
       Peers->setAddress(peer.Id, {peer.Host, peer.Port});
@@ -222,12 +225,9 @@
   }
 
   void onMessage(const transport::PeerMessage &message) {
-    if (!message.Body.is_binary())
-      return;
-    const auto &bytes = message.Body.get_binary();
-    std::string_view view(reinterpret_cast<const char *>(bytes.data()), bytes.size());
-    if (!Timeline.receive(message.From, message.Kind, view))
-      Node->receive(message.From, message.Kind, view);
+    const std::string &body = message.Body;
+    if (!Timeline.receive(message.From, message.Kind, body))
+      Node->receive(message.From, message.Kind, body);
   }
 
   void onTick() {
--- a/src/daemon/Messages.h
+++ b/src/daemon/Messages.h
@@ -2,6 +2,7 @@
 
 #include "core/Ids.h"
 
+#include <array>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -27,6 +28,12 @@
 constexpr std::string_view Join = "join";                    ///< New voter identity, VM to leader.
 constexpr std::string_view Events = "events";                ///< Asks a VM for its events.
 constexpr std::string_view EventsAnswer = "events-answer";   ///< The events of a VM.
+
+/// All kinds; the position of a kind is its number on the wire. New kinds go to the end.
+inline constexpr std::array All{Raft,     Renewal,     RenewalAnswer, Grant,         GrantAnswer,
+                                Slots,    SlotsAnswer, Claim,         ClaimResult,   Crash,
+                                CrashAck, CrashNotice, Command,       CommandResult, Join,
+                                Events,   EventsAnswer};
 } // namespace kind
 
 /// Sends a message to another process, or to this one. Messages may be lost.
--- a/src/transport/Frame.cpp
+++ b/src/transport/Frame.cpp
@@ -4,7 +4,7 @@
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
 
-#include <array>
+#include <algorithm>
 #include <cassert>
 
 namespace briarspar::transport {
@@ -13,82 +13,98 @@
 
 using core::Json;
 
-Json payloadOf(const PeerMessage &message, uint64_t sequence) {
-  return {{"from", message.From}, {"inc", message.FromIncarnation}, {"to", message.To},
-          {"seq", sequence},      {"kind", message.Kind},           {"body", message.Body}};
-}
+/// Longest accepted hello. Names of VMs are far shorter.
+constexpr size_t MaxHelloBytes = 1024;
+
+/// Kinds are numbered in one byte.
+constexpr size_t MaxKinds = 256;
 
 bool equalBytes(std::string_view a, std::string_view b) {
   return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
 }
 
-PeerMessage messageFrom(const Json &payload) {
-  PeerMessage message;
-  payload.at("from").get_to(message.From);
-  payload.at("inc").get_to(message.FromIncarnation);
-  payload.at("to").get_to(message.To);
-  payload.at("kind").get_to(message.Kind);
-  message.Body = payload.at("body");
-  return message;
+} // namespace
+
+std::string encodeHello(const Hello &hello) {
+  return Json{{"v", FrameVersion}, {"vm", hello.Vm}, {"run", hello.Run}, {"nonce", hello.Nonce}}
+      .dump();
 }
 
-} // namespace
+absl::StatusOr<Hello> decodeHello(std::string_view text) {
+  if (text.size() > MaxHelloBytes)
+    return absl::InvalidArgumentError("handshake is too long");
+  try {
+    Json j = Json::parse(text);
+    if (j.at("v").get<uint32_t>() != FrameVersion)
+      return absl::InvalidArgumentError("handshake has an unknown version");
+    Hello hello;
+    j.at("vm").get_to(hello.Vm);
+    j.at("run").get_to(hello.Run);
+    j.at("nonce").get_to(hello.Nonce);
+    if (hello.Vm.empty() || hello.Nonce.size() != NonceLength)
+      return absl::InvalidArgumentError("handshake lacks a name or a nonce");
+    return hello;
+  } catch (const nlohmann::json::exception &) {
+    return absl::InvalidArgumentError("handshake is malformed");
+  }
+}
 
-FrameCodec::FrameCodec(std::string secret, core::CodecLimits limits)
-    : Secret(std::move(secret)), Limits(limits) {}
+FrameCodec::FrameCodec(std::string_view secret, const KindTable &kinds, const Hello &local,
+                       const Hello &remote)
+    : Kinds(kinds), Remote(remote) {
+  assert(kinds.size() <= MaxKinds && "kinds are numbered in one byte");
+  auto keyOf = [&](const Hello &sender, const Hello &receiver) {
+    // An array of encoded hellos has one reading, so no other pair of hellos gives these bytes.
+    Digest key = hmac(secret, Json::array({encodeHello(sender), encodeHello(receiver)}).dump());
+    return std::string(key.begin(), key.end());
+  };
+  SendKey = keyOf(local, remote);
+  ReceiveKey = keyOf(remote, local);
+}
 
-void FrameCodec::setNonces(std::string local, std::string remote) {
-  LocalNonce = std::move(local);
-  RemoteNonce = std::move(remote);
+FrameCodec::Digest FrameCodec::hmac(std::string_view key, std::string_view bytes) {
+  Digest digest{};
+  unsigned int n = 0;
+  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+       reinterpret_cast<const unsigned char *>(bytes.data()), bytes.size(), digest.data(), &n);
+  assert(n == digest.size() && "SHA-256 gives 32 bytes");
+  return digest;
 }
 
-std::string FrameCodec::macOf(std::string_view payload, std::string_view receiverNonce,
-                              std::string_view senderNonce) const {
+std::string FrameCodec::macOf(const std::string &key, uint64_t sequence, std::string_view bytes) {
   std::string input;
-  input.reserve(payload.size() + receiverNonce.size() + senderNonce.size());
-  input.append(receiverNonce).append(senderNonce).append(payload);
-  std::array<unsigned char, EVP_MAX_MD_SIZE> buf{};
-  unsigned int n = 0;
-  HMAC(EVP_sha256(), Secret.data(), static_cast<int>(Secret.size()),
-       reinterpret_cast<const unsigned char *>(input.data()), input.size(), buf.data(), &n);
-  return std::string(reinterpret_cast<const char *>(buf.data()), n);
+  input.reserve(sizeof(sequence) + bytes.size());
+  for (int shift = 56; shift >= 0; shift -= 8)
+    input.push_back(static_cast<char>(sequence >> shift));
+  input.append(bytes);
+  Digest digest = hmac(key, input);
+  return std::string(digest.begin(), digest.begin() + MacBytes);
 }
 
-std::string FrameCodec::encode(const PeerMessage &message) {
-  std::string payload = core::encodeCbor(payloadOf(message, ++SentSequence));
-  std::string mac = macOf(payload, RemoteNonce, LocalNonce);
-  Json frame = {{"v", FrameVersion}};
-  frame["mac"] = Json::binary(std::vector<uint8_t>(mac.begin(), mac.end()));
-  frame["payload"] = Json::binary(std::vector<uint8_t>(payload.begin(), payload.end()));
-  return core::encodeCbor(frame);
+std::string FrameCodec::encode(std::string_view kind, std::string_view body) {
+  auto it = std::find(Kinds.begin(), Kinds.end(), kind);
+  assert(it != Kinds.end() && "only kinds of the table are sent");
+  std::string frame;
+  frame.reserve(body.size() + FrameOverhead);
+  frame.push_back(static_cast<char>(it - Kinds.begin()));
+  frame.append(body);
+  frame.append(macOf(SendKey, ++SentSequence, frame));
+  return frame;
 }
 
-absl::StatusOr<PeerMessage> FrameCodec::decode(std::string_view bytes, const core::VmId &self) {
-  absl::StatusOr<Json> frame = core::decodeCbor(bytes, Limits);
-  if (!frame.ok())
-    return frame.status();
-  try {
-    if (frame->at("v").get<uint32_t>() != FrameVersion)
-      return absl::InvalidArgumentError("frame has an unknown version");
-    const auto &mac = frame->at("mac").get_binary();
-    const auto &body = frame->at("payload").get_binary();
-    std::string payload(body.begin(), body.end());
-    if (!equalBytes(std::string(mac.begin(), mac.end()), macOf(payload, LocalNonce, RemoteNonce)))
-      return absl::UnauthenticatedError("frame has a wrong MAC");
-    absl::StatusOr<Json> decoded = core::decodeCbor(payload, Limits);
-    if (!decoded.ok())
-      return decoded.status();
-    uint64_t sequence = decoded->at("seq").get<uint64_t>();
-    if (sequence <= ReceivedSequence)
-      return absl::UnauthenticatedError("frame was received before");
-    PeerMessage message = messageFrom(*decoded);
-    if (message.To != self)
-      return absl::UnauthenticatedError("frame is addressed to another VM");
-    ReceivedSequence = sequence;
-    return message;
-  } catch (const nlohmann::json::exception &e) {
-    return absl::InvalidArgumentError(e.what());
-  }
+absl::StatusOr<PeerMessage> FrameCodec::decode(std::string_view bytes) {
+  if (bytes.size() < FrameOverhead)
+    return absl::InvalidArgumentError("frame is too short");
+  std::string_view signedPart = bytes.substr(0, bytes.size() - MacBytes);
+  std::string expected = macOf(ReceiveKey, ReceivedSequence + 1, signedPart);
+  if (!equalBytes(bytes.substr(signedPart.size()), expected))
+    return absl::UnauthenticatedError("frame has a wrong MAC or is out of sequence");
+  auto kind = static_cast<unsigned char>(bytes.front());
+  if (kind >= Kinds.size())
+    return absl::InvalidArgumentError("frame has an unknown kind");
+  ++ReceivedSequence;
+  return PeerMessage{Remote.Vm, Remote.Run, std::string(Kinds[kind]),
+                     std::string(signedPart.substr(1))};
 }
 
 std::string randomHex(size_t size) {
--- a/src/transport/Transport.h
+++ b/src/transport/Transport.h
@@ -25,12 +25,14 @@
   core::Incarnation Incarnation;
   PeerAddress Listen;                      ///< Port 0 chooses a free one.
   std::string Secret;                      ///< Shared by all processes of the system.
+  KindTable Kinds;                         ///< The same at all processes of the system.
   size_t MaxFrameBytes = 16 * 1024 * 1024; ///< Longest accepted frame.
   size_t MaxBufferedBytes =
       8 * 1024 * 1024;             ///< Unsent bytes per connection beyond which messages drop.
   size_t MaxConnections = 4096;    ///< Open connections; further ones are closed at once.
   core::Duration RedialDelay{200}; ///< Shortest time between two dials of one peer.
-  core::Duration HandshakeTimeout{2000}; ///< Time for a new connection to present its nonce.
+  core::Duration HandshakeTimeout{2000}; ///< Time for a new connection to open.
+  core::Duration PeerTimeout{3000};      ///< Sent data not acknowledged this long: closed.
 };
 
 /// Sends messages to other processes and delivers received ones. Messages may be lost, so every
@@ -51,12 +53,12 @@
 
   /// Sends over an open connection to the peer, or dials it; drops the message when neither is
   /// possible.
-  virtual void send(const core::VmId &to, std::string kind, core::Json body) = 0;
+  virtual void send(const core::VmId &to, std::string_view kind, std::string body) = 0;
 
   virtual uint16_t port() const = 0;
 };
 
-/// Transport over websocket connections that carry authenticated CBOR frames.
+/// Transport over websocket connections that carry authenticated frames.
 std::unique_ptr<Transport> makeWebsocketTransport(asio::io_context &io, const core::Clock &clock,
                                                   core::EventSink &events,
                                                   const TransportSettings &settings);
--- a/src/transport/WebsocketTransport.cpp
+++ b/src/transport/WebsocketTransport.cpp
@@ -10,6 +10,9 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <deque>
 #include <map>
 #include <optional>
@@ -31,11 +34,10 @@
 struct Connection {
   connection_hdl Handle;
   bool Dialled = false;
-  bool Ready = false; ///< Both nonces are known.
-  std::string LocalNonce;
+  Hello Local;
   core::VmId Peer; ///< Known from the start when dialled, else from the first valid frame.
-  std::unique_ptr<FrameCodec> Codec;
-  std::deque<PeerMessage> Queue;
+  std::unique_ptr<FrameCodec> Codec;                     ///< Null until the peer's hello arrives.
+  std::deque<std::pair<std::string, std::string>> Queue; ///< Kinds and bodies.
 };
 
 using ConnectionPtr = std::shared_ptr<Connection>;
@@ -76,15 +78,14 @@
     Addresses[peer] = address;
   }
 
-  void send(const core::VmId &to, std::string kind, core::Json body) override {
-    PeerMessage message{Settings.Self, Settings.Incarnation, to, std::move(kind), std::move(body)};
+  void send(const core::VmId &to, std::string_view kind, std::string body) override {
     ConnectionPtr connection = connectionTo(to);
     if (!connection)
       return;
-    if (connection->Ready)
-      write(*connection, message);
+    if (connection->Codec)
+      write(*connection, kind, body);
     else if (connection->Queue.size() < MaxQueuedWhileOpening)
-      connection->Queue.push_back(std::move(message));
+      connection->Queue.emplace_back(kind, std::move(body));
   }
 
   uint16_t port() const override { return Port; }
@@ -99,14 +100,11 @@
     end.init_asio(&Io);
     end.set_max_message_size(Settings.MaxFrameBytes);
     end.set_open_handshake_timeout(Settings.HandshakeTimeout.Ms);
-    // Small messages follow each other without an answer between them; with Nagle's algorithm the
-    // second one would wait up to 40 ms for the acknowledgement of the first.
-    end.set_tcp_post_init_handler([&end](const connection_hdl &h) {
+    end.set_tcp_post_init_handler([this, &end](const connection_hdl &h) {
       websocketpp::lib::error_code ec;
       auto handle = end.get_con_from_hdl(h, ec);
-      asio::error_code ignored;
       if (!ec)
-        handle->get_raw_socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        setSocketOptions(handle->get_raw_socket());
     });
     end.set_message_handler([this](const connection_hdl &h, auto message) {
       onFrame(h, message->get_opcode() == text, message->get_payload());
@@ -115,6 +113,17 @@
     end.set_fail_handler([this](const connection_hdl &h) { onClosed(h); });
   }
 
+  void setSocketOptions(asio::ip::tcp::socket &socket) {
+    // Small messages follow each other without an answer between them; with Nagle's algorithm the
+    // second one would wait up to 40 ms for the acknowledgement of the first.
+    asio::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    // Without it the kernel retransmits to a host that is cut off for about 15 minutes, and after
+    // the cut heals the back-off holds messages for up to two minutes.
+    auto timeout = static_cast<unsigned int>(Settings.PeerTimeout.Ms);
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+  }
+
   ConnectionPtr find(const connection_hdl &h) {
     auto it = Connections.find(h);
     return it == Connections.end() ? nullptr : it->second;
@@ -154,7 +163,7 @@
     return connection;
   }
 
-  /// Presents this side's nonce as the first, textual message of the connection.
+  /// Presents this side's hello as the first, textual message of the connection.
   void onOpen(const connection_hdl &h, ConnectionPtr connection) {
     if (!connection) {
       connection = std::make_shared<Connection>();
@@ -165,45 +174,50 @@
         return;
       }
     }
-    connection->LocalNonce = randomHex(16);
-    sendBytes(*connection, connection->LocalNonce, text);
+    connection->Local = {Settings.Self, Settings.Incarnation, randomHex(NonceLength / 2)};
+    sendBytes(*connection, encodeHello(connection->Local), text);
   }
 
-  void onFrame(const connection_hdl &h, bool isNonce, const std::string &bytes) {
+  void onFrame(const connection_hdl &h, bool isHello, const std::string &bytes) {
     ConnectionPtr connection = find(h);
     if (!connection)
       return;
-    if (isNonce)
-      onNonce(*connection, bytes);
+    if (isHello)
+      onHello(*connection, bytes);
     else
       onMessageFrame(connection, bytes);
   }
 
-  void onNonce(Connection &connection, const std::string &nonce) {
-    if (connection.Ready || nonce.size() != 32) {
-      reject(connection, "unexpected nonce");
+  void onHello(Connection &connection, const std::string &bytes) {
+    absl::StatusOr<Hello> hello = decodeHello(bytes);
+    if (!hello.ok() || connection.Codec) {
+      reject(connection, hello.ok() ? "second handshake" : std::string(hello.status().message()));
+      return;
+    }
+    // Both directions would have the same key, so that a process could be sent its own frames.
+    bool isSelf = hello->Vm == Settings.Self;
+    if (isSelf || (connection.Dialled && hello->Vm != connection.Peer)) {
+      reject(connection, "another VM than the dialled one answered");
       return;
     }
-    core::CodecLimits limits;
-    limits.MaxBytes = Settings.MaxFrameBytes;
-    connection.Codec = std::make_unique<FrameCodec>(Settings.Secret, limits);
-    connection.Codec->setNonces(connection.LocalNonce, nonce);
-    connection.Ready = true;
-    for (const PeerMessage &message : connection.Queue)
-      write(connection, message);
+    connection.Codec =
+        std::make_unique<FrameCodec>(Settings.Secret, Settings.Kinds, connection.Local, *hello);
+    for (const auto &[kind, body] : connection.Queue)
+      write(connection, kind, body);
     connection.Queue.clear();
   }
 
   void onMessageFrame(const ConnectionPtr &connection, const std::string &bytes) {
-    if (!connection->Ready) {
-      reject(*connection, "message before nonce");
+    if (!connection->Codec) {
+      reject(*connection, "message before handshake");
       return;
     }
-    absl::StatusOr<PeerMessage> message = connection->Codec->decode(bytes, Settings.Self);
+    absl::StatusOr<PeerMessage> message = connection->Codec->decode(bytes);
     if (!message.ok()) {
       reject(*connection, std::string(message.status().message()));
       return;
     }
+    // The peer is known to hold the secret only now; its hello alone proves nothing.
     if (connection->Peer.empty()) {
       connection->Peer = message->From;
       Events.emit({core::EventId::PeerConnected, {{"peer", message->From.Value}}});
@@ -216,7 +230,7 @@
     ConnectionPtr connection = find(h);
     if (!connection)
       return;
-    if (connection->Ready && !connection->Peer.empty())
+    if (connection->Codec && !connection->Peer.empty())
       Events.emit({core::EventId::PeerDisconnected, {{"peer", connection->Peer.Value}}});
     Connections.erase(h);
     auto it = ByPeer.find(connection->Peer);
@@ -238,10 +252,10 @@
       ServerEnd.close(connection.Handle, websocketpp::close::status::policy_violation, "", ec);
   }
 
-  void write(Connection &connection, const PeerMessage &message) {
+  void write(Connection &connection, std::string_view kind, std::string_view body) {
     if (bufferedBytes(connection) > Settings.MaxBufferedBytes)
       return;
-    sendBytes(connection, connection.Codec->encode(message), binary);
+    sendBytes(connection, connection.Codec->encode(kind, body), binary);
   }
 
   size_t bufferedBytes(const Connection &connection) {
--- a/src/transport/tests/FrameTest.cpp
+++ b/src/transport/tests/FrameTest.cpp
@@ -6,93 +6,122 @@
 
 using namespace briarspar;
 using transport::FrameCodec;
+using transport::Hello;
+using transport::KindTable;
 using transport::PeerMessage;
 
 namespace {
 
 constexpr const char *Secret = "a secret of the whole fleet";
 
+const KindTable Kinds{"raft", "renewal"};
+
+Hello helloOf(const std::string &vm, char nonce) {
+  return {core::VmId(vm), core::Incarnation(1), std::string(transport::NonceLength, nonce)};
+}
+
 /// Both ends of one connection.
 struct Pair {
-  FrameCodec Sender{Secret};
-  FrameCodec Receiver{Secret};
+  Hello A = helloOf("a", '1');
+  Hello B = helloOf("b", '2');
+  FrameCodec Sender{Secret, Kinds, A, B};
+  FrameCodec Receiver{Secret, Kinds, B, A};
 
-  Pair() {
-    Sender.setNonces("sender-nonce", "receiver-nonce");
-    Receiver.setNonces("receiver-nonce", "sender-nonce");
-  }
+  std::string encode(const std::string &body = "body") { return Sender.encode("renewal", body); }
 };
 
-PeerMessage message() {
-  return {core::VmId("a"), core::Incarnation(1), core::VmId("b"), "renewal", {{"n", 1}}};
-}
-
 bool isRejected(FrameCodec &receiver, const std::string &bytes) {
-  return absl::IsUnauthenticated(receiver.decode(bytes, core::VmId("b")).status());
+  return absl::IsUnauthenticated(receiver.decode(bytes).status());
 }
 
 } // namespace
 
 Test(Frame, roundTrip) {
   Pair pair;
-  auto received = pair.Receiver.decode(pair.Sender.encode(message()), core::VmId("b"));
+  auto received = pair.Receiver.decode(pair.encode());
   cr_assert(received.ok());
-  cr_assert(received->Kind == "renewal");
-  cr_assert(received->Body["n"] == 1);
+  cr_assert(received->Kind == "renewal" && received->Body == "body");
+  cr_assert(received->From == core::VmId("a") && received->FromIncarnation.Value == 1);
 }
 
 /// Guards against a process that does not know the secret.
 Test(Frame, forgedFrameIsRejected) {
   Pair pair;
-  FrameCodec forger("another secret");
-  forger.setNonces("sender-nonce", "receiver-nonce");
-  cr_assert(isRejected(pair.Receiver, forger.encode(message())));
+  FrameCodec forger("another secret", Kinds, pair.A, pair.B);
+  cr_assert(isRejected(pair.Receiver, forger.encode("renewal", "body")));
 }
 
-/// Guards against a frame that is sent again on the same connection.
-Test(Frame, repeatedFrameIsRejected) {
+/// Guards against frames that are sent again, swapped or left out on the same connection.
+Test(Frame, frameOutOfSequenceIsRejected) {
   Pair pair;
-  std::string bytes = pair.Sender.encode(message());
-  cr_assert(pair.Receiver.decode(bytes, core::VmId("b")).ok());
-  cr_assert(isRejected(pair.Receiver, bytes));
+  std::string first = pair.encode();
+  std::string second = pair.encode();
+  cr_assert(isRejected(pair.Receiver, second));
+  cr_assert(pair.Receiver.decode(first).ok());
+  cr_assert(isRejected(pair.Receiver, first));
+  cr_assert(pair.Receiver.decode(second).ok());
 }
 
 /// Guards against a frame recorded on one connection and sent on another.
 Test(Frame, frameOfAnotherConnectionIsRejected) {
-  Pair first;
-  std::string bytes = first.Sender.encode(message());
-  FrameCodec receiver(Secret);
-  receiver.setNonces("fresh-nonce", "sender-nonce");
-  cr_assert(isRejected(receiver, bytes));
+  Pair pair;
+  FrameCodec receiver(Secret, Kinds, helloOf("b", '3'), pair.A);
+  cr_assert(isRejected(receiver, pair.encode()));
 }
 
 /// Guards against a frame that is reflected to its sender.
 Test(Frame, reflectedFrameIsRejected) {
   Pair pair;
-  std::string bytes = pair.Sender.encode(message());
-  cr_assert(absl::IsUnauthenticated(pair.Sender.decode(bytes, core::VmId("b")).status()));
+  cr_assert(isRejected(pair.Sender, pair.encode()));
 }
 
-/// Guards against delivery to a process that the frame is not for.
-Test(Frame, otherReceiverIsRejected) {
+/// Guards against a changed name or incarnation of either side in the handshake, with which a
+/// message would count as another sender's or reach a process that it is not for.
+Test(Frame, changedHandshakeIsRejected) {
   Pair pair;
-  auto received = pair.Receiver.decode(pair.Sender.encode(message()), core::VmId("c"));
-  cr_assert(absl::IsUnauthenticated(received.status()));
+  Hello otherRun = pair.A;
+  otherRun.Run = core::Incarnation(2);
+  for (const Hello &sender : {helloOf("c", '1'), otherRun}) {
+    FrameCodec receiver(Secret, Kinds, pair.B, sender);
+    cr_expect(isRejected(receiver, Pair().encode()));
+  }
+  FrameCodec otherReceiver(Secret, Kinds, helloOf("c", '2'), pair.A);
+  cr_expect(isRejected(otherReceiver, pair.encode()));
+}
+
+/// Guards against a kind of a newer version that counts as one of this version's.
+Test(Frame, unknownKindIsRejected) {
+  Pair pair;
+  const KindTable newer{"raft", "renewal", "newer"};
+  FrameCodec sender(Secret, newer, pair.A, pair.B);
+  cr_assert(absl::IsInvalidArgument(pair.Receiver.decode(sender.encode("newer", "")).status()));
+}
+
+/// Guards against handshakes of another version, among them the bare nonce of version 1.
+Test(Frame, otherHandshakesAreRejected) {
+  std::string good = transport::encodeHello(helloOf("a", '1'));
+  cr_assert(transport::decodeHello(good).ok());
+  std::string version = "\"v\":2";
+  std::string newer = good;
+  newer.replace(newer.find(version), version.size(), "\"v\":3");
+  std::string unnamed = transport::encodeHello(helloOf("", '1'));
+  for (const std::string &text : {std::string(32, '1'), std::string(32, 'a'), newer, unnamed,
+                                  std::string(), std::string("[]"), good + good})
+    cr_expect_not(transport::decodeHello(text).ok(), "%s", text.c_str());
 }
 
-/// Guards against malformed bytes that end the process, and against a changed byte that is
-/// accepted.
+/// Guards against malformed bytes that end the process, and against a flipped bit that is accepted.
 Test(Frame, damagedFrameIsRejected) {
   core::testing::checkProperty("no damaged frame is accepted", [] {
     Pair pair;
-    std::string bytes = pair.Sender.encode(message());
+    std::string bytes = pair.encode();
     auto position = *rc::gen::inRange<size_t>(0, bytes.size());
     auto change = *rc::gen::inRange<int>(1, 256);
     bytes[position] = static_cast<char>(bytes[position] ^ change);
-    RC_ASSERT(!pair.Receiver.decode(bytes, core::VmId("b")).ok());
+    RC_ASSERT(!pair.Receiver.decode(bytes).ok());
   });
   core::testing::checkProperty("arbitrary bytes are refused", [](const std::vector<uint8_t> &raw) {
     Pair pair;
-    RC_ASSERT(!pair.Receiver.decode(std::string(raw.begin(), raw.end()), core::VmId("b")).ok());
+    RC_ASSERT(!pair.Receiver.decode(std::string(raw.begin(), raw.end())).ok());
   });
 }
--- a/tools/capacity/Capacity.cpp
+++ b/tools/capacity/Capacity.cpp
@@ -44,9 +44,9 @@
 /// Time between two attempts of one customer at one node.
 constexpr core::Duration AttemptInterval{100};
 
-/// Bytes that the frame and the websocket header add to a message: version, addresses, sequence,
-/// kind and MAC.
-constexpr size_t FrameBytes = 160;
+/// Bytes that the frame and the websocket header (2, 2 for a long message and 4 for the mask that
+/// only dialling sides send) add to a message.
+constexpr size_t FrameBytes = transport::FrameOverhead + 8;
 
 double cpuSeconds() {
   timespec ts{};
@@ -245,12 +245,13 @@
     settings.Self = core::VmId(name);
     settings.Listen = {"127.0.0.1", 0};
     settings.Secret = "a secret for loopback";
+    settings.Kinds = {"ping", "pong"};
     return transport::makeWebsocketTransport(io, clock, sink, settings);
   };
   auto a = make("a");
   auto b = make("b");
   int rounds = 0;
-  core::Json body = core::Json::binary(std::vector<uint8_t>(bytes));
+  std::string body(bytes, 'x');
   if (!a->start([&](const transport::PeerMessage &) {
           ++rounds;
           a->send(core::VmId("b"), "ping", body);
