Split the move controller by kind of move

The start of a drain, which was written twice, and the opening of a version move's tests are functions now. No behaviour changes.

--- a/src/moves/MoveController.h
+++ b/src/moves/MoveController.h
@@ -96,6 +96,8 @@
 
   Active &activate(const MoveRecord &record, core::Time now);
   bool conflicts(const MoveRecord &record) const;
+  void openTests(Active &move, core::Time now) const;
+  void beginDrain(Active &move, core::Time now) const;
   void judge(Active &move, core::Time now);
   std::optional<MoveStep> next(Active &move, core::Time now);
   std::optional<MoveStep> nextShift(Active &move, core::Time now);
--- /dev/null
+++ b/src/moves/MoveControllerDrain.cpp
@@ -0,0 +1,37 @@
+#include "moves/MoveControllerState.h"
+
+namespace briarspar::moves {
+
+void MoveController::beginDrain(Active &move, core::Time now) const {
+  DrainSettings drain = Settings.Drain;
+  if (move.Record.Scope != DrainScope::Target)
+    drain.CallerTtl = Settings.Budget.Ttl;
+  move.Drain.emplace(drain, Vms, now);
+}
+
+std::optional<MoveStep> MoveController::nextDrain(Active &move, core::Time now) {
+  if (move.Record.Phase == MovePhase::Moving) {
+    if (isRegionDrain(move.Record) && move.Record.Share < FullShare)
+      return shareUnderBudget(move, FullShare, now);
+    return move.step(StepKind::BeginDrain, now);
+  }
+  if (!move.Drain || !move.Drain->empty(now))
+    return std::nullopt;
+  MoveStep step = move.step(StepKind::Finish, now);
+  step.Reason = MoveReason::Completed;
+  return step;
+}
+
+void MoveController::observe(const InFlightReport &report, core::Time now) {
+  auto it = Moves.find(report.Move);
+  if (it != Moves.end() && it->second->Drain)
+    it->second->Drain->report(report, now);
+}
+
+void MoveController::vmExpired(const core::VmId &vm, core::Time now) {
+  for (auto &[id, move] : Moves)
+    if (move->Drain)
+      move->Drain->vmExpired(vm, now);
+}
+
+} // namespace briarspar::moves
--- /dev/null
+++ b/src/moves/MoveControllerShift.cpp
@@ -0,0 +1,118 @@
+#include "moves/MoveControllerState.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarspar::moves {
+
+namespace {
+
+// Bounds the requests per second that are inferred for a region whose callers have nearly all left.
+constexpr BasisPoints LargestShareForLoad = 9'000;
+
+} // namespace
+
+bool isRegionDrain(const MoveRecord &record) {
+  return record.Kind == MoveKind::Drain && record.Scope == DrainScope::Region;
+}
+
+core::RegionId cappedRegion(const MoveRecord &record) {
+  return record.Kind == MoveKind::Shift ? record.From : core::RegionId(record.Name);
+}
+
+void MoveController::refreshFullLoad(Active &move, core::Time now) {
+  if (move.Record.Share > LargestShareForLoad && move.FullLoad != 0)
+    return;
+  BasisPoints share = std::min(move.Record.Share, LargestShareForLoad);
+  if (std::optional<uint64_t> load = Budget.loadOf(cappedRegion(move.Record), now))
+    move.FullLoad = *load * FullShare / (FullShare - share);
+}
+
+std::optional<MoveStep> MoveController::shareUnderBudget(Active &move, BasisPoints goal,
+                                                         core::Time now) {
+  const MoveRecord &record = move.Record;
+  bool rising = goal > record.Share;
+  BasisPoints distance = rising ? goal - record.Share : record.Share - goal;
+  core::RegionId capped = cappedRegion(record);
+  // Without the source's load it is unknown how much arrives at the destination.
+  if (!Budget.loadOf(capped, now))
+    return std::nullopt;
+  core::RegionId arrivesAt = rising ? record.To : capped;
+  std::optional<BudgetLease> lease = Budget.lease(capped, arrivesAt, distance, move.FullLoad, now);
+  if (!lease)
+    return std::nullopt;
+  MoveStep step = move.step(StepKind::SetShare, now);
+  step.Share = rising ? record.Share + lease->Basis : record.Share - lease->Basis;
+  move.Pending.push_back({step, now, lease->Id});
+  return step;
+}
+
+std::optional<MoveStep> MoveController::nextShift(Active &move, core::Time now) {
+  if (move.Record.Share < move.Record.Goal)
+    return shareUnderBudget(move, move.Record.Goal, now);
+  // Done means that no caller acts on an older lookup any more.
+  if (now - move.ShareSince < Settings.Propagation + Settings.Budget.Ttl)
+    return std::nullopt;
+  MoveStep step = move.step(StepKind::Finish, now);
+  step.Reason = MoveReason::Completed;
+  return step;
+}
+
+std::optional<MoveStep> MoveController::nextReturn(Active &move, core::Time now) {
+  bool overdue = move.elapsed(now) - move.Record.PhaseStart > Settings.ReturnLimit;
+  if (move.Record.Share > 0 && !overdue)
+    return shareUnderBudget(move, 0, now);
+  MoveStep step = move.step(StepKind::TakeBack, now);
+  step.Reason = move.Record.Reason;
+  step.Detail = move.Record.Detail;
+  if (move.Record.Share > 0)
+    step.Detail = absl::StrCat(step.Detail, "; a share of ", move.Record.Share, " of ", FullShare,
+                               " was not returned");
+  return step;
+}
+
+void MoveController::observe(const RegionLoad &load, core::Time now) {
+  if (!load.Up && Budget.isUp(load.Region)) {
+    regionFailed(load.Region, now);
+    return;
+  }
+  Budget.observe(load, now);
+}
+
+std::vector<ForcedMove> MoveController::regionFailed(const core::RegionId &region, core::Time now) {
+  if (!Budget.isUp(region))
+    return Budget.forcedOf(region);
+  for (auto &[id, move] : Moves) {
+    const MoveRecord &record = move->Record;
+    if (record.ended() || record.Kind != MoveKind::Shift)
+      continue;
+    move->SourceFailed = move->SourceFailed || record.From == region;
+    if (record.To != region || move->SourceFailed)
+      continue;
+    // The shifted callers go home at once, as far as their region has room for them.
+    refreshFullLoad(*move, now);
+    uint64_t room = Budget.headroom(record.From, now);
+    uint64_t fits = move->FullLoad == 0 ? 0 : room * FullShare / move->FullLoad;
+    auto back = static_cast<BasisPoints>(std::min<uint64_t>(record.Share, fits));
+    move->Forced = record.Share - back;
+    Budget.charge(record.From, record.From, back, move->FullLoad, now);
+  }
+  return Budget.failRegion(region, now);
+}
+
+void MoveController::setCap(const core::RegionId &region, const ShiftCap &cap) {
+  Budget.setCap(region, cap);
+}
+
+void MoveController::setForced(const core::RegionId &region, std::vector<ForcedMove> forced,
+                               uint64_t load) {
+  Budget.setForced(region, std::move(forced), load);
+}
+
+std::vector<ForcedMove> MoveController::returnForced(const core::RegionId &region, core::Time now) {
+  return Budget.returnForced(region, now);
+}
+
+} // namespace briarspar::moves
