Test shifts under a cap and a bad version on real processes

Cause: caps and version moves were shown in memory only. Change: suite Shifts sets a cap of 20% per second, starts a shift of 40% and asks for look-ups of 256 callers until the shift is done; the callers that moved stay under the committed share, none goes back, and the steps within any window sum to at most the cap. Suite VersionMoves moves a route to a version that fails every request; it is taken back, its share stays at 2%, and it gets no request once that is in force.

--- a/tests/fleet/test_promises.py
+++ b/tests/fleet/test_promises.py
@@ -259,6 +259,116 @@
         self.assertEqual(failures, [])
 
 
+class Shifts(FleetTest):
+    callers = [f"10.{number // 16}.{number % 16}.1" for number in range(256)]
+    cap_percent = 20
+    window_ms = 1000
+
+    def moved(self, vm, region):
+        """The callers whose look-ups at the VM name a VM of the region."""
+        regions = {f"{HOST}:{it.caller_port}": it.region for it in self.vm_list()}
+        link = http.client.HTTPConnection(HOST, vm.caller_port, timeout=30)
+        found = set()
+        for caller in self.callers:
+            path = f"/.well-known/briarspar/entry?address={caller}"
+            first = json.loads(request(0, "GET", path, connection=link).body)["vms"][0]
+            if regions[first["address"]] == region:
+                found.add(caller)
+        link.close()
+        return found
+
+    def shift(self, vm):
+        return self.fleet.show("moves", vm=vm)[0]
+
+    def steps_of(self, move):
+        """Time and share in percent of each step, in the order of the leaders' time line."""
+        return [(it["wall_ms"], it["details"]["share"] / 100) for it in self.fleet.timeline()
+                if it["name"] == "MoveStep" and it["details"]["move"] == move]
+
+    def most_callers(self, percent):
+        """The most callers of the sample that a share may move: five standard deviations above its part."""
+        part = percent / 100
+        return len(self.callers) * part + 5 * (len(self.callers) * part * (1 - part)) ** 0.5
+
+    def test_shares_stay_under_the_cap(self):
+        """Guards against a shift that moves more callers in a window than its cap, or that is reported as done too
+        early or never."""
+        self.serve(targets=2)
+        vm = next(it for it in self.vm_list() if it.region == "r1" and not it.voter)
+        self.assertEqual(self.moved(vm, "r2"), set())
+        self.fleet.accept(f"set cap r1 {self.cap_percent}% per {self.window_ms}ms")
+        move = self.fleet.accept("shift r1 to r2 40% by 1h")["subject"]
+        wait_for(lambda: self.fleet.show("moves", vm=vm), "the shift is in force")
+        earlier = set()
+        shares = set()
+
+        def done():
+            nonlocal earlier
+            moved = self.moved(vm, "r2")
+            # The share is read after the look-ups and only rises, so it bounds them.
+            shift = self.shift(vm)
+            shares.add(shift["percent"])
+            self.assertLessEqual(len(moved), self.most_callers(shift["percent"]))
+            self.assertLessEqual(earlier, moved, "a caller went back")
+            earlier = moved
+            return shift["state"] == "done"
+
+        wait_for(done, "the shift is done", 300)
+        self.assertEqual(max(shares), 40)
+        self.assertGreater(len(earlier), len(self.callers) - self.most_callers(60))
+        self.check_steps([(0, 0), *self.steps_of(move)])
+
+    def check_steps(self, steps):
+        rises = [(steps[n][0], steps[n][1] - steps[n - 1][1]) for n in range(1, len(steps))]
+        self.assertGreaterEqual(len(rises), 2)
+        for start, _ in rises:
+            within = sum(rise for at, rise in rises if start <= at < start + self.window_ms)
+            self.assertLessEqual(within, self.cap_percent)
+
+
+class VersionMoves(FleetTest):
+    def test_bad_version_is_taken_back(self):
+        """Guards against a version that fails its requests and keeps its share, or goes on to a larger one."""
+        self.serve(targets=2)
+        last = self.fleet.add_target("read-bad", "read", "v2", "r3", "r3-d1", options=("--fail-permille", "1000"))
+        self.fleet.wait_in_force(last["version"])
+        bad = self.fleet.targets["read-bad"]
+        stop = threading.Event()
+        answers = []
+
+        def send(vm):
+            while not stop.is_set():
+                answers.append(request(vm.caller_port, "GET", "/read/x", self.key).status)
+
+        self.assertEqual(bad.stats()["requests"], 0)
+        self.fleet.wait_in_force(self.fleet.accept("move route read to version v2 by 10m")["version"])
+        threads = [threading.Thread(target=send, args=(vm,)) for vm in self.vm_list()]
+        for thread in threads:
+            thread.start()
+        try:
+            shares = set()
+
+            def ended():
+                move = self.fleet.show("moves")[0]
+                shares.add(move["percent"])
+                return move if move["state"] in ("done", "taken-back") else None
+
+            move = wait_for(ended, "the move ends", 300)
+            self.fleet.wait_in_force()
+            before = bad.stats()["requests"]
+            count = len(answers)
+            wait_for(lambda: len(answers) > count + 200, "more traffic")
+        finally:
+            stop.set()
+            for thread in threads:
+                thread.join()
+        self.assertEqual(move["state"], "taken-back", move)
+        self.assertGreater(before, 0)
+        self.assertLessEqual(max(shares), 2)
+        self.assertEqual(self.fleet.show("routes")[0]["version"], "v1")
+        self.assertEqual(bad.stats()["requests"], before)
+
+
 class PlannedStop(FleetTest):
     def test_stop_under_load_cuts_nothing(self):
         """Guards against requests that a planned stop of a VM cuts."""
