Send the callers of a failed region elsewhere and return them in steps

Cause: MoveController knew forced moves, but the daemon never called them and their shares were not committed, so callers of a lost region stayed there and a new leader would have forgotten them. Change: RegionWatch at the leader finds regions whose VMs are all dead or whose targets answer nothing, and commits the forced shares as SetRegionFailure, which names the version of the record it replaces. Look-ups follow the record; a region that is back gets its callers in steps under its cap, each counted from its commit. VMs report outcomes at targets by region, without versions under trial. The load of a region is not measured while its VMs disappear, since that is the load which has to go elsewhere. A shift that is taken back keeps the share that its record names; before, the configuration dropped it to 0 at once, past the cap. Events 1004 to 1006. Forced shares were not tried on real processes.

--- a/src/balance/TargetChooser.cpp
+++ b/src/balance/TargetChooser.cpp
@@ -238,6 +238,10 @@
   auto it = Targets.find(outcome.Target);
   if (it == Targets.end())
     return;
+  if (outcome.What == Outcome::Good)
+    ++Counts[outcome.Target].Good;
+  else if (blameOf(outcome.What) != 0)
+    ++Counts[outcome.Target].Failed;
   Target &target = it->second;
   if (target.State == Health::Ejected)
     return onProbeOutcome(target, outcome, now);
@@ -309,6 +313,11 @@
                    {"until_ms", target.EjectedUntil.Ms}}});
 }
 
+std::map<TargetId, OutcomeCounts> TargetChooser::takeOutcomes() {
+  std::lock_guard<std::mutex> lock(Mutex);
+  return std::exchange(Counts, {});
+}
+
 void TargetChooser::recordLoad(const TargetId &target, uint32_t permille, Time now) {
   std::lock_guard<std::mutex> lock(Mutex);
   auto it = Targets.find(target);
--- a/src/balance/TargetChooser.h
+++ b/src/balance/TargetChooser.h
@@ -62,6 +62,12 @@
   core::Duration Latency;
 };
 
+/// How requests at one target ended; cancelled ones are not counted.
+struct OutcomeCounts {
+  uint64_t Good = 0;
+  uint64_t Failed = 0;
+};
+
 /// Chooses a target for each request from this VM's own outcomes, its slots, the weights of the
 /// versions and the targets' load reports. Every member is safe to call from any thread.
 class TargetChooser {
@@ -83,6 +89,9 @@
   /// Takes the end of a request.
   void record(const Outcome &outcome, core::Time now);
 
+  /// Returns the outcomes at each target since the last call, probes included.
+  std::map<core::TargetId, OutcomeCounts> takeOutcomes();
+
   /// Takes a load report: the target's own utilization, 0 (idle) to 1000 (full).
   void recordLoad(const core::TargetId &target, uint32_t permille, core::Time now);
 
@@ -144,6 +153,7 @@
   mutable std::mutex Mutex;
   std::map<core::TargetId, Target> Targets;
   std::map<PoolId, Pool> Pools;
+  std::map<core::TargetId, OutcomeCounts> Counts;
   uint64_t Counter = 0;
 };
 
--- a/src/config/ChangeApplier.cpp
+++ b/src/config/ChangeApplier.cpp
@@ -20,10 +20,6 @@
 /// The cap of this name limits every shift, so no place may have it.
 constexpr std::string_view CapOfAllShifts = "all";
 
-template <class R> constexpr RecordKind kindOf() {
-  return static_cast<RecordKind>(AnyRecord(std::in_place_type<R>).index());
-}
-
 /// Returns the first text that is not empty.
 std::string firstOf(std::initializer_list<std::string> texts) {
   auto it =
@@ -121,16 +117,6 @@
   return isFree<R>(id, failure);
 }
 
-template <class R> void ChangeApplier::put(R record) {
-  record.Changed = Next;
-  std::string id = record.Id.Value;
-  Edits.push_back({kindOf<R>(), std::move(id), AnyRecord(std::move(record))});
-}
-
-template <class R> void ChangeApplier::remove(const decltype(R::Id) &id) {
-  Edits.push_back({kindOf<R>(), id.Value, std::nullopt});
-}
-
 Outcome ChangeApplier::operator()(const CreateCustomer &change) {
   Outcome failure;
   if (!isFree<CustomerRecord>(change.Id, failure))
@@ -455,7 +441,10 @@
   if constexpr (std::is_same_v<R, ShiftRecord>) {
     if (update.ShiftedPermille > record.Permille)
       return invalid("the shifted part is larger than the shift");
-    next.ShiftedPermille = shareIn(update.State, update.ShiftedPermille, record.Permille);
+    // A shift that is taken back keeps a share when its source is down, or when its return is
+    // overdue; to drop the share at once would move its callers past the cap.
+    next.ShiftedPermille =
+        update.State == MoveState::Done ? record.Permille : update.ShiftedPermille;
   } else {
     if (update.SharePermille > MaxPermille)
       return invalid("the share is larger than 1000 permille");
--- a/src/config/ChangeApplier.h
+++ b/src/config/ChangeApplier.h
@@ -38,6 +38,7 @@
   Outcome operator()(const CancelMove &change);
   Outcome operator()(const PutVm &change);
   Outcome operator()(const RemoveVm &change);
+  Outcome operator()(const SetRegionFailure &change);
 
 private:
   Outcome accepted(std::string subject) const;
@@ -54,8 +55,14 @@
   bool isExpected(std::string_view what, const Stamp &stamp, Outcome &failure) const;
   Outcome missing(RecordKind kind, const std::string &id) const;
 
-  template <class R> void put(R record);
-  template <class R> void remove(const decltype(R::Id) &id);
+  template <class R> void put(R record) {
+    record.Changed = Next;
+    std::string id = record.Id.Value;
+    Edits.push_back({kindOf<R>(), std::move(id), AnyRecord(std::move(record))});
+  }
+  template <class R> void remove(const decltype(R::Id) &id) {
+    Edits.push_back({kindOf<R>(), id.Value, std::nullopt});
+  }
   template <class R> void pruneFinished(const core::MoveId &justFinished);
   template <class R, class U> Outcome updateProgress(const R &record, const U &update);
 
--- a/src/config/Command.h
+++ b/src/config/Command.h
@@ -140,10 +140,20 @@
   core::VmId Id;
 };
 
+/// The leader's view of a region that is down or whose callers return. With neither, the record is
+/// removed. Command::Expected is the version of the record, and 0 means that none exists.
+struct SetRegionFailure {
+  core::RegionId Id;
+  bool Down = false;
+  RegionFailureCause Cause = RegionFailureCause::Vms;
+  uint64_t Load = 0;
+  std::vector<ForcedShare> Forced;
+};
+
 using Change =
     std::variant<CreateCustomer, UpdateCustomer, CreateKey, WithdrawKey, CreateRoute, DeleteRoute,
                  AddTarget, DeleteTarget, SetCap, StartDrain, UpdateDrain, CancelDrain, StartShift,
-                 UpdateShift, StartMove, UpdateMove, CancelMove, PutVm, RemoveVm>;
+                 UpdateShift, StartMove, UpdateMove, CancelMove, PutVm, RemoveVm, SetRegionFailure>;
 
 /// Longest accepted command id, operator name and record name, in bytes.
 constexpr size_t MaxNameBytes = 64;
--- a/src/config/ConfigStore.cpp
+++ b/src/config/ConfigStore.cpp
@@ -47,9 +47,11 @@
   case RecordKind::Move:
     return f(static_cast<MoveRecord *>(nullptr));
   case RecordKind::Vm:
+    return f(static_cast<VmRecord *>(nullptr));
+  case RecordKind::RegionFailure:
     break;
   }
-  return f(static_cast<VmRecord *>(nullptr));
+  return f(static_cast<RegionFailureRecord *>(nullptr));
 }
 
 /// Hash of the record now stored, or 0 if there is none.
--- a/src/config/Encoding.h
+++ b/src/config/Encoding.h
@@ -6,11 +6,13 @@
 #include "config/Text.h"
 #include "core/Codec.h"
 
+#include <algorithm>
 #include <limits>
 #include <string>
 #include <tuple>
 #include <type_traits>
 #include <utility>
+#include <vector>
 
 namespace briarspar::config {
 
@@ -102,6 +104,17 @@
                       field("domain", &R::Domain), field("changed", &R::Changed));
 };
 
+template <> struct Fields<ForcedShare> {
+  using R = ForcedShare;
+  static constexpr auto Table = std::make_tuple(field("to", &R::To), field("basis", &R::Basis));
+};
+template <> struct Fields<RegionFailureRecord> {
+  using R = RegionFailureRecord;
+  static constexpr auto Table = std::make_tuple(
+      field("id", &R::Id), field("down", &R::Down), field("cause", &R::Cause),
+      field("load", &R::Load), field("forced", &R::Forced), field("changed", &R::Changed));
+};
+
 template <> struct Fields<CreateCustomer> {
   using R = CreateCustomer;
   static constexpr const char *Name = "create-customer";
@@ -215,6 +228,13 @@
   static constexpr const char *Name = "remove-vm";
   static constexpr auto Table = std::make_tuple(field("id", &RemoveVm::Id));
 };
+template <> struct Fields<SetRegionFailure> {
+  using R = SetRegionFailure;
+  static constexpr const char *Name = "set-region-failure";
+  static constexpr auto Table =
+      std::make_tuple(field("id", &R::Id), field("down", &R::Down), field("cause", &R::Cause),
+                      field("load", &R::Load), field("forced", &R::Forced));
+};
 template <> struct Fields<Outcome> {
   using R = Outcome;
   static constexpr auto Table = std::make_tuple(
@@ -226,6 +246,8 @@
 template <class T> struct HasFields<T, std::void_t<decltype(Fields<T>::Table)>> : std::true_type {};
 template <class T> struct IsOptional : std::false_type {};
 template <class T> struct IsOptional<std::optional<T>> : std::true_type {};
+template <class T> struct IsVector : std::false_type {};
+template <class T> struct IsVector<std::vector<T>> : std::true_type {};
 template <class T> struct IsId : std::false_type {};
 template <class Tag> struct IsId<core::StringId<Tag>> : std::true_type {};
 template <class Tag> struct IsId<core::NumberId<Tag>> : std::true_type {};
@@ -248,6 +270,11 @@
     return out;
   } else if constexpr (IsOptional<T>::value) {
     return value ? toJson(*value) : core::Json();
+  } else if constexpr (IsVector<T>::value) {
+    core::Json out = core::Json::array();
+    for (const auto &it : value)
+      out.push_back(toJson(it));
+    return out;
   } else if constexpr (std::is_same_v<T, KeyDigest>) {
     return core::Json::binary({value.begin(), value.end()});
   } else if constexpr (std::is_same_v<T, core::Duration> || std::is_same_v<T, core::Time>) {
@@ -296,6 +323,11 @@
     if (j.is_null())
       return true;
     return fromJson(j, out.emplace());
+  } else if constexpr (IsVector<T>::value) {
+    out.clear();
+    return j.is_array() && std::all_of(j.begin(), j.end(), [&](const core::Json &it) {
+             return fromJson(it, out.emplace_back());
+           });
   } else if constexpr (std::is_same_v<T, KeyDigest>) {
     if (!j.is_binary() || j.get_binary().size() != out.size())
       return false;
--- a/src/config/Records.h
+++ b/src/config/Records.h
@@ -12,6 +12,7 @@
 #include <type_traits>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace briarspar::config {
 
@@ -46,6 +47,12 @@
   return state == MoveState::Done || state == MoveState::TakenBack;
 }
 
+/// Why a region counts as failed.
+enum class RegionFailureCause : uint8_t {
+  Vms,     ///< All its VMs are dead.
+  Targets, ///< Its targets answer nothing.
+};
+
 /// The names of the values of an enumeration in their order, for the wire and for operators.
 template <class E> struct EnumNames;
 template <> struct EnumNames<RouteAccess> {
@@ -68,6 +75,10 @@
                                                           "taken-back"};
 };
 
+template <> struct EnumNames<RegionFailureCause> {
+  static constexpr std::array<std::string_view, 2> Values{"vms", "targets"};
+};
+
 template <class E> constexpr std::string_view nameOf(E value) {
   return EnumNames<E>::Values[static_cast<size_t>(value)];
 }
@@ -186,16 +197,54 @@
   Stamp Changed;
 };
 
+/// Part of a failed region's callers that go to another region.
+struct ForcedShare {
+  core::RegionId To;
+  uint32_t Basis = 0; ///< In parts per 10,000.
+
+  friend bool operator==(const ForcedShare &a, const ForcedShare &b) {
+    return a.To == b.To && a.Basis == b.Basis;
+  }
+};
+
+/// A region that is down, or whose callers have not all returned yet.
+struct RegionFailureRecord {
+  core::RegionId Id;
+  bool Down = false;
+  RegionFailureCause Cause = RegionFailureCause::Vms;
+  uint64_t Load = 0; ///< Requests per second, when it failed.
+  /// Callers beyond the sum of the shares find no VM while the region is down.
+  std::vector<ForcedShare> Forced;
+  Stamp Changed;
+};
+
 using AnyRecord = std::variant<CustomerRecord, KeyRecord, RouteRecord, TargetRecord, CapRecord,
-                               DrainRecord, ShiftRecord, MoveRecord, VmRecord>;
+                               DrainRecord, ShiftRecord, MoveRecord, VmRecord, RegionFailureRecord>;
 
 /// Kind of a record: the index of its type in AnyRecord.
-enum class RecordKind : uint8_t { Customer, Key, Route, Target, Cap, Drain, Shift, Move, Vm };
+enum class RecordKind : uint8_t {
+  Customer,
+  Key,
+  Route,
+  Target,
+  Cap,
+  Drain,
+  Shift,
+  Move,
+  Vm,
+  RegionFailure
+};
 template <> struct EnumNames<RecordKind> {
-  static constexpr std::array<std::string_view, 9> Values{
-      "customer", "key", "route", "target", "cap", "drain", "shift", "move", "vm"};
+  static constexpr std::array<std::string_view, 10> Values{
+      "customer", "key",   "route", "target", "cap",
+      "drain",    "shift", "move",  "vm",     "region-failure"};
 };
 
+/// Returns the kind of records of type R.
+template <class R> constexpr RecordKind kindOf() {
+  return static_cast<RecordKind>(AnyRecord(std::in_place_type<R>).index());
+}
+
 template <class R> using RecordTable = std::map<decltype(R::Id), R>;
 
 /// All records of the configuration, by id.
@@ -209,6 +258,7 @@
   RecordTable<ShiftRecord> Shifts;
   RecordTable<MoveRecord> Moves;
   RecordTable<VmRecord> Vms;
+  RecordTable<RegionFailureRecord> RegionFailures;
 
   /// Calls `f(table)` for every table in the order of RecordKind.
   template <class F> void forEachTable(F &&f) { visitTables(*this, f); }
@@ -225,6 +275,7 @@
     f(self.Shifts);
     f(self.Moves);
     f(self.Vms);
+    f(self.RegionFailures);
   }
 };
 
--- a/src/config/tests/ConfigStoreTest.cpp
+++ b/src/config/tests/ConfigStoreTest.cpp
@@ -23,6 +23,33 @@
 
 } // namespace
 
+/// Guards against a late proposal of an earlier leader that sends a region's callers away again
+/// after its successor has returned them, and against a round trip that loses the shares.
+Test(ConfigStore, regionFailuresFollowOneLeaderAtATime) {
+  ConfigStore store;
+  SetRegionFailure down{
+      core::RegionId("eu"), true, RegionFailureCause::Targets, 70, {{core::RegionId("us"), 9'000}}};
+  cr_assert_eq(store.apply(command("a", down)).What, Outcome::Accepted);
+  uint64_t first = store.version().Value;
+  SetRegionFailure returning = down;
+  returning.Down = false;
+  returning.Forced[0].Basis = 8'000;
+  cr_assert_eq(store.apply(command("b", returning, first)).What, Outcome::Accepted);
+  cr_assert_eq(store.apply(command("late", down, first)).What, Outcome::Conflict);
+  cr_assert_eq(store.apply(command("new", down)).What, Outcome::Conflict);
+
+  ConfigStore copy;
+  cr_assert(copy.restore(store.fullState()).ok());
+  cr_assert_eq(copy.digest(), store.digest());
+  cr_assert_eq(copy.records().RegionFailures.at(down.Id).Forced[0].Basis, 8'000);
+
+  returning.Forced[0].Basis = 10'001;
+  cr_assert_eq(store.apply(command("c", returning, first + 1)).What, Outcome::Invalid);
+  returning.Forced.clear();
+  cr_assert_eq(store.apply(command("d", returning, first + 1)).What, Outcome::Accepted);
+  cr_assert(store.records().RegionFailures.empty());
+}
+
 /// Guards against a resend that takes effect twice or gets another outcome than the first send.
 Test(ConfigStore, resendGetsTheFirstOutcome) {
   checkProperty("resends change nothing", [] {
--- a/src/core/EventCatalogue.h
+++ b/src/core/EventCatalogue.h
@@ -36,6 +36,9 @@
   X(1001, MoveStep, "move advanced one step")                                                      \
   X(1002, MoveDone, "move completed")                                                              \
   X(1003, MoveTakenBack, "move was taken back")                                                    \
+  X(1004, RegionFailed, "region failed; its callers go to other regions")                          \
+  X(1005, RegionReturned, "region is back; its callers return in steps")                           \
+  X(1006, ForcedSharesProposed, "leader proposed the forced shares of a region")                   \
   /* transport */                                                                                  \
   X(1100, PeerConnected, "connection to a peer opened")                                            \
   X(1101, PeerDisconnected, "connection to a peer closed")                                         \
--- a/src/daemon/LeaderSide.cpp
+++ b/src/daemon/LeaderSide.cpp
@@ -1,5 +1,6 @@
 #include "daemon/LeaderSide.h"
 
+#include "absl/strings/str_cat.h"
 #include "core/Hash.h"
 #include "daemon/ServingState.h"
 
@@ -37,7 +38,10 @@
       Leases(
           {}, *this, [this](core::Time now) { return Voter.leads(now); }, this),
       Quota({}, [this](core::Time now) { return Voter.leads(now); }),
-      Crashes(core::hash64("leader", voter.replica().self().Data.Value)) {}
+      Crashes(core::hash64("leader", voter.replica().self().Data.Value)),
+      Regions(Moves, events,
+              [this](const auto &change, core::ConfigVersion expected, core::Term term,
+                     core::Time now) { proposeRegion(change, expected, term, now); }) {}
 
 bool LeaderSide::receive(const core::VmId &from, std::string_view kind, std::string_view bytes,
                          core::Time now) {
@@ -91,6 +95,7 @@
   if (now >= NextLoads) {
     NextLoads = now + LoadInterval;
     observeLoads(now);
+    Regions.tick(Voter.machine().config().records(), Members, now);
   }
   if (now >= NextMoves) {
     NextMoves = now + MoveInterval;
@@ -109,6 +114,7 @@
   LoadReports.clear();
   HasAdopted = false;
   adoptMoves(now);
+  Regions.becomeLeader(Voter.machine().config().records(), term, now);
 }
 
 void LeaderSide::adoptMoves(core::Time now) {
@@ -231,6 +237,7 @@
     Moves.observe(stats, now);
   for (const moves::InFlightReport &inFlight : report->InFlight)
     Moves.observe(inFlight, now);
+  Regions.observe(*report, now);
   LoadReports[renewal.Vm] = *std::move(report);
 }
 
@@ -239,6 +246,8 @@
   std::map<core::RegionId, uint64_t> slots;
   for (const auto &[id, target] : records.Targets)
     slots[target.Region] += config::isDraining(records, target) ? 0 : target.Slots;
+  for (const auto &[id, vm] : records.Vms)
+    slots[vm.Region];
   std::map<core::RegionId, VmReport> sums;
   for (const auto &[vm, report] : LoadReports) {
     auto it = records.Vms.find(vm);
@@ -249,6 +258,8 @@
     sum.BusyMs += report.BusyMs * 1000 / report.IntervalMs;
   }
   for (const auto &[region, n] : slots) {
+    if (!Regions.isMeasurable(region, now))
+      continue;
     const VmReport &sum = sums[region];
     uint64_t serviceMs =
         sum.Finished > 0 ? std::max<uint64_t>(1, sum.BusyMs / sum.Finished) : DefaultServiceMs;
@@ -256,6 +267,7 @@
     load.Region = region;
     load.Capacity = n * 1000 / serviceMs;
     load.Load = sum.Finished;
+    load.Up = Regions.isUp(region);
     Moves.observe(load, now);
   }
 }
@@ -352,6 +364,8 @@
     }
     Slots.vmExpired(vm, incarnation, now);
     Moves.vmExpired(vm, now);
+    if (const auto *record = config::find(Voter.machine().config().records().Vms, vm))
+      Regions.vmExpired(record->Region, now);
     Voter.propose(idempotency::ClaimCommand(idempotency::VmDead{vm, incarnation}), now,
                   [](const absl::StatusOr<std::string> &) {});
     LoadReports.erase(vm);
@@ -376,6 +390,16 @@
   reportMoves();
 }
 
+void LeaderSide::proposeRegion(const config::SetRegionFailure &change, core::ConfigVersion expected,
+                               core::Term term, core::Time now) {
+  config::Command command;
+  command.Id = absl::StrCat("region-failure-", term.Value, "-", ++RegionProposals);
+  command.Operator = "region-watch";
+  command.Expected = expected;
+  command.What = change;
+  Voter.propose(std::move(command), now, [](const absl::StatusOr<std::string> &) {});
+}
+
 void LeaderSide::reportMoves() {
   for (const moves::MoveOutcome &outcome : Moves.takeOutcomes()) {
     bool done = outcome.End == moves::MoveOutcome::Kind::Done;
--- a/src/daemon/LeaderSide.h
+++ b/src/daemon/LeaderSide.h
@@ -4,6 +4,7 @@
 #include "balance/SlotLedger.h"
 #include "core/Event.h"
 #include "daemon/Messages.h"
+#include "daemon/RegionWatch.h"
 #include "daemon/Reports.h"
 #include "daemon/VoterSide.h"
 #include "lease/LeaseGrantor.h"
@@ -68,6 +69,8 @@
   void observeLoads(core::Time now);
   void noticeExpiredVms(core::Time now);
   void driveMoves(core::Time now);
+  void proposeRegion(const config::SetRegionFailure &change, core::ConfigVersion expected,
+                     core::Term term, core::Time now);
   void reportMoves();
 
   VoterSide &Voter;
@@ -81,6 +84,7 @@
   balance::SlotLedger Slots;
   balance::CrashGuard Crashes;
   moves::MoveController Moves;
+  RegionWatch Regions;
 
   core::ConfigVersion Adopted; ///< Configuration version that limits and targets reflect.
   bool HasAdopted = false;
@@ -91,6 +95,7 @@
   core::Time NextUpkeep;
   core::Time NextMoves;
   core::Time NextLoads;
+  uint64_t RegionProposals = 0; ///< Numbers the commands of this process within a term.
 };
 
 } // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/RegionWatch.cpp
@@ -0,0 +1,186 @@
+#include "daemon/RegionWatch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarspar::daemon {
+
+namespace {
+
+using config::RegionFailureCause;
+
+/// Number of the region's VMs in this state, or in any state.
+size_t countVms(const config::Records &records, const membership::MembershipView &members,
+                const core::RegionId &region, std::optional<membership::VmState> state,
+                core::Time now) {
+  return static_cast<size_t>(
+      std::count_if(records.Vms.begin(), records.Vms.end(), [&](const auto &it) {
+        return it.second.Region == region && (!state || members.stateOf(it.first, now) == *state);
+      }));
+}
+
+std::vector<moves::ForcedMove> forcedOf(const config::RegionFailureRecord &record) {
+  std::vector<moves::ForcedMove> forced;
+  for (const config::ForcedShare &it : record.Forced)
+    forced.push_back({it.To, it.Basis});
+  return forced;
+}
+
+bool isSame(const config::SetRegionFailure &wanted, const config::RegionFailureRecord *record) {
+  if (record == nullptr)
+    return !wanted.Down && wanted.Forced.empty();
+  return wanted.Down == record->Down && wanted.Forced == record->Forced;
+}
+
+} // namespace
+
+RegionWatch::RegionWatch(moves::MoveController &moves, core::EventSink &events, Proposer proposer,
+                         const RegionWatchSettings &settings)
+    : Moves(moves), Events(events), Propose(std::move(proposer)), Settings(settings) {}
+
+void RegionWatch::becomeLeader(const config::Records &records, core::Term term, core::Time now) {
+  Term = term;
+  LeaderSince = now;
+  // What an earlier tenure of this process knew may be out of date.
+  for (const auto &[id, region] : std::exchange(Regions, {}))
+    Moves.setForced(id, {}, 0, /*down=*/false);
+  for (const auto &[id, record] : records.RegionFailures) {
+    Region &region = Regions[id];
+    region.Down = record.Down;
+    region.Cause = record.Cause;
+    region.LastFailure = now;
+    Moves.setForced(id, forcedOf(record), record.Load, record.Down);
+  }
+}
+
+void RegionWatch::observe(const VmReport &report, core::Time now) {
+  for (const RegionOutcomes &outcomes : report.Regions) {
+    Region &region = Regions[outcomes.Region];
+    if (outcomes.Good > 0) {
+      region.Failures = 0;
+      region.FailingSince.reset();
+      region.LastSuccess = now;
+    } else if (outcomes.Failed > 0) {
+      region.Failures += outcomes.Failed;
+      region.LastFailure = now;
+      if (!region.FailingSince)
+        region.FailingSince = now;
+    }
+  }
+}
+
+void RegionWatch::vmExpired(const core::RegionId &region, core::Time now) {
+  Regions[region].LastExpiry = now;
+}
+
+bool RegionWatch::isMeasurable(const core::RegionId &region, core::Time now) const {
+  auto it = Regions.find(region);
+  return it == Regions.end() || it->second.Down || !it->second.LastExpiry ||
+         now - *it->second.LastExpiry >= Settings.Unmeasured;
+}
+
+bool RegionWatch::isUp(const core::RegionId &region) const {
+  auto it = Regions.find(region);
+  return it == Regions.end() || !it->second.Down;
+}
+
+std::optional<RegionFailureCause> RegionWatch::failureOf(const core::RegionId &id,
+                                                         const Region &region,
+                                                         const config::Records &records,
+                                                         const membership::MembershipView &members,
+                                                         core::Time now) const {
+  size_t vms = countVms(records, members, id, std::nullopt, now);
+  if (vms > 0 && countVms(records, members, id, membership::VmState::Dead, now) == vms)
+    return RegionFailureCause::Vms;
+  if (region.FailingSince && region.Failures >= Settings.MinFailures &&
+      now - *region.FailingSince >= Settings.FailFor)
+    return RegionFailureCause::Targets;
+  return std::nullopt;
+}
+
+bool RegionWatch::isBack(const core::RegionId &id, const Region &region,
+                         const config::Records &records, const membership::MembershipView &members,
+                         core::Time now) const {
+  if (countVms(records, members, id, membership::VmState::Live, now) == 0)
+    return false;
+  if (region.Cause == RegionFailureCause::Vms)
+    return true;
+  return region.LastSuccess > region.LastFailure || now - region.LastFailure >= Settings.RetryAfter;
+}
+
+void RegionWatch::judge(const core::RegionId &id, Region &region, const config::Records &records,
+                        const membership::MembershipView &members, core::Time now) {
+  if (region.Down) {
+    if (!isBack(id, region, records, members, now))
+      return;
+    region.Down = false;
+    region.Failures = 0;
+    region.FailingSince.reset();
+    Events.emit({core::EventId::RegionReturned, {{"region", id.Value}}});
+    return;
+  }
+  std::optional<RegionFailureCause> cause = failureOf(id, region, records, members, now);
+  if (!cause)
+    return;
+  region.Down = true;
+  region.Cause = *cause;
+  Events.emit(
+      {core::EventId::RegionFailed, {{"region", id.Value}, {"cause", config::nameOf(*cause)}}});
+}
+
+config::SetRegionFailure RegionWatch::wantedOf(const core::RegionId &id,
+                                               const Region &region) const {
+  config::SetRegionFailure wanted;
+  wanted.Id = id;
+  wanted.Down = region.Down;
+  wanted.Cause = region.Cause;
+  wanted.Load = Moves.budget().loadAtFailure(id);
+  for (const moves::ForcedMove &it : Moves.budget().forcedOf(id))
+    wanted.Forced.push_back({it.To, it.Basis});
+  return wanted;
+}
+
+void RegionWatch::synchronize(const core::RegionId &id, Region &region,
+                              const config::Records &records, core::Time now) {
+  const config::RegionFailureRecord *record = config::find(records.RegionFailures, id);
+  core::ConfigVersion version = record != nullptr ? record->Changed.Version : core::ConfigVersion();
+  if (region.Open && region.Open->Replaces != version) {
+    Moves.forcedCommitted(id, now);
+    region.Open.reset();
+  }
+  // The next step is taken from the committed shares only; a step in the log is not overtaken.
+  if (!region.Down && !region.Open && isSame(wantedOf(id, region), record))
+    Moves.returnForced(id, now);
+  config::SetRegionFailure wanted = wantedOf(id, region);
+  if (isSame(wanted, record)) {
+    region.Open.reset();
+    return;
+  }
+  if (region.Open && now - region.Open->At < Settings.CommitRetry)
+    return;
+  region.Open = Proposal{version, now};
+  core::Json shares = core::Json::object();
+  for (const config::ForcedShare &it : wanted.Forced)
+    shares[it.To.Value] = it.Basis;
+  Events.emit({core::EventId::ForcedSharesProposed,
+               {{"region", id.Value}, {"down", wanted.Down}, {"shares", shares.dump()}}});
+  Propose(wanted, version, Term, now);
+}
+
+void RegionWatch::tick(const config::Records &records, const membership::MembershipView &members,
+                       core::Time now) {
+  if (now - LeaderSince < Settings.Grace)
+    return;
+  for (const auto &[id, vm] : records.Vms)
+    Regions[vm.Region];
+  for (auto &[id, region] : Regions)
+    judge(id, region, records, members, now);
+  // A failure changes the shares of other regions too, so all are judged before any is proposed.
+  for (auto &[id, region] : Regions)
+    if (region.Down)
+      Moves.regionFailed(id, now);
+  for (auto &[id, region] : Regions)
+    synchronize(id, region, records, now);
+}
+
+} // namespace briarspar::daemon
--- a/src/daemon/Reports.cpp
+++ b/src/daemon/Reports.cpp
@@ -4,9 +4,22 @@
 
 using core::Json;
 
+void to_json(Json &j, const RegionOutcomes &outcomes) {
+  j = {{"region", outcomes.Region}, {"good", outcomes.Good}, {"failed", outcomes.Failed}};
+}
+
+void from_json(const Json &j, RegionOutcomes &outcomes) {
+  j.at("region").get_to(outcomes.Region);
+  j.at("good").get_to(outcomes.Good);
+  j.at("failed").get_to(outcomes.Failed);
+}
+
 void from_json(const Json &j, VmReport &report) {
   j.at("stats").get_to(report.Stats);
   j.at("in_flight").get_to(report.InFlight);
+  // A VM of the release before this member sends none.
+  if (j.contains("regions"))
+    j["regions"].get_to(report.Regions);
   j.at("finished").get_to(report.Finished);
   j.at("busy_ms").get_to(report.BusyMs);
   j.at("interval_ms").get_to(report.IntervalMs);
@@ -22,6 +35,7 @@
 std::string encode(const VmReport &report) {
   return core::encodeCbor({{"stats", report.Stats},
                            {"in_flight", report.InFlight},
+                           {"regions", report.Regions},
                            {"finished", report.Finished},
                            {"busy_ms", report.BusyMs},
                            {"interval_ms", report.IntervalMs}});
--- a/src/daemon/Reports.h
+++ b/src/daemon/Reports.h
@@ -13,10 +13,18 @@
 
 namespace briarspar::daemon {
 
+/// How requests at the targets of one region ended.
+struct RegionOutcomes {
+  core::RegionId Region;
+  uint64_t Good = 0;
+  uint64_t Failed = 0;
+};
+
 /// What a VM measured since its previous renewal. Travels as the renewal's attachment.
 struct VmReport {
   std::vector<moves::VersionStats> Stats;      ///< For routes with a running version move.
   std::vector<moves::InFlightReport> InFlight; ///< For running drains.
+  std::vector<RegionOutcomes> Regions;         ///< Without versions under trial.
   uint64_t Finished = 0;                       ///< Requests that a target answered.
   uint64_t BusyMs = 0;                         ///< Sum of their times at targets, in ms.
   uint64_t IntervalMs = 0;                     ///< Length of the span measured, in ms.
@@ -29,6 +37,8 @@
   std::string Crashes;              ///< Encoded balance::CrashReport; empty when unchanged.
 };
 
+void to_json(core::Json &j, const RegionOutcomes &outcomes);
+void from_json(const core::Json &j, RegionOutcomes &outcomes);
 void from_json(const core::Json &j, VmReport &report);
 void from_json(const core::Json &j, LeaderReport &report);
 
--- a/src/daemon/ServingState.cpp
+++ b/src/daemon/ServingState.cpp
@@ -49,6 +49,11 @@
       if (vm.Region == region)
         site.Vms.push_back(
             {id, context.Excluded.count(id) == 0, config::isDraining(records, vm), {}});
+    // Forced shares come first: callers that a shift would move are away already.
+    if (const auto *failure = config::find(records.RegionFailures, region))
+      for (const config::ForcedShare &it : failure->Forced)
+        if (auto to = numbers.find(it.To); to != numbers.end())
+          site.Shares.push_back({to->second, it.Basis});
     for (const auto &[id, shift] : records.Shifts) {
       auto to = numbers.find(core::RegionId(shift.To));
       if (shift.From == region.Value && shift.ShiftedPermille > 0 && to != numbers.end())
@@ -97,6 +102,29 @@
   return nullptr;
 }
 
+std::vector<RegionOutcomes>
+outcomesByRegion(const std::map<core::TargetId, balance::OutcomeCounts> &outcomes,
+                 const ServingState &state) {
+  std::map<core::RegionId, RegionOutcomes> sums;
+  for (const auto &[id, counts] : outcomes) {
+    const config::TargetRecord *target = config::find(state.Records.Targets, id);
+    if (target == nullptr)
+      continue;
+    const config::MoveRecord *move = config::runningMove(state.Records, target->Route);
+    if (move != nullptr && move->To == target->Version)
+      continue;
+    RegionOutcomes &sum = sums[target->Region];
+    sum.Region = target->Region;
+    sum.Good += counts.Good;
+    sum.Failed += counts.Failed;
+  }
+  std::vector<RegionOutcomes> out;
+  out.reserve(sums.size());
+  for (const auto &[id, sum] : sums)
+    out.push_back(sum);
+  return out;
+}
+
 std::shared_ptr<const ServingState> buildServingState(const config::ConfigReplica &config,
                                                       const ServingContext &context) {
   auto state = std::make_shared<ServingState>();
--- a/src/daemon/ServingState.h
+++ b/src/daemon/ServingState.h
@@ -2,8 +2,10 @@
 
 #include "auth/KeyVerifier.h"
 #include "balance/SlotMessages.h"
+#include "balance/TargetChooser.h"
 #include "config/ConfigReplica.h"
 #include "core/Ids.h"
+#include "daemon/Reports.h"
 #include "placement/LookupPolicy.h"
 
 #include <map>
@@ -47,6 +49,12 @@
 balance::TargetInfo targetInfoOf(const config::Records &records,
                                  const config::TargetRecord &target);
 
+/// Adds up outcomes at targets by region. Targets of a version under trial are left out: if it is
+/// bad, their failures say nothing about the region.
+std::vector<RegionOutcomes>
+outcomesByRegion(const std::map<core::TargetId, balance::OutcomeCounts> &outcomes,
+                 const ServingState &state);
+
 /// Builds the serving state of a configuration.
 std::shared_ptr<const ServingState> buildServingState(const config::ConfigReplica &config,
                                                       const ServingContext &context);
--- a/src/daemon/VmSide.cpp
+++ b/src/daemon/VmSide.cpp
@@ -152,6 +152,7 @@
   VmReport report;
   Stats.take(Identity.Vm, Identity.Run, pairs, now, report);
   report.InFlight = inFlightReports();
+  report.Regions = outcomesByRegion(Chooser.takeOutcomes(), *state);
   return encode(report);
 }
 
--- a/src/moves/MoveController.h
+++ b/src/moves/MoveController.h
@@ -70,13 +70,17 @@
   void observe(const InFlightReport &report, core::Time now);
   void observe(const RegionLoad &load, core::Time now);
   void vmExpired(const core::VmId &vm, core::Time now);
-  /// Returns where the callers of a failed region go; see ShiftBudget::failRegion.
+  /// Returns where the callers of a failed region go; see ShiftBudget::failRegion. Call it again
+  /// while the region is down, so that shifts which start meanwhile are taken back too.
   std::vector<ForcedMove> regionFailed(const core::RegionId &region, core::Time now);
   /// Restores the committed forced moves of a region that is down; see ShiftBudget::setForced.
-  void setForced(const core::RegionId &region, std::vector<ForcedMove> forced, uint64_t load);
+  void setForced(const core::RegionId &region, std::vector<ForcedMove> forced, uint64_t load,
+                 bool down = true);
   /// Gives back one step of the callers of a region that is up again; see
   /// ShiftBudget::returnForced.
   std::vector<ForcedMove> returnForced(const core::RegionId &region, core::Time now);
+  /// The step that returnForced() gave back was committed; see ShiftBudget::settleReturn.
+  void forcedCommitted(const core::RegionId &region, core::Time now);
   void setCap(const core::RegionId &region, const ShiftCap &cap);
 
   const MoveRecord *find(const core::MoveId &id) const;
--- a/src/moves/MoveControllerShift.cpp
+++ b/src/moves/MoveControllerShift.cpp
@@ -82,11 +82,9 @@
 }
 
 std::vector<ForcedMove> MoveController::regionFailed(const core::RegionId &region, core::Time now) {
-  if (!Budget.isUp(region))
-    return Budget.forcedOf(region);
   for (auto &[id, move] : Moves) {
     const MoveRecord &record = move->Record;
-    if (record.ended() || record.Kind != MoveKind::Shift)
+    if (record.ended() || record.Kind != MoveKind::Shift || move->Forced)
       continue;
     move->SourceFailed = move->SourceFailed || record.From == region;
     if (record.To != region || move->SourceFailed)
@@ -107,8 +105,12 @@
 }
 
 void MoveController::setForced(const core::RegionId &region, std::vector<ForcedMove> forced,
-                               uint64_t load) {
-  Budget.setForced(region, std::move(forced), load);
+                               uint64_t load, bool down) {
+  Budget.setForced(region, std::move(forced), load, down);
+}
+
+void MoveController::forcedCommitted(const core::RegionId &region, core::Time now) {
+  Budget.settleReturn(region, now);
 }
 
 std::vector<ForcedMove> MoveController::returnForced(const core::RegionId &region, core::Time now) {
--- a/src/moves/ShiftBudget.cpp
+++ b/src/moves/ShiftBudget.cpp
@@ -211,12 +211,13 @@
   return failed.Forced;
 }
 
-void ShiftBudget::setForced(const core::RegionId &id, std::vector<ForcedMove> forced,
-                            uint64_t load) {
+void ShiftBudget::setForced(const core::RegionId &id, std::vector<ForcedMove> forced, uint64_t load,
+                            bool down) {
   Region &region = Regions[id];
   region.Load.Region = id;
-  region.Load.Up = false;
+  region.Load.Up = !down;
   region.Seen = true;
+  region.LastReturn = 0;
   region.LoadAtFailure = load;
   region.Forced = std::move(forced);
 }
@@ -235,12 +236,23 @@
   if (!granted)
     return region.Forced;
   settle(granted->Id, now);
+  region.LastReturn = granted->Id;
   last.Basis -= granted->Basis;
   if (last.Basis == 0)
     region.Forced.pop_back();
   return region.Forced;
 }
 
+void ShiftBudget::settleReturn(const core::RegionId &id, core::Time committedAt) {
+  if (uint64_t charge = std::exchange(Regions[id].LastReturn, 0))
+    settle(charge, committedAt);
+}
+
+uint64_t ShiftBudget::loadAtFailure(const core::RegionId &region) const {
+  auto it = Regions.find(region);
+  return it != Regions.end() ? it->second.LoadAtFailure : 0;
+}
+
 void ShiftBudget::dropOld(core::Time now) {
   for (auto it = Charges.begin(); it != Charges.end();) {
     core::Duration kept = std::max(capOf(it->second.Capped).Window, Settings.LoadStale);
--- a/src/moves/ShiftBudget.h
+++ b/src/moves/ShiftBudget.h
@@ -90,13 +90,21 @@
   /// Restores the forced moves of a region that is down, as committed under an earlier leader, so
   /// that a change of leader does not send those callers elsewhere. `load` is the region's load
   /// when it failed, in requests per second.
-  void setForced(const core::RegionId &region, std::vector<ForcedMove> forced, uint64_t load);
+  /// With `down` false the region is up again and its callers are on their way back.
+  void setForced(const core::RegionId &region, std::vector<ForcedMove> forced, uint64_t load,
+                 bool down = true);
   /// Where the callers of a region that is or was down go at present.
   std::vector<ForcedMove> forcedOf(const core::RegionId &region) const;
   /// Gives back one step of the callers of a region that is up again, under its cap: a region that
   /// returns has cold caches. Returns the forced moves that remain.
   std::vector<ForcedMove> returnForced(const core::RegionId &region, core::Time now);
 
+  /// The step that returnForced() gave back was committed. Its callers move from then on, so its
+  /// charge lasts longer than it did without the time of the commit.
+  void settleReturn(const core::RegionId &region, core::Time committedAt);
+  /// Load of the region when it last failed, in requests per second.
+  uint64_t loadAtFailure(const core::RegionId &region) const;
+
   /// Part of the cap in use, in basis points of the region's callers.
   BasisPoints charged(const core::RegionId &capped, core::Time now) const;
   /// Requests per second that the region can take beyond its load and all charges in flight.
@@ -122,6 +130,7 @@
     bool Seen = false;
     uint64_t LoadAtFailure = 0; // Requests per second.
     std::vector<ForcedMove> Forced;
+    uint64_t LastReturn = 0; // Charge of the last step given back; 0: none.
   };
 
   const ShiftCap &capOf(const core::RegionId &region) const;
--- a/src/moves/tests/PartsTest.cpp
+++ b/src/moves/tests/PartsTest.cpp
@@ -211,6 +211,24 @@
   cr_assert_eq(budget.returnForced(RegionId("c"), Time{20'000})[0].Basis, 1'500);
 }
 
+/// Guards against two steps of a return in one window when the first one took long to commit.
+Test(ShiftBudget, aReturnCountsFromItsCommit) {
+  ShiftBudget budget;
+  budget.setForced(RegionId("c"), {{RegionId("a"), 2'000}}, 1'000, /*down=*/false);
+  auto returnAt = [&budget](int64_t now) {
+    budget.observe(load("c", 0, 5'000), Time{now});
+    return budget.returnForced(RegionId("c"), Time{now})[0].Basis;
+  };
+  constexpr int64_t Start = 100'000;
+  constexpr int64_t CommitAfter = 5'000;
+  // Propagation, TTL and the window of the default cap.
+  constexpr int64_t Lasts = 3'000 + 10'000 + 60'000;
+  cr_assert_eq(returnAt(Start), 1'500);
+  budget.settleReturn(RegionId("c"), Time{Start + CommitAfter});
+  cr_assert_eq(returnAt(Start + Lasts + CommitAfter), 1'500);
+  cr_assert_eq(returnAt(Start + Lasts + CommitAfter + 1), 1'000);
+}
+
 /// Guards against planned shifts while forced callers are still arriving, and on stale loads.
 Test(ShiftBudget, plannedShiftsWaitForForcedOnesAndFreshLoads) {
   ShiftBudget budget;
