Split the request pipeline by duty

Change: admission, dispatch and answers are files of their own; the functions that build refusals moved to Refusals.h. No change of behaviour.

--- /dev/null
+++ b/src/daemon/RequestDispatch.cpp
@@ -0,0 +1,233 @@
+#include "absl/strings/str_cat.h"
+#include "daemon/HttpHeaders.h"
+#include "daemon/Refusals.h"
+#include "daemon/RequestPipeline.h"
+
+#include <algorithm>
+
+namespace briarspar::daemon {
+
+namespace {
+
+using forwarding::ExchangeStatus;
+using forwarding::Refusal;
+using forwarding::RefusalCode;
+using forwarding::RequestOutcome;
+using forwarding::TargetAnswer;
+
+/// Attempts of one request on different targets.
+constexpr size_t MaxAttempts = 3;
+
+/// Longest wait for the leader's acknowledgement of a crash report. A round trip between regions
+/// takes 35 ms; a longer wait holds the caller for little gain.
+constexpr core::Duration CrashAckWait{300};
+
+/// Longest wait for a connection that tells whether a target's process ended.
+constexpr core::Duration CrashProbeTimeout{100};
+
+constexpr int ServiceUnavailable = 503;
+
+balance::PoolId poolOf(const RouteView &route) { return balance::PoolId(route.Record.Id.Value); }
+
+balance::Outcome::Kind outcomeKind(const TargetAnswer &answer) {
+  switch (answer.Status) {
+  case ExchangeStatus::Answered:
+  case ExchangeStatus::TooLarge:
+    return answer.HttpStatus >= 500 ? balance::Outcome::Failed : balance::Outcome::Good;
+  case ExchangeStatus::NotSent:
+    return balance::Outcome::NoConnect;
+  case ExchangeStatus::Broken:
+    return balance::Outcome::Broken;
+  case ExchangeStatus::TimedOut:
+    return balance::Outcome::TimedOut;
+  case ExchangeStatus::Canceled:
+    return balance::Outcome::Cancelled;
+  }
+  return balance::Outcome::Failed;
+}
+
+bool mayRetry(const TargetAnswer &answer) {
+  if (answer.Status == ExchangeStatus::Answered)
+    return answer.HttpStatus == ServiceUnavailable;
+  return answer.Status == ExchangeStatus::NotSent || answer.Status == ExchangeStatus::Broken;
+}
+
+} // namespace
+
+RequestPipeline::Result RequestPipeline::runIdempotent(Exchange &exchange) {
+  Retries.onRequest();
+  std::vector<core::TargetId> used;
+  AttemptEnd end = attempt(exchange, used, /*nothingSent=*/true);
+  bool nothingSent = true;
+  while (!end.Refused && mayRetry(end.Answer) && used.size() + 1 < MaxAttempts) {
+    used.push_back(end.Target);
+    nothingSent = nothingSent && end.Status == ExchangeStatus::NotSent;
+    if (end.Status != ExchangeStatus::NotSent && !Retries.tryTake(/*idempotent=*/true))
+      break;
+    if (!Side.crashes().admits(exchange.Fingerprint, Clock.now()))
+      return refuse(RefusalCode::RequestQuarantined);
+    AttemptEnd next = attempt(exchange, used, nothingSent);
+    if (next.Refused)
+      break;
+    end = std::move(next);
+  }
+  if (end.Status == ExchangeStatus::Answered)
+    return std::move(end.Answer);
+  return refusalOf(exchange, end);
+}
+
+RequestPipeline::Result RequestPipeline::runOnce(Exchange &exchange) {
+  idempotency::RequestStart start;
+  start.Key = {exchange.Customer, exchange.Route->Record.Id, exchange.RequestId};
+  start.BodyFingerprint = exchange.Fingerprint;
+  start.Deadline = exchange.Deadline - Clock.now();
+  std::optional<Refusal> notSent;
+  idempotency::CallerReply reply = Claims.run(start, [&](const idempotency::Dispatch &) {
+    idempotency::DispatchResult result;
+    std::vector<core::TargetId> used;
+    AttemptEnd end = attempt(exchange, used, /*nothingSent=*/true);
+    while (!end.Refused && end.Status == ExchangeStatus::NotSent && used.size() + 1 < MaxAttempts) {
+      used.push_back(end.Target);
+      end = attempt(exchange, used, /*nothingSent=*/true);
+    }
+    if (end.Status == ExchangeStatus::NotSent) {
+      result.What = idempotency::DispatchResult::NotSent;
+      notSent = refusalOf(exchange, end);
+    } else if (end.Status == ExchangeStatus::Answered) {
+      result.What = idempotency::DispatchResult::Answered;
+      result.Answer = encodeAnswer(end.Answer);
+    }
+    return result;
+  });
+  if (reply.What == idempotency::CallerReply::Answered) {
+    absl::StatusOr<TargetAnswer> answer = decodeAnswer(reply.Answer);
+    if (answer.ok())
+      return *std::move(answer);
+    Refusal refusal = refuse(RefusalCode::AnswerNotKept);
+    refusal.Outcome = RequestOutcome::Ran;
+    return refusal;
+  }
+  if (reply.What == idempotency::CallerReply::NotRun && notSent)
+    return *notSent;
+  return refusalOf(reply);
+}
+
+RequestPipeline::AttemptEnd RequestPipeline::attempt(Exchange &exchange,
+                                                     const std::vector<core::TargetId> &exclude,
+                                                     bool nothingSent) {
+  balance::PoolId pool = poolOf(*exchange.Route);
+  std::optional<balance::Choice> choice =
+      exclude.empty() ? Slots.acquire(exchange.Customer, pool, exchange.Deadline)
+                      : Slots.tryAcquire(pool, exclude);
+  // Targets that took no connection are ejected by now, so a request that was sent nowhere may
+  // wait.
+  if (!choice && nothingSent)
+    choice = Slots.acquire(exchange.Customer, pool, exchange.Deadline);
+  if (!choice) {
+    AttemptEnd end;
+    end.Refused = refuseForNow(RefusalCode::NoCapacity);
+    return end;
+  }
+  core::Time sentAt = Clock.now();
+  AttemptEnd end = sendTo(exchange, *choice);
+  Slots.release(pool, choice->Target);
+  recordEnd(exchange, *choice, end, Clock.now() - sentAt);
+  return end;
+}
+
+RequestPipeline::AttemptEnd RequestPipeline::sendTo(Exchange &exchange,
+                                                    const balance::Choice &choice) {
+  AttemptEnd end;
+  end.Target = choice.Target;
+  const config::TargetRecord *target = config::find(exchange.State->Records.Targets, choice.Target);
+  if (target == nullptr) {
+    end.Refused = refuseForNow(RefusalCode::NoCapacity);
+    return end;
+  }
+  forwarding::TargetAddress address = forwarding::parseTargetAddress(target->Address);
+  forwarding::TargetRequest request;
+  if (!prepare(exchange, request).ok()) {
+    end.Refused = refuse(RefusalCode::BadRequest, "the path holds a key");
+    return end;
+  }
+  // The last check before bytes go out: a process that was paused acts on nothing stale.
+  end.Refused = checkBeforeSending(exchange);
+  if (end.Refused)
+    return end;
+  end.Address = address;
+  end.Answer = Targets.exchange(address, request, exchange.Deadline);
+  end.Status = end.Answer.Status;
+  return end;
+}
+
+std::optional<Refusal> RequestPipeline::checkBeforeSending(const Exchange &exchange) const {
+  core::Time now = Clock.now();
+  if (now >= exchange.Deadline)
+    return refuseForNow(RefusalCode::DeadlineExceeded);
+  if (!Side.mayServe(now)) {
+    Refusal refusal = refuseForNow(RefusalCode::NoLease);
+    refusal.OtherVms = otherVms(*exchange.State);
+    return refusal;
+  }
+  // The key may have been withdrawn while the request waited.
+  if (!exchange.Customer.empty() && Side.state()->Keys.verify(exchange.Key) != exchange.Customer)
+    return refuse(RefusalCode::KeyInvalid);
+  return std::nullopt;
+}
+
+void RequestPipeline::recordEnd(const Exchange &exchange, const balance::Choice &choice,
+                                const AttemptEnd &end, core::Duration latency) {
+  if (end.Refused) {
+    Side.chooser().record({choice.Target, balance::Outcome::Cancelled, latency}, Clock.now());
+    return;
+  }
+  balance::Outcome::Kind kind = outcomeKind(end.Answer);
+  std::optional<uint32_t> blamed = reportIfCrash(exchange, choice, end);
+  Side.chooser().record({choice.Target, kind, latency}, Clock.now());
+  if (kind == balance::Outcome::Cancelled)
+    return;
+  if (kind == balance::Outcome::Good)
+    Side.crashes().recordGood(exchange.Fingerprint);
+  const core::RouteId &route = exchange.Route->Record.Id;
+  if (kind == balance::Outcome::Good)
+    Side.stats().record(route, choice.Version, VersionOutcome::Good, latency);
+  else if (blamed && *blamed == 0)
+    Side.stats().record(route, choice.Version, VersionOutcome::CrashError, latency);
+  else
+    for (uint32_t n = 0; n < std::max(blamed.value_or(1), 1U); ++n)
+      Side.stats().record(route, choice.Version, VersionOutcome::Error, latency);
+}
+
+std::optional<uint32_t> RequestPipeline::reportIfCrash(const Exchange &exchange,
+                                                       const balance::Choice &choice,
+                                                       const AttemptEnd &end) {
+  if (end.Status != ExchangeStatus::Broken)
+    return std::nullopt;
+  // A reused connection may have been closed by an idle target, which is no crash.
+  if (end.Answer.ReusedConnection && forwarding::acceptsConnections(end.Address, CrashProbeTimeout))
+    return std::nullopt;
+  uint64_t seen = CrashAcks.current();
+  uint32_t blamed =
+      Side.crashes().recordCrash(exchange.Fingerprint, choice.Target, choice.Version, Clock.now());
+  AskCrashReport();
+  // A resend through another VM must find the record, so the caller gets no answer before.
+  bool acknowledged = CrashAcks.waitAfter(seen, CrashAckWait);
+  Events.emit({core::EventId::TargetEnded,
+               {{"target", choice.Target.Value},
+                {"route", exchange.Route->Record.Id.Value},
+                {"acknowledged", acknowledged}}});
+  return blamed;
+}
+
+absl::Status RequestPipeline::prepare(const Exchange &exchange,
+                                      forwarding::TargetRequest &request) const {
+  absl::Status status = copyForTarget(*exchange.Req, request);
+  core::Duration left = exchange.Deadline - Clock.now();
+  request.Headers.emplace("Briarspar-Deadline-Ms", absl::StrCat(left.Ms));
+  if (!exchange.Customer.empty())
+    request.Headers.emplace("Briarspar-Customer", exchange.Customer.Value);
+  request.FreshConnection = isOnce(*exchange.Route);
+  return status;
+}
+
+} // namespace briarspar::daemon
