Add policy measurements of the decision objects in fixed scenes

Change: tools/policy drives the real objects through eight scenes in two deployments on injected time, with stand-in targets, beside a static split of rates and round robin over targets.

--- /dev/null
+++ b/tools/policy/ManagedVm.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "World.h"
+#include "balance/CrashGuard.h"
+#include "balance/FairQueue.h"
+#include "balance/HedgePolicy.h"
+#include "balance/RetryBudget.h"
+#include "balance/SlotHolder.h"
+#include "balance/TargetChooser.h"
+#include "moves/VersionStats.h"
+#include "quota/QuotaHolder.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace briarspar::tools {
+
+/// The decision objects of one entry VM, put together as the daemon's request pipeline does, and
+/// with hedges.
+class ManagedVm final : public balance::ServingPermission {
+public:
+  ManagedVm(World &world, uint32_t number);
+
+  bool valid(core::Time) const override { return Alive; }
+  void arrive(const Request &request);
+  /// Drops waiting requests whose deadline has passed.
+  void expire();
+  /// Hands out slots after the limits changed.
+  void serveAll();
+  void lose();
+
+  void setTargets(absl::Span<const balance::TargetInfo> targets);
+  uint64_t inFlightOn(const core::DomainId &domain) const;
+  std::optional<balance::SlotReport> slotReport(core::Term leader);
+  /// Counts of the first service by version since the last call.
+  std::vector<moves::VersionStats> takeStats();
+
+  const core::VmId Id;
+  const core::Incarnation Run{1};
+  bool Alive = true;
+  quota::QuotaHolder Quota;
+  balance::SlotHolder Slots;
+  balance::TargetChooser Chooser;
+
+private:
+  struct Exchange;
+  using ExchangePtr = std::shared_ptr<Exchange>;
+  struct Pool {
+    balance::FairQueue Queue;
+    std::map<uint64_t, ExchangePtr> Waiting;
+  };
+
+  void admit(const ExchangePtr &exchange, const quota::Admission &admission);
+  void enqueue(const ExchangePtr &exchange);
+  void serve(const balance::PoolId &id, Pool &pool);
+  void waitingChanged(const balance::PoolId &id, const Pool &pool);
+  void dispatch(const ExchangePtr &exchange, balance::Leg leg, const balance::Choice &choice);
+  void onEnd(const ExchangePtr &exchange, balance::Leg leg, const balance::Choice &choice,
+             balance::Outcome::Kind kind, core::Time sentAt);
+  void onGood(const ExchangePtr &exchange, balance::Leg leg, core::Duration latency);
+  void onFailure(const ExchangePtr &exchange, balance::Leg leg, const balance::Choice &choice,
+                 balance::Outcome::Kind kind);
+  bool retry(const ExchangePtr &exchange, balance::Leg leg, balance::Outcome::Kind kind);
+  void hedge(const ExchangePtr &exchange);
+  void end(const ExchangePtr &exchange, Ending ending);
+  void count(const ExchangePtr &exchange, const balance::Choice &choice,
+             balance::Outcome::Kind kind, core::Duration latency);
+  const Service &serviceOf(const Exchange &exchange) const;
+
+  World &W;
+  balance::RetryBudget Retries;
+  balance::HedgePolicy Hedges;
+  balance::CrashGuard Crashes;
+  std::vector<balance::TargetInfo> Targets;
+  std::map<balance::PoolId, Pool> Pools;
+  std::map<uint64_t, ExchangePtr> Open;
+  std::map<core::VersionId, moves::RequestCounts> Counts;
+  uint64_t Interval = 0;
+};
+
+} // namespace briarspar::tools
--- /dev/null
+++ b/tools/policy/World.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "Deployment.h"
+#include "Measures.h"
+#include "Scene.h"
+#include "balance/SlotMessages.h"
+#include "balance/TargetChooser.h"
+#include "core/Clock.h"
+
+#include <pcg_random.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <vector>
+
+namespace briarspar::tools {
+
+/// Tells how the work of a leg ended.
+using LegDone = std::function<void(balance::Outcome::Kind)>;
+
+/// A stand-in target: runs up to its slots at once and keeps the rest in order of arrival.
+struct FakeTarget {
+  balance::TargetInfo Info;
+  uint32_t Region = 0;
+  bool Up = true;
+  double SlowFactor = 1;
+  double FailShare = 0;
+  bool Cold = false;
+  uint32_t Served = 0; ///< Since it started; caches fill with requests.
+  uint32_t Running = 0;
+  std::deque<uint64_t> Queue;
+};
+
+/// Injected time, stand-in targets and network delays of one scene. Service times depend only on
+/// the seed, the request and the attempt, so that both policies meet the same ones.
+class World {
+public:
+  World(const Deployment &deployment, const Scene &scene, uint64_t seed);
+
+  void after(core::Duration delay, std::function<void()> action);
+  /// Runs everything that is due at the present time.
+  void runDue();
+
+  /// Sends a request to a target. The handler is called once, when the answer is back at the VM.
+  uint64_t send(const Request &request, const core::TargetId &target, uint32_t attempt,
+                LegDone done);
+  /// Asks the target to stop; the handler is called with Cancelled or with the answer underway.
+  void cancel(uint64_t leg);
+  void failRegion(uint32_t region);
+
+  std::vector<balance::TargetInfo> targetInfos() const;
+  FakeTarget &target(const core::TargetId &id) { return Targets.at(id); }
+  std::map<core::TargetId, FakeTarget> &targets() { return Targets; }
+
+  const Deployment &Where;
+  const Scene &What;
+  const uint64_t Seed;
+  core::ManualClock Clock;
+  Measures Result;
+
+private:
+  struct Leg {
+    Request For;
+    core::TargetId Target;
+    uint32_t Attempt = 0;
+    LegDone Done;
+    bool Running = false;
+    bool Ended = false; ///< The answer is on its way.
+  };
+  struct Event {
+    int64_t At;
+    uint64_t Order;
+    std::function<void()> Action;
+    bool operator>(const Event &o) const { return At != o.At ? At > o.At : Order > o.Order; }
+  };
+
+  void addTargets(const Service &service, const std::string &version);
+  void reach(uint64_t id);
+  void start(uint64_t id, FakeTarget &target);
+  void finish(uint64_t id, balance::Outcome::Kind kind);
+  void startNext(FakeTarget &target);
+  core::Duration oneWay(const Leg &leg) const;
+
+  std::map<core::TargetId, FakeTarget> Targets;
+  std::map<uint64_t, Leg> Legs;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> Events;
+  uint64_t LastLeg = 0;
+  uint64_t LastOrder = 0;
+};
+
+/// Names of places and customers.
+core::RegionId regionId(uint32_t region);
+core::CustomerId customerId(uint32_t customer);
+core::VmId vmId(uint32_t vm);
+balance::Place placeOfVm(uint32_t vm);
+constexpr uint32_t regionOfVm(uint32_t vm) { return vm / VmsPerRegion; }
+
+} // namespace briarspar::tools
