--- a/tools/policy/ManagedVm.cpp
+++ b/tools/policy/ManagedVm.cpp
@@ -204,7 +204,10 @@
   const Time now = W.Clock.now();
   Slots.release(choice.Target);
   const bool isLate = kind == Outcome::Good && now > exchange->Deadline;
-  Chooser.record({choice.Target, isLate ? Outcome::TimedOut : kind, now - sentAt}, now);
+  if (isLate)
+    Chooser.record({choice.Target, Outcome::TimedOut, exchange->Deadline - sentAt}, now);
+  else
+    Chooser.record({choice.Target, kind, now - sentAt}, now);
   count(exchange, choice, kind, now - sentAt);
   if (kind == Outcome::Good)
     onGood(exchange, leg, now - sentAt);
