Count a timeout against a target only after enough time

Change: TargetChooser keeps the mean latency of a pool's good answers and ignores a timeout that lasted less than four times of it. A test records short and long timeouts; it fails without the check.

--- a/src/balance/TargetChooser.cpp
+++ b/src/balance/TargetChooser.cpp
@@ -20,6 +20,10 @@
 /// Beyond this the doubled ejection exceeds any useful maximum.
 constexpr uint32_t MaxDoublings = 16;
 
+/// Weight of earlier latencies against the newest one in the mean of a pool.
+constexpr int64_t LatencyMemory = 100;
+constexpr int64_t MicrosPerMs = 1000;
+
 /// How much an outcome counts towards an ejection. A connection that cannot be opened is stronger
 /// evidence than a failed answer.
 uint32_t blameOf(Outcome::Kind kind) {
@@ -239,6 +243,13 @@
   if (it == Targets.end())
     return;
   Target &target = it->second;
+  if (outcome.What == Outcome::Good)
+    noteLatency(target, outcome.Latency);
+  if (!hadTimeEnough(target, outcome)) {
+    // Says nothing about the target, and a probe has to be repeated.
+    target.ProbeSince.reset();
+    return;
+  }
   if (target.State == Health::Ejected)
     return onProbeOutcome(target, outcome, now);
   rollWindow(target, now);
@@ -248,6 +259,21 @@
     onFailure(target, outcome.What, now);
 }
 
+/// A request that waited long for a slot has little time left on the target. Blaming the target for
+/// its timeout would eject healthy targets exactly when slots are short.
+bool TargetChooser::hadTimeEnough(const Target &target, const Outcome &outcome) const {
+  if (outcome.What != Outcome::TimedOut)
+    return true;
+  const Pool &pool = Pools.at(target.Info.Pool);
+  return outcome.Latency.Ms * MicrosPerMs >= pool.MeanLatencyMicros * Settings.TimeoutBlameFactor;
+}
+
+void TargetChooser::noteLatency(const Target &target, Duration latency) {
+  int64_t &mean = Pools.at(target.Info.Pool).MeanLatencyMicros;
+  const int64_t micros = latency.Ms * MicrosPerMs;
+  mean = mean == 0 ? micros : mean + (micros - mean) / LatencyMemory;
+}
+
 void TargetChooser::onProbeOutcome(Target &target, const Outcome &outcome, Time now) {
   // Requests that were under way when the target was ejected prove nothing about its recovery.
   if (!target.ProbeSince)
--- a/src/balance/TargetChooser.h
+++ b/src/balance/TargetChooser.h
@@ -29,8 +29,10 @@
   uint32_t MaxEjectedPermille = 500;      ///< Beyond it a pool ignores ejections.
   core::Duration Ramp{10'000};            ///< From the first request to full load.
   uint32_t RampStartPermille = 100;       ///< Share of its slots used on a cold target.
-  core::Duration LoadFresh{2000};         ///< Load reports younger than this count fully.
-  core::Duration LoadStale{10'000};       ///< Load reports older than this do not count.
+  /// A timeout counts against a target only when it lasted this many times the pool's mean latency.
+  uint32_t TimeoutBlameFactor = 4;
+  core::Duration LoadFresh{2000};   ///< Load reports younger than this count fully.
+  core::Duration LoadStale{10'000}; ///< Load reports older than this do not count.
 };
 
 /// What is to be sent.
@@ -59,7 +61,7 @@
   };
   core::TargetId Target;
   Kind What = Good;
-  core::Duration Latency;
+  core::Duration Latency; ///< From sending the request until its end.
 };
 
 /// Chooses a target for each request from this VM's own outcomes, its slots, the weights of the
@@ -113,6 +115,7 @@
     std::vector<core::TargetId> Targets;
     std::map<core::VersionId, uint32_t> Shares;
     std::map<core::VersionId, int64_t> Credit; ///< In units of the sum of the shares.
+    int64_t MeanLatencyMicros = 0; ///< Of good answers, exponentially aged; 0 before the first.
   };
 
   using TargetList = std::vector<Target *>;
@@ -130,6 +133,8 @@
   bool isUnderRamp(const Target &target, core::Time now) const;
   int64_t score(const Target &target, core::Time now) const;
   int64_t reportedLoad(const Target &target, core::Time now) const;
+  bool hadTimeEnough(const Target &target, const Outcome &outcome) const;
+  void noteLatency(const Target &target, core::Duration latency);
   void onProbeOutcome(Target &target, const Outcome &outcome, core::Time now);
   void onGood(Target &target, core::Time now);
   void onFailure(Target &target, Outcome::Kind kind, core::Time now);
--- a/src/balance/tests/TargetChooserTest.cpp
+++ b/src/balance/tests/TargetChooserTest.cpp
@@ -81,6 +81,21 @@
   cr_expect_eq(f.choose(), "");
 }
 
+/// Guards against the ejection of healthy targets by requests that used up their deadline in the
+/// queue, and against a hanging target that is no longer ejected.
+Test(TargetChooser, timeoutCountsOnlyAfterEnoughTime) {
+  Fixture f({target("a"), target("b"), target("c")});
+  const Duration usual{40};
+  const auto timeOut = [&](Duration after) {
+    for (uint32_t n = 0; n < 2 * f.Settings.FailuresToEject; ++n)
+      f.Chooser.record({TargetId("a"), Outcome::TimedOut, after}, f.Now);
+    return f.Chooser.isEjected(TargetId("a"));
+  };
+  f.Chooser.record({TargetId("b"), Outcome::Good, usual}, f.Now);
+  cr_expect_not(timeOut(usual));
+  cr_expect(timeOut(usual * f.Settings.TimeoutBlameFactor));
+}
+
 /// Guards against requests that go on to a failing target, against a probe of more than one
 /// request, and against an ejection that never ends or ends at once in full load.
 Test(TargetChooser, failingTargetIsEjectedAndProbed) {
