Tell each VM of excluded VMs once and start the capacity run in steps

Cause: every renewal answer carried the names of all VMs that look-ups must not name, so a failed region made every answer long. With 2,000 nodes started at once, the nodes that waited for a full state counted as suspect, and a profile showed the run in rebuilds of the serving state and in encoding the same full state again for each node.

Change: a VM reports a digest of the list it has, and the leader sends the list when the digest differs. The leader keeps the encoded full state of the current version. Look-up sites are built in one pass over the VMs instead of one for each region. tools/capacity starts its nodes at the rate of full states.

The all-at-once start is not solved: each change of the list still makes every VM rebuild its serving state.

--- a/src/daemon/LeaderSide.cpp
+++ b/src/daemon/LeaderSide.cpp
@@ -194,7 +194,14 @@
     delta = store.deltaSince(from);
   if (delta)
     return DeltaMark + config::encode(*delta);
-  return FullStateMark + store.fullState();
+  // Many VMs that start together ask for the same state.
+  if (FullState.empty() || FullStateVersion != store.version() ||
+      FullStateDigest != store.digest()) {
+    FullState = FullStateMark + store.fullState();
+    FullStateVersion = store.version();
+    FullStateDigest = store.digest();
+  }
+  return FullState;
 }
 
 void LeaderSide::onRenewalMessage(const core::VmId &from, std::string_view bytes, core::Time now) {
@@ -212,26 +219,30 @@
   Members.heartbeat(
       {renewal.Vm, renewal.Inc, renewal.Sequence, renewal.LastAnswered, renewal.Draining}, now);
   Serving[renewal.Vm] = renewal.Inc;
-  observeReport(renewal, now);
+  std::optional<uint64_t> known = observeReport(renewal, now);
   LeaderReport report;
   report.Term = Voter.replica().term();
-  report.Excluded = Excluded;
+  // A region that is cut off makes the list long, and every renewal would carry it.
+  if (known != ExcludedDigest)
+    report.Excluded = Excluded;
   if (Crashes.size() > 0)
     report.Crashes = balance::encode(Crashes.report(now));
   return encode(report);
 }
 
-void LeaderSide::observeReport(const lease::Renewal &renewal, core::Time now) {
+std::optional<uint64_t> LeaderSide::observeReport(const lease::Renewal &renewal, core::Time now) {
   if (renewal.Attachment.empty())
-    return;
+    return std::nullopt;
   absl::StatusOr<VmReport> report = decodeVmReport(renewal.Attachment);
   if (!report.ok())
-    return;
+    return std::nullopt;
   for (const moves::VersionStats &stats : report->Stats)
     Moves.observe(stats, now);
   for (const moves::InFlightReport &inFlight : report->InFlight)
     Moves.observe(inFlight, now);
+  uint64_t known = report->ExcludedDigest;
   LoadReports[renewal.Vm] = *std::move(report);
+  return known;
 }
 
 void LeaderSide::observeLoads(core::Time now) {
@@ -341,6 +352,7 @@
     if (state != membership::VmState::Live && state != membership::VmState::Joining)
       Excluded.push_back(vm);
   }
+  ExcludedDigest = excludedDigest(Excluded);
 }
 
 void LeaderSide::noticeExpiredVms(core::Time now) {
--- a/src/daemon/LeaderSide.h
+++ b/src/daemon/LeaderSide.h
@@ -64,7 +64,8 @@
   void startTerm(core::Time now);
   void adoptConfig(core::Time now);
   void adoptMoves(core::Time now);
-  void observeReport(const lease::Renewal &renewal, core::Time now);
+  /// Takes in a VM's report and returns the digest of the excluded VMs that it knows of.
+  std::optional<uint64_t> observeReport(const lease::Renewal &renewal, core::Time now);
   void observeLoads(core::Time now);
   void noticeExpiredVms(core::Time now);
   void driveMoves(core::Time now);
@@ -88,6 +89,10 @@
   std::map<core::VmId, VmReport> LoadReports;      ///< Latest report of each VM.
   std::map<core::VmId, core::Incarnation> Serving; ///< VMs whose lease has not been seen to end.
   std::vector<core::VmId> Excluded;                ///< VMs that look-ups must not name.
+  uint64_t ExcludedDigest = 0;
+  mutable std::string FullState;                ///< Encoded; of FullStateVersion.
+  mutable core::ConfigVersion FullStateVersion; ///< 0: none is kept.
+  mutable uint64_t FullStateDigest = 0;
   core::Time NextUpkeep;
   core::Time NextMoves;
   core::Time NextLoads;
--- a/src/daemon/Reports.cpp
+++ b/src/daemon/Reports.cpp
@@ -10,11 +10,13 @@
   j.at("finished").get_to(report.Finished);
   j.at("busy_ms").get_to(report.BusyMs);
   j.at("interval_ms").get_to(report.IntervalMs);
+  j.at("excluded_digest").get_to(report.ExcludedDigest);
 }
 
 void from_json(const Json &j, LeaderReport &report) {
   j.at("term").get_to(report.Term);
-  j.at("excluded").get_to(report.Excluded);
+  if (j.contains("excluded"))
+    report.Excluded = j.at("excluded").get<std::vector<core::VmId>>();
   const auto &bytes = j.at("crashes").get_binary();
   report.Crashes.assign(bytes.begin(), bytes.end());
 }
@@ -24,11 +26,14 @@
                            {"in_flight", report.InFlight},
                            {"finished", report.Finished},
                            {"busy_ms", report.BusyMs},
-                           {"interval_ms", report.IntervalMs}});
+                           {"interval_ms", report.IntervalMs},
+                           {"excluded_digest", report.ExcludedDigest}});
 }
 
 std::string encode(const LeaderReport &report) {
-  Json j = {{"term", report.Term}, {"excluded", report.Excluded}};
+  Json j = {{"term", report.Term}};
+  if (report.Excluded)
+    j["excluded"] = *report.Excluded;
   j["crashes"] = Json::binary(std::vector<uint8_t>(report.Crashes.begin(), report.Crashes.end()));
   return core::encodeCbor(j);
 }
--- a/src/daemon/ServingState.cpp
+++ b/src/daemon/ServingState.cpp
@@ -41,14 +41,15 @@
 
 std::vector<placement::Site> sitesOf(const config::Records &records, const ServingContext &context,
                                      const std::map<core::RegionId, placement::SiteId> &numbers) {
+  std::map<core::RegionId, std::vector<placement::EntryVm>> vms;
+  for (const auto &[id, vm] : records.Vms)
+    vms[vm.Region].push_back(
+        {id, context.Excluded.count(id) == 0, config::isDraining(records, vm), {}});
   std::vector<placement::Site> sites;
   for (const auto &[region, number] : numbers) {
     placement::Site site;
     site.Id = number;
-    for (const auto &[id, vm] : records.Vms)
-      if (vm.Region == region)
-        site.Vms.push_back(
-            {id, context.Excluded.count(id) == 0, config::isDraining(records, vm), {}});
+    site.Vms = std::move(vms[region]);
     for (const auto &[id, shift] : records.Shifts) {
       auto to = numbers.find(core::RegionId(shift.To));
       if (shift.From == region.Value && shift.ShiftedPermille > 0 && to != numbers.end())
--- a/src/daemon/VmSide.cpp
+++ b/src/daemon/VmSide.cpp
@@ -158,6 +158,7 @@
   VmReport report;
   Stats.take(Identity.Vm, Identity.Run, pairs, now, report);
   report.InFlight = inFlightReports();
+  report.ExcludedDigest = excludedDigest(Context.Excluded);
   return encode(report);
 }
 
@@ -203,7 +204,9 @@
   LeaderTerm = report->Term;
   if (!report->Crashes.empty())
     onCrashNotice(core::VmId(), report->Crashes, now);
-  std::set<core::VmId> excluded(report->Excluded.begin(), report->Excluded.end());
+  if (!report->Excluded)
+    return;
+  std::set<core::VmId> excluded(report->Excluded->begin(), report->Excluded->end());
   if (excluded != Context.Excluded) {
     Context.Excluded = std::move(excluded);
     publish(now);
--- a/tools/capacity/Capacity.cpp
+++ b/tools/capacity/Capacity.cpp
@@ -124,8 +124,11 @@
         Fleet(settings(options, nodes), &Observer) {}
 
   core::Json measure() {
+    for (uint32_t n = Voters; n < Fleet.size(); ++n)
+      Fleet.crash(n);
     Fleet.advanceUntil([&] { return Fleet.leader().has_value(); }, core::Duration{10'000});
     fillConfiguration();
+    startNodes();
     Fleet.advanceUntil([&] { return Fleet.servingNodes() == Fleet.size(); },
                        core::Duration{60'000});
     advanceUnderLoad(3);
@@ -171,6 +174,17 @@
     }
   }
 
+  /// Starts the nodes at the rate at which the leader gives out full states. A start of all at once
+  /// is another case: refused nodes count as suspect, and each change of that list reaches all.
+  void startNodes() {
+    constexpr uint32_t startsPerStep = 5;
+    for (uint32_t n = Voters; n < Fleet.size(); ++n) {
+      Fleet.restart(n);
+      if (n % startsPerStep == 0)
+        Fleet.advance(core::Duration{100});
+    }
+  }
+
   core::CustomerId customer(uint32_t n) const {
     return core::CustomerId("customer-" + std::to_string(n % Run.Customers));
   }
