Let VMs use reserves of the rate while there is no quota owner

Cause: when the owner is lost, VMs run out of grants until a new owner has started and has waited 505 ms for the old grants to expire, and its buckets start empty.

Change: grant answers carry reserves, small buckets that a VM may use from 600 ms after its last answer until 3,000 ms after its request. The owner counts them against the bucket from their start on. A new owner grants the reserves that VMs return to it, the part of the limit that is never reserved, and the whole limit once all earlier reserves have ended.

The settle time of a limit change is now the serving lease (3 s) for customers that have reserves, because a VM that is cut off keeps its reserve until then.

--- a/models/check.sh
+++ b/models/check.sh
@@ -18,7 +18,7 @@
 # shorter limit cuts the search off, which counts as "incomplete".
 depth_limit() { # model
   case $1 in
-    quota.pml) echo 100000 ;;
+    quota.pml | reserves.pml) echo 100000 ;;
     *) echo 10000 ;;
   esac
 }
--- /dev/null
+++ b/src/quota/HeldReserve.cpp
@@ -0,0 +1,114 @@
+#include "quota/HeldReserve.h"
+
+#include "quota/TokenBucket.h"
+
+#include <algorithm>
+
+namespace briarspar::quota {
+
+using core::Duration;
+using core::Time;
+
+namespace {
+
+/// Between two reports, if a message must be sent for it, and if one is sent anyway. Two fit into
+/// the delay of a reserve, so that one lost message does not make a VM with an owner use its
+/// reserve.
+constexpr Duration RenewInterval{280};
+constexpr Duration JoinInterval{220};
+
+/// Between two attempts to return a reserve.
+constexpr Duration ReturnInterval{50};
+
+} // namespace
+
+void HeldReserve::accrue(Time now) {
+  // Measured from the start, so that the margin's rounding counts once.
+  Duration certain = std::max(Accrued, core::shortenForClockRate(now - From));
+  int64_t gained = (certain - Accrued).Ms * Share.MilliPerSecond;
+  Level = std::min(Share.Depth * MicroTokens, Level + gained);
+  Accrued = certain;
+}
+
+bool HeldReserve::take(Time now) {
+  if (ReturnTo != core::Term() || !inForce(now) || now < From)
+    return false;
+  accrue(now);
+  if (Level < MicroTokens)
+    return false;
+  Level -= MicroTokens;
+  return true;
+}
+
+void HeldReserve::receive(const GrantAnswer &answer, const CustomerGrant &grant, Time sentAt,
+                          Time now) {
+  if (answer.Epoch < Newest)
+    return;
+  Newest = answer.Epoch;
+  if (ReturnTo != core::Term()) {
+    bool isAcked = ReturnedIn != 0 && answer.Sequence >= ReturnedIn;
+    if (answer.Epoch == ReturnTo && !isAcked)
+      return;
+    Share = Reserve();
+    ReturnTo = core::Term();
+  } else if (Epoch < answer.Epoch && inForce(now)) {
+    // The new owner lets a returned reserve accrue at once, so it must have started.
+    if (now < From)
+      return;
+    accrue(now);
+    ReturnTo = answer.Epoch;
+    ReturnedIn = 0;
+    ReportedAt = now - ReturnInterval;
+    return;
+  }
+  if (!grant.Next && answer.Epoch == Epoch && answer.Sequence == ReportedIn)
+    IsSettled = true;
+  if (!grant.Next || !holdsOlderThan(answer.Epoch, answer.Sequence))
+    return;
+  Epoch = answer.Epoch;
+  Sequence = answer.Sequence;
+  Share = *grant.Next;
+  IsSettled = false;
+  // The owner's clock and this one read whole milliseconds, hence one more.
+  From = now + core::lengthenForClockRate(answer.ReserveDelay) + Duration{1};
+  Until = sentAt + core::shortenForClockRate(answer.ReserveLength);
+  Accrued = Duration{0};
+  Level = Share.Start * MicroTokens;
+}
+
+bool HeldReserve::holdsOlderThan(core::Term epoch, uint64_t sequence) const {
+  return Epoch < epoch || (Epoch == epoch && Sequence < sequence);
+}
+
+void HeldReserve::dropExpired(Time now) {
+  if (now >= Until && ReturnTo == core::Term())
+    Share = Reserve();
+}
+
+bool HeldReserve::isReportUrgent(Time now) const {
+  if (ReturnTo != core::Term())
+    return now - ReportedAt >= ReturnInterval;
+  return !IsSettled && now < Until && now - ReportedAt >= RenewInterval;
+}
+
+bool HeldReserve::joinsReport(Time now, bool inUse) const {
+  if (ReturnTo != core::Term())
+    return true;
+  return (inUse || (!IsSettled && now < Until)) && now - ReportedAt >= JoinInterval;
+}
+
+ReserveReport HeldReserve::report(uint64_t request, int64_t demand, Time now) {
+  ReportedAt = now;
+  ReportedIn = request;
+  ReserveReport report{Epoch, Sequence, demand, ReturnTo, 0, 0, 0};
+  if (ReturnTo != core::Term()) {
+    report.MilliPerSecond = Share.MilliPerSecond;
+    report.Depth = Share.Depth;
+    report.Tokens = Level / MicroTokens;
+    if (ReturnedIn == 0)
+      ReturnedIn = request;
+  }
+  return report;
+}
+
+} // namespace briarspar::quota
--- a/src/quota/Messages.cpp
+++ b/src/quota/Messages.cpp
@@ -44,14 +44,51 @@
   j.at(4).get_to(report.Closed);
 }
 
+static void to_json(Json &j, const ReserveReport &report) {
+  j = Json::array({report.Epoch.Value, report.Sequence, static_cast<uint64_t>(report.Demand)});
+  if (report.ReturnTo != core::Term()) {
+    j.push_back(report.ReturnTo.Value);
+    j.push_back(static_cast<uint64_t>(report.MilliPerSecond));
+    j.push_back(static_cast<uint64_t>(report.Depth));
+    j.push_back(static_cast<uint64_t>(report.Tokens));
+  }
+}
+
+static void from_json(const Json &j, ReserveReport &report) {
+  report.Epoch = core::Term(numberOf(j.at(0)));
+  report.Sequence = numberOf(j.at(1));
+  report.Demand = countOf(j.at(2));
+  if (j.size() > 3) {
+    report.ReturnTo = core::Term(numberOf(j.at(3)));
+    report.MilliPerSecond = countOf(j.at(4));
+    report.Depth = countOf(j.at(5));
+    report.Tokens = countOf(j.at(6));
+  }
+}
+
+static void to_json(Json &j, const Reserve &reserve) {
+  j = Json::array({static_cast<uint64_t>(reserve.MilliPerSecond),
+                   static_cast<uint64_t>(reserve.Depth), static_cast<uint64_t>(reserve.Start)});
+}
+
+static void from_json(const Json &j, Reserve &reserve) {
+  reserve.MilliPerSecond = countOf(j.at(0));
+  reserve.Depth = countOf(j.at(1));
+  reserve.Start = countOf(j.at(2));
+}
+
 static void to_json(Json &j, const CustomerDemand &demand) {
   j = Json::array({demand.Customer.Value, static_cast<uint64_t>(demand.Wanted), demand.Reports});
+  if (demand.Reserve)
+    j.push_back(*demand.Reserve);
 }
 
 static void from_json(const Json &j, CustomerDemand &demand) {
   j.at(0).get_to(demand.Customer);
   demand.Wanted = countOf(j.at(1));
   j.at(2).get_to(demand.Reports);
+  if (j.size() > 3)
+    demand.Reserve = j.at(3).get<ReserveReport>();
 }
 
 static void to_json(Json &j, const CustomerGrant &grant) {
@@ -59,6 +96,8 @@
                    static_cast<uint64_t>(grant.Tokens), static_cast<uint64_t>(grant.Delay.Ms),
                    static_cast<uint64_t>(grant.Length.Ms),
                    static_cast<uint64_t>(grant.RetryIn.Ms)});
+  if (grant.Next)
+    j.push_back(*grant.Next);
 }
 
 static void from_json(const Json &j, CustomerGrant &grant) {
@@ -69,6 +108,8 @@
   grant.Delay = durationOf(j.at(4));
   grant.Length = durationOf(j.at(5));
   grant.RetryIn = durationOf(j.at(6));
+  if (j.size() > 7)
+    grant.Next = j.at(7).get<Reserve>();
 }
 
 static void from_json(const Json &j, GrantRequest &request) {
@@ -87,6 +128,10 @@
   answer.Sequence = numberOf(j.at(4));
   answer.Result = resultOf(j.at(5));
   j.at(6).get_to(answer.Customers);
+  if (j.size() > 7) {
+    answer.ReserveDelay = durationOf(j.at(7));
+    answer.ReserveLength = durationOf(j.at(8));
+  }
 }
 
 std::string encode(const GrantRequest &request) {
@@ -96,9 +141,14 @@
 }
 
 std::string encode(const GrantAnswer &answer) {
-  return core::encodeCbor(Json::array(
-      {answer.Vm.Value, answer.Inc.Value, static_cast<uint64_t>(answer.Group), answer.Epoch.Value,
-       answer.Sequence, static_cast<uint64_t>(answer.Result), answer.Customers}));
+  Json j = Json::array({answer.Vm.Value, answer.Inc.Value, static_cast<uint64_t>(answer.Group),
+                        answer.Epoch.Value, answer.Sequence, static_cast<uint64_t>(answer.Result),
+                        answer.Customers});
+  if (answer.ReserveLength > Duration{0}) {
+    j.push_back(static_cast<uint64_t>(answer.ReserveDelay.Ms));
+    j.push_back(static_cast<uint64_t>(answer.ReserveLength.Ms));
+  }
+  return core::encodeCbor(j);
 }
 
 absl::StatusOr<GrantRequest> decodeGrantRequest(std::string_view bytes,
--- a/src/quota/Messages.h
+++ b/src/quota/Messages.h
@@ -6,6 +6,7 @@
 #include "core/Ids.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,11 +34,23 @@
   bool Closed = false;    ///< Nothing more will be admitted with it; the rest is returned.
 };
 
+/// Tells the owner which reserve a VM holds and asks for the next one, or returns it.
+struct ReserveReport {
+  core::Term Epoch;      ///< Of the owner that issued the reserve.
+  uint64_t Sequence = 0; ///< Of the request that it answered; 0: none is held.
+  int64_t Demand = 0;    ///< Smoothed arrivals, in thousandths of a request per second.
+  core::Term ReturnTo;   ///< Not 0: the VM has given the reserve up to the owner of this term only.
+  int64_t MilliPerSecond = 0; ///< Of a reserve that is returned.
+  int64_t Depth = 0;          ///< The same.
+  int64_t Tokens = 0;         ///< Unused ones of a reserve that is returned.
+};
+
 /// Demand and reports of one VM for one customer.
 struct CustomerDemand {
   core::CustomerId Customer;
   int64_t Wanted = 0; ///< Requests that wait or are expected until the answer arrives.
   std::vector<GrantReport> Reports;
+  std::optional<ReserveReport> Reserve = {};
 };
 
 /// Sent by a VM to the owner of a group of customers.
@@ -55,6 +68,14 @@
   Stale = 2,    ///< Duplicated or reordered request, or a fenced incarnation.
 };
 
+/// Part of a customer's rate that a VM may use by itself while it hears from no owner. It replaces
+/// the VM's earlier reserves for the customer.
+struct Reserve {
+  int64_t MilliPerSecond = 0; ///< 0: nothing may be used.
+  int64_t Depth = 0;          ///< Whole tokens that may accumulate.
+  int64_t Start = 0;          ///< Whole tokens that it starts with.
+};
+
 /// Prepaid requests of one customer.
 struct CustomerGrant {
   core::CustomerId Customer;
@@ -64,6 +85,7 @@
   core::Duration Delay;   ///< Usable only this long after the answer was received.
   core::Duration Length;  ///< Expires this long after the request was sent.
   core::Duration RetryIn; ///< With Tokens 0: when a token is expected.
+  std::optional<Reserve> Next = {};
 };
 
 struct GrantAnswer {
@@ -73,6 +95,8 @@
   core::Term Epoch;      ///< Term of the owner.
   uint64_t Sequence = 0; ///< Sequence of the request that is answered.
   GrantResult Result = GrantResult::NotOwner;
+  core::Duration ReserveDelay;  ///< Reserves are usable and accrue this long after the receipt.
+  core::Duration ReserveLength; ///< Reserves end this long after the request was sent.
   std::vector<CustomerGrant> Customers;
 };
 
--- a/src/quota/QuotaHolder.cpp
+++ b/src/quota/QuotaHolder.cpp
@@ -1,6 +1,7 @@
 #include "quota/QuotaHolder.h"
 
 #include "core/Hash.h"
+#include "quota/HeldReserve.h"
 #include "quota/TokenBucket.h"
 
 #include <algorithm>
@@ -83,6 +84,8 @@
   Time RetryAt;      ///< The owner expects no token before this time.
   Time UnknownUntil; ///< Until then the owner is taken to have no limit for the customer.
   bool Scarce = false;
+  HeldReserve Reserve;
+  int64_t LongTermPerMs = 0; ///< Arrivals smoothed over ReserveWindow, in micro-tokens.
 
   bool admit(Time now) {
     for (Held &grant : Grants) {
@@ -92,7 +95,10 @@
       grant.LastUse = std::max(grant.LastUse, now);
       return true;
     }
-    return false;
+    if (!Reserve.take(now))
+      return false;
+    ++Received;
+    return true;
   }
   int64_t unused(Time now) const {
     int64_t n = 0;
@@ -247,7 +253,10 @@
       CustomerDemand demand;
       demand.Customer = id;
       fill(customer, group, now, demand);
-      if (demand.Wanted > 0 || !demand.Reports.empty())
+      bool joins = demand.Wanted > 0 || !demand.Reports.empty();
+      if (customer.Reserve.joinsReport(now, joins))
+        demand.Reserve = customer.Reserve.report(request.Sequence, customer.LongTermPerMs, now);
+      if (joins || demand.Reserve)
         request.Customers.push_back(std::move(demand));
     }
   }
@@ -267,6 +276,10 @@
       smoothed(customer.DemandPerMs, customer.Arrivals, span, Settings.DemandWindow);
   customer.GrantedPerMs =
       smoothed(customer.GrantedPerMs, customer.Received, span, Settings.DemandWindow);
+  customer.LongTermPerMs =
+      smoothed(customer.LongTermPerMs, customer.Arrivals, span, Settings.ReserveWindow);
+  if (now - customer.LastActive > Settings.ReserveWindow)
+    customer.LongTermPerMs = 0;
   customer.Arrivals = 0;
   customer.Received = 0;
   // A caller that vanished without cancelWait() must not count for ever.
@@ -278,6 +291,7 @@
       grant.LastUse = std::max(grant.LastUse, group.LastTick);
     grant.SeenUsed = grant.Used;
   }
+  customer.Reserve.dropExpired(now);
   closeGrants(customer, group, now);
   auto &grants = customer.Grants;
   auto isOver = [now](const Held &grant) {
@@ -331,6 +345,8 @@
 }
 
 bool QuotaHolder::isUrgent(const Customer &customer, const Group &group, Time now) const {
+  if (customer.Reserve.isReportUrgent(now))
+    return true;
   if (now >= customer.RetryAt && wanted(customer, group, now, false) > 0)
     return true;
   Duration interval = customer.Scarce ? Settings.ScarceInterval : Settings.ReportInterval;
@@ -386,6 +402,7 @@
   if (it == shard.Customers.end())
     return;
   Customer &customer = it->second;
+  customer.Reserve.receive(answer, grant, sentAt, now);
   customer.Scarce = grant.Scarce;
   customer.RetryAt = now + grant.RetryIn;
   customer.UnknownUntil = grant.Known ? now : now + UnknownMemory;
--- a/src/quota/QuotaHolder.h
+++ b/src/quota/QuotaHolder.h
@@ -24,6 +24,7 @@
   core::Duration ScarceInterval{20};  ///< The same for a customer whose tokens are scarce.
   core::Duration Refill{150};         ///< Expected demand asked for beyond a round trip, if ample.
   core::Duration DemandWindow{200};   ///< Time constant of the demand estimate.
+  core::Duration ReserveWindow{4000}; ///< The same of the demand that reserves are shared out by.
   core::Duration Forget{10'000};      ///< Idle time after which a customer's state is dropped.
   uint32_t Groups = 1;                ///< Groups of customers, by hash of the customer.
 };
--- a/src/quota/QuotaOwner.cpp
+++ b/src/quota/QuotaOwner.cpp
@@ -54,23 +54,38 @@
 
   VmKey vm{request.Vm, request.Inc};
   for (const CustomerDemand &demand : request.Customers) {
-    auto it = Customers.find(demand.Customer);
-    if (it == Customers.end()) {
-      CustomerGrant unknown;
-      unknown.Customer = demand.Customer;
-      unknown.Known = false;
-      answer.Customers.push_back(unknown);
-      continue;
+    answer.Customers.push_back(serve(demand, vm, request.Sequence, now));
+    if (answer.Customers.back().Next) {
+      answer.ReserveDelay = Settings.Reserves.Delay;
+      answer.ReserveLength = Settings.Reserves.Delay + Settings.Reserves.Length;
     }
-    Customer &customer = it->second;
-    expireGrants(customer, now);
-    for (const GrantReport &report : demand.Reports)
-      settle(customer, {vm, report.Sequence}, report, now);
-    answer.Customers.push_back(grant(customer, demand, {vm, request.Sequence}, now));
   }
   return answer;
 }
 
+CustomerGrant QuotaOwner::serve(const CustomerDemand &demand, const VmKey &vm, uint64_t sequence,
+                                Time now) {
+  auto it = Customers.find(demand.Customer);
+  if (it == Customers.end()) {
+    CustomerGrant unknown;
+    unknown.Customer = demand.Customer;
+    unknown.Known = false;
+    return unknown;
+  }
+  Customer &customer = it->second;
+  if (customer.IsPartial)
+    applyLimit(customer, now);
+  expireGrants(customer, now);
+  for (const GrantReport &report : demand.Reports)
+    settle(customer, {vm, report.Sequence}, report, now);
+  if (demand.Reserve)
+    takeReserveReport(customer, vm, *demand.Reserve, now);
+  CustomerGrant result = grant(customer, demand, {vm, sequence}, now);
+  if (demand.Reserve)
+    result.Next = issueReserve(customer, vm, sequence, demand.Reserve->Demand, now);
+  return result;
+}
+
 bool QuotaOwner::accept(const GrantRequest &request, Time now) {
   VmRecord &record = Vms[request.Vm];
   if (request.Inc < record.Inc)
@@ -86,6 +101,51 @@
   return true;
 }
 
+std::optional<Reserve> QuotaOwner::issueReserve(Customer &customer, const VmKey &vm,
+                                                uint64_t sequence, int64_t demand, Time now) const {
+  ReserveLedger::Request request{sequence, demand, customer.Outstanding,
+                                 reservableOf(customer.LimitRate),
+                                 reservableOf(customer.LimitBurst)};
+  if (customer.IsPartial) {
+    // The rest may still be reserved by earlier owners.
+    request.MaxRate.MilliPerSecond =
+        std::min(request.MaxRate.MilliPerSecond, customer.ReturnedRate.MilliPerSecond);
+    request.MaxDepth.Requests =
+        std::min(request.MaxDepth.Requests, customer.ReturnedDepth.Requests);
+  }
+  return customer.Ledger.issue(Settings.Reserves, vm, request, customer.Bucket, now);
+}
+
+void QuotaOwner::takeReserveReport(Customer &customer, const VmKey &vm, const ReserveReport &report,
+                                   Time now) {
+  if (report.Epoch == Epoch)
+    return customer.Ledger.acknowledge(vm, report.Sequence, customer.Bucket, now);
+  bool isReturned = report.ReturnTo == Epoch && report.Epoch != core::Term();
+  if (!isReturned || !customer.IsPartial || !customer.ReturnedBy.insert(vm).second)
+    return;
+  customer.ReturnedRate.MilliPerSecond += report.MilliPerSecond;
+  customer.ReturnedDepth.Requests += report.Depth;
+  applyLimit(customer, now);
+  customer.Bucket.add(std::min(report.Tokens, report.Depth), now);
+}
+
+void QuotaOwner::applyLimit(Customer &customer, Time now) {
+  customer.IsPartial = customer.IsPartial && now < ReservesEnd;
+  Rate rate = customer.LimitRate;
+  Burst burst = customer.LimitBurst;
+  if (customer.IsPartial) {
+    // What is never reserved is free once the grants of earlier owners have expired.
+    bool isFree = now >= EmptyUntil;
+    int64_t freeRate = rate.MilliPerSecond - reservableOf(rate).MilliPerSecond;
+    int64_t freeBurst = burst.Requests - reservableOf(burst).Requests;
+    int64_t partRate = customer.ReturnedRate.MilliPerSecond + (isFree ? freeRate : 0);
+    int64_t partBurst = customer.ReturnedDepth.Requests + (isFree ? freeBurst : 0);
+    rate.MilliPerSecond = std::min(rate.MilliPerSecond, partRate);
+    burst.Requests = std::min(burst.Requests, partBurst);
+  }
+  customer.Bucket.setLimit(rate, burst, now);
+}
+
 void QuotaOwner::settle(Customer &customer, const GrantKey &key, const GrantReport &report,
                         Time now) {
   if (report.Epoch != Epoch && report.Epoch != core::Term())
@@ -125,12 +185,19 @@
   CustomerGrant result;
   result.Customer = demand.Customer;
   result.Length = Settings.GrantLength;
+  int64_t held = customer.Ledger.charge(customer.Bucket, now) + customer.Outstanding * MicroTokens;
   const TokenBucket &bucket = customer.Bucket;
-  int64_t held = customer.Outstanding * MicroTokens;
-  int64_t available = std::max<int64_t>(0, bucket.levelAt(now) - held) / MicroTokens;
-  int64_t soon = std::max<int64_t>(0, bucket.levelAt(now + Settings.MaxDelay) - held) / MicroTokens;
-  soon = std::max(available, soon);
-  int64_t wanted = std::clamp<int64_t>(demand.Wanted, 0, bucket.burst().Requests);
+  // Reserves that begin to be used must find room in the bucket.
+  int64_t room = bucket.burst().Requests - customer.Ledger.depth() - customer.Outstanding;
+  auto grantable = [&](Time at) {
+    return std::max<int64_t>(0, std::min((bucket.levelAt(at) - held) / MicroTokens, room));
+  };
+  int64_t available = grantable(now);
+  int64_t soon = available;
+  // What accrues while reserves are used may belong to them.
+  if (customer.Ledger.isUnusedUntil(now + Settings.MaxDelay))
+    soon = std::max(available, grantable(now + Settings.MaxDelay));
+  int64_t wanted = std::clamp<int64_t>(demand.Wanted, 0, customer.LimitBurst.Requests);
   setDemand(customer, key.first, wanted, 0, now);
 
   int64_t share = wanted;
@@ -204,12 +271,21 @@
 }
 
 void QuotaOwner::becomeOwner(Time safeFrom, core::Term epoch) {
+  const ReserveTimes &times = Settings.Reserves;
   Epoch = epoch;
   EmptyUntil = safeFrom + core::lengthenForClockRate(Settings.GrantLength);
-  for (auto &[id, customer] : Customers) {
-    TokenBucket empty(customer.Bucket.rate(), customer.Bucket.burst(), EmptyUntil);
-    customer = Customer(empty);
-  }
+  ReservesEnd = safeFrom + core::lengthenForClockRate(times.Delay + times.Length);
+  for (auto &[id, customer] : Customers)
+    customer = startEmpty(customer.LimitRate, customer.LimitBurst, safeFrom);
+}
+
+QuotaOwner::Customer QuotaOwner::startEmpty(Rate rate, Burst burst, Time from) const {
+  if (burst.Requests < MinReserveBurst || from >= ReservesEnd)
+    return {rate, burst, std::max(from, EmptyUntil)};
+  Customer customer(rate, burst, from);
+  customer.IsPartial = true;
+  customer.Bucket = TokenBucket({0}, {0}, from);
+  return customer;
 }
 
 void QuotaOwner::setLimit(const CustomerId &customer, Rate rate, Burst burst, Time now) {
@@ -218,19 +294,27 @@
   auto it = Customers.find(customer);
   if (it != Customers.end()) {
     expireGrants(it->second, now);
-    it->second.Bucket.setLimit(rate, burst, now);
-    return;
+    it->second.LimitRate = rate;
+    it->second.LimitBurst = burst;
+    return applyLimit(it->second, now);
   }
-  Time from = std::max(now, EmptyUntil);
+  Time from = now;
   auto removed = Removed.find(customer);
   if (removed != Removed.end())
     from = std::max(from, removed->second);
-  Customers.emplace(customer, Customer(TokenBucket(rate, burst, from)));
+  Customers.emplace(customer, startEmpty(rate, burst, from));
 }
 
 void QuotaOwner::removeCustomer(const CustomerId &customer, Time now) {
-  if (Customers.erase(customer) != 0)
-    Removed[customer] = now + core::lengthenForClockRate(Settings.GrantLength);
+  auto it = Customers.find(customer);
+  if (it == Customers.end())
+    return;
+  Time end = now + core::lengthenForClockRate(Settings.GrantLength);
+  bool mayHaveReserves = it->second.IsPartial || it->second.Ledger.depth() > 0;
+  if (mayHaveReserves)
+    end = now + core::lengthenForClockRate(Settings.Reserves.Delay + Settings.Reserves.Length);
+  Customers.erase(it);
+  Removed[customer] = end;
 }
 
 int64_t QuotaOwner::outstanding(const CustomerId &customer) const {
--- /dev/null
+++ b/src/quota/ReserveLedger.cpp
@@ -0,0 +1,149 @@
+#include "quota/ReserveLedger.h"
+
+#include <algorithm>
+
+namespace briarspar::quota {
+
+using core::Duration;
+using core::Time;
+
+namespace {
+
+/// Reserves of one VM of which the owner does not know whether they arrived.
+constexpr size_t MaxLive = 8;
+
+/// With less, requests are refused while there is no owner; with more, a new owner that hears from
+/// few VMs can grant little.
+constexpr int64_t ReservablePercent = 85;
+
+/// Bound of numbers in a message.
+constexpr int64_t MaxShare = 1'000'000'000;
+
+/// `part` / `whole` of `amount`, which is cut so that the product fits into 64 bits.
+int64_t shareOf(int64_t amount, int64_t part, int64_t whole) {
+  return whole <= 0 ? 0 : std::min(amount, MaxShare) * part / whole;
+}
+
+} // namespace
+
+Rate reservableOf(Rate rate) { return {rate.MilliPerSecond / 100 * ReservablePercent}; }
+
+Burst reservableOf(Burst burst) {
+  return burst.Requests < MinReserveBurst ? Burst() : Burst{burst.Requests / 2};
+}
+
+void ReserveLedger::update(Entry &entry) {
+  TotalMilliPerSecond -= entry.MilliPerSecond;
+  TotalDepth -= entry.Depth;
+  TotalStart -= entry.Start;
+  entry.MilliPerSecond = 0;
+  entry.Depth = 0;
+  entry.Start = 0;
+  entry.From = Never;
+  for (const Issued &issued : entry.Live) {
+    if (issued.MilliPerSecond == 0)
+      continue;
+    entry.MilliPerSecond = std::max(entry.MilliPerSecond, issued.MilliPerSecond);
+    entry.Depth = std::max(entry.Depth, issued.Depth);
+    entry.Start = std::max(entry.Start, issued.Start);
+    entry.From = std::min(entry.From, issued.From);
+    entry.Until = std::max(entry.Until, issued.Until);
+  }
+  TotalMilliPerSecond += entry.MilliPerSecond;
+  TotalDepth += entry.Depth;
+  TotalStart += entry.Start;
+  NextStart = std::min(NextStart, entry.From);
+}
+
+void ReserveLedger::setDemand(Entry &entry, int64_t demand) {
+  TotalDemand += demand - entry.Demand;
+  entry.Demand = demand;
+}
+
+std::map<VmKey, ReserveLedger::Entry>::iterator
+ReserveLedger::erase(std::map<VmKey, Entry>::iterator it) {
+  it->second.Live.clear();
+  update(it->second);
+  setDemand(it->second, 0);
+  return Entries.erase(it);
+}
+
+void ReserveLedger::acknowledge(const VmKey &vm, uint64_t sequence, TokenBucket &bucket, Time now) {
+  auto it = Entries.find(vm);
+  if (it == Entries.end())
+    return;
+  Entry &entry = it->second;
+  if (entry.Live.empty() || entry.Live.front().Sequence >= sequence)
+    return;
+  // What the earlier reserves may have given counts as used; the VM dropped the rest.
+  bucket.deductMicro(std::max<int64_t>(0, entry.received(now) - entry.Deducted), now);
+  entry.Deducted = 0;
+  while (!entry.Live.empty() && entry.Live.front().Sequence < sequence)
+    entry.Live.pop_front();
+  update(entry);
+}
+
+std::optional<Reserve> ReserveLedger::issue(const ReserveTimes &times, const VmKey &vm,
+                                            const Request &request, const TokenBucket &bucket,
+                                            Time now) {
+  Entry &entry = Entries[vm];
+  if (entry.Live.size() >= MaxLive)
+    return std::nullopt;
+  setDemand(entry, request.Demand);
+  int64_t rate = request.MaxRate.MilliPerSecond;
+  int64_t depths = request.MaxDepth.Requests;
+  int64_t burst = bucket.burst().Requests;
+  int64_t freeRate = rate - (TotalMilliPerSecond - entry.MilliPerSecond);
+  int64_t freeDepth = std::min(depths, burst - request.Outstanding) - (TotalDepth - entry.Depth);
+  int64_t perMs = std::min({shareOf(rate, entry.Demand, TotalDemand), freeRate, MaxShare});
+  int64_t depth = std::max<int64_t>(1, shareOf(depths, entry.Demand, TotalDemand));
+  depth = std::min({depth, freeDepth, MaxShare});
+  if (perMs <= 0 || depth <= 0)
+    perMs = depth = 0;
+  if (perMs == 0 && entry.MilliPerSecond == 0) {
+    if (entry.Demand == 0)
+      erase(Entries.find(vm));
+    return std::nullopt;
+  }
+  Duration length = times.Delay + times.Length;
+  int64_t start = std::clamp<int64_t>(startOf(entry, request, bucket, now), 0, depth);
+  entry.Live.push_back({request.Sequence, perMs, depth, start, now + times.Delay,
+                        now + core::lengthenForClockRate(length)});
+  update(entry);
+  return Reserve{perMs, depth, start};
+}
+
+int64_t ReserveLedger::startOf(const Entry &entry, const Request &request,
+                               const TokenBucket &bucket, Time now) const {
+  // Prepaid like a grant, so it must be in the bucket now. Half is left for grants. While any
+  // reserve is in use, none starts with tokens: what is left may be its own.
+  if (now >= NextStart)
+    return 0;
+  int64_t prepayable = bucket.levelAt(now) / MicroTokens - request.Outstanding;
+  int64_t others = TotalStart - entry.Start;
+  return std::min(shareOf(prepayable / 2, entry.Demand, TotalDemand), prepayable / 2 - others);
+}
+
+int64_t ReserveLedger::charge(TokenBucket &bucket, Time now) {
+  if (now + Lookahead < NextStart)
+    return TotalStart * MicroTokens;
+  NextStart = Never;
+  int64_t held = 0;
+  for (auto it = Entries.begin(); it != Entries.end();) {
+    Entry &entry = it->second;
+    NextStart = std::min(NextStart, entry.From);
+    bool isOver = entry.From != Never && now >= entry.Until;
+    int64_t received = entry.received(now);
+    int64_t unused = isOver ? 0 : std::min(received, entry.Depth * MicroTokens);
+    int64_t used = received - unused;
+    if (used > entry.Deducted) {
+      bucket.deductMicro(used - entry.Deducted, now);
+      entry.Deducted = used;
+    }
+    held += now < entry.From ? entry.Start * MicroTokens : unused;
+    it = isOver ? erase(it) : std::next(it);
+  }
+  return held;
+}
+
+} // namespace briarspar::quota
--- a/src/quota/TokenBucket.cpp
+++ b/src/quota/TokenBucket.cpp
@@ -18,9 +18,15 @@
   return Level + elapsed.Ms * Limit.MilliPerSecond;
 }
 
-void TokenBucket::deduct(int64_t tokens, Time at) {
+void TokenBucket::deductMicro(int64_t amount, Time at) {
   at = std::max(at, At);
-  Level = levelAt(at) - tokens * MicroTokens;
+  Level = levelAt(at) - amount;
+  At = at;
+}
+
+void TokenBucket::add(int64_t tokens, Time now) {
+  Time at = std::max(now, At);
+  Level = std::min(levelAt(at) + tokens * MicroTokens, depth());
   At = at;
 }
 
--- a/src/quota/TokenBucket.h
+++ b/src/quota/TokenBucket.h
@@ -23,7 +23,13 @@
 
   /// Deducts whole tokens as of `at`. A date before the last deduction counts as that date, which
   /// gives the same or a lower level.
-  void deduct(int64_t tokens, core::Time at);
+  void deduct(int64_t tokens, core::Time at) { deductMicro(tokens * MicroTokens, at); }
+
+  /// The same in micro-tokens.
+  void deductMicro(int64_t amount, core::Time at);
+
+  /// Adds whole tokens, up to the depth.
+  void add(int64_t tokens, core::Time now);
 
   /// Changes rate and depth at `now`; the content is kept up to the new depth.
   void setLimit(Rate rate, Burst burst, core::Time now);
