Test the room for reserves and the charge of replaced ones

Cause: the property of the bound did not fail in 60 schedules when the owner granted the whole depth of the bucket beside reserves that had not started, or forgot a used reserve when the VM acknowledged the next one.

Change: one test for each rule.

--- a/src/quota/tests/QuotaTest.cpp
+++ b/src/quota/tests/QuotaTest.cpp
@@ -353,6 +353,41 @@
   cr_assert_eq(giveBack(Term(3)), 0);
 }
 
+/// Guards against grants that fill the bucket up, so that reserves of other VMs which begin to be
+/// used find no room in it.
+Test(Quota, grantsLeaveRoomForReserves) {
+  CustomerId customer("a");
+  QuotaOwner owner({}, [](Time) { return true; });
+  owner.becomeOwner(Time{-10'000}, Term(1));
+  owner.setLimit(customer, Rate::perSecond(100), {100}, Time{0});
+  GrantRequest request;
+  request.Vm = VmId("vm1");
+  request.Sequence = 1;
+  request.Customers = {{customer, 0, {}, ReserveReport{Term(), 0, 1000, Term(), 0, 0, 0}}};
+  GrantAnswer answer = owner.request(request, Time{200});
+  cr_assert(answer.Customers[0].Next.has_value());
+  cr_assert_eq(answer.Customers[0].Next->Depth, 50);
+  cr_assert_eq(answer.Customers[0].Next->Start, 10); // Half of the content; 79 are in it below.
+  request.Vm = VmId("vm2");
+  request.Customers = {{customer, 100, {}}};
+  cr_assert_eq(owner.request(request, Time{790}).Customers[0].Tokens, 50);
+}
+
+/// Guards against a reserve that was used and is then forgotten when the VM acknowledges the next.
+Test(Quota, replacedReserveCountsAsUsed) {
+  VmKey vm{VmId("vm"), Incarnation(1)};
+  TokenBucket bucket(Rate::perSecond(100), {100}, Time{0});
+  ReserveLedger ledger;
+  ReserveLedger::Request request{1, 1000, 0, Rate::perSecond(85), {50}};
+  cr_assert_eq(ledger.issue({}, vm, request, bucket, Time{1000})->Start, 50);
+  // Used from 1,600 on: its 50 first tokens and 34 that accrued.
+  (void)ledger.charge(bucket, Time{2000});
+  request.Sequence = 2;
+  (void)ledger.issue({}, vm, request, bucket, Time{2000});
+  ledger.acknowledge(vm, 2, bucket, Time{2000});
+  cr_assert_leq(bucket.levelAt(Time{2000}), (100 - 50 - 34) * MicroTokens);
+}
+
 /// Guards against a reserve that is used before its start, after its end or after its return, and
 /// against one that is returned to two owners.
 Test(Quota, heldReserveIsUsedOrReturned) {
