Hedge slow idempotent requests

Cause: HedgePolicy was tested but the request path did not use it. A retry whose connection was refused also replaced the end of an earlier attempt, so a request that a target may have run was reported as not run; so was a request that was quarantined after it had been sent.

Change: a first attempt on an idempotent route that exceeds the policy's delay is sent to a second target when a slot is free at once and the retry budget allows it. A pool of 16 threads runs the second exchanges. The first whole answer goes to the caller and the other connection is closed; its slot is released when its exchange has ended. Ends of several attempts are combined by what they say about whether the request ran.

With the cancellations removed both hedge tests fail, with the combination removed the outcome test fails.

--- a/src/balance/CrashGuard.cpp
+++ b/src/balance/CrashGuard.cpp
@@ -94,6 +94,12 @@
          now >= it->second.latest() + Settings.Quarantine;
 }
 
+bool CrashGuard::hasCrashed(uint64_t fingerprint) const {
+  std::lock_guard<std::mutex> lock(Mutex);
+  auto it = Entries.find(fingerprint);
+  return it != Entries.end() && it->second.count() > 0;
+}
+
 uint32_t CrashGuard::recordCrash(uint64_t fingerprint, const TargetId &target,
                                  const core::VersionId &version, Time now) {
   std::lock_guard<std::mutex> lock(Mutex);
--- a/src/balance/CrashGuard.h
+++ b/src/balance/CrashGuard.h
@@ -59,6 +59,9 @@
   /// True when a request may be sent to a target.
   bool admits(uint64_t fingerprint, core::Time now) const;
 
+  /// True when the request has ended a target process and was not cleared since.
+  bool hasCrashed(uint64_t fingerprint) const;
+
   /// Takes the end of a target process while it ran a request. Returns the number of crash outcomes
   /// to count against the version now: none while few unrelated crashes happened, and with the one
   /// that reaches the threshold also those withheld before. Crashes with a request in common are
--- a/src/balance/SlotHolder.cpp
+++ b/src/balance/SlotHolder.cpp
@@ -71,6 +71,20 @@
   return it == Slots.end() ? 0 : it->second.InUse;
 }
 
+SlotHolder::PoolSlots SlotHolder::poolSlots(const PoolId &pool) const {
+  std::lock_guard<std::mutex> lock(Mutex);
+  const bool isValid = limitsValid(Clock.now());
+  PoolSlots sum;
+  for (const auto &[target, slot] : Slots) {
+    if (slot.Pool != pool)
+      continue;
+    const uint32_t free = isValid && slot.Limit > slot.InUse ? slot.Limit - slot.InUse : 0;
+    sum.Free += free;
+    sum.All += free + slot.InUse;
+  }
+  return sum;
+}
+
 void SlotHolder::setWaiting(const PoolId &pool, uint32_t waiting) {
   std::lock_guard<std::mutex> lock(Mutex);
   Demand &demand = Demands[pool];
--- a/src/balance/SlotHolder.h
+++ b/src/balance/SlotHolder.h
@@ -70,6 +70,13 @@
   /// Sets the number of requests that wait for a slot of a pool.
   void setWaiting(const PoolId &pool, uint32_t waiting);
 
+  /// Slots of a pool at this VM.
+  struct PoolSlots {
+    uint32_t Free = 0;
+    uint32_t All = 0; ///< Free and in use.
+  };
+  PoolSlots poolSlots(const PoolId &pool) const;
+
   /// Connections that this VM may have open to a target, idle ones included. Summed over all VMs
   /// the limits never exceed the target's. Close idle connections when the limit falls.
   uint32_t connectionLimit(const core::TargetId &target) const;
--- a/src/daemon/RequestDispatch.cpp
+++ b/src/daemon/RequestDispatch.cpp
@@ -58,18 +58,23 @@
   Retries.onRequest();
   std::vector<core::TargetId> used;
   AttemptEnd end = attempt(exchange, used, /*nothingSent=*/true);
-  bool nothingSent = true;
-  while (!end.Refused && mayRetry(end.Answer) && used.size() + 1 < MaxAttempts) {
-    used.push_back(end.Target);
-    nothingSent = nothingSent && end.Status == ExchangeStatus::NotSent;
-    if (end.Status != ExchangeStatus::NotSent && !Retries.tryTake(/*idempotent=*/true))
+  used.push_back(end.Target);
+  if (!end.HedgeTarget.empty())
+    used.push_back(end.HedgeTarget);
+  while (!end.Refused && mayRetry(end.Answer) && used.size() < MaxAttempts) {
+    const bool nothingSent = end.Status == ExchangeStatus::NotSent;
+    if (!nothingSent && !Retries.tryTake(/*idempotent=*/true))
       break;
-    if (!Side.crashes().admits(exchange.Fingerprint, Clock.now()))
-      return refuse(RefusalCode::RequestQuarantined);
+    if (!Side.crashes().admits(exchange.Fingerprint, Clock.now())) {
+      Refusal refusal = refuse(RefusalCode::RequestQuarantined);
+      refusal.Outcome = nothingSent ? RequestOutcome::NotRun : RequestOutcome::Unknown;
+      return refusal;
+    }
     AttemptEnd next = attempt(exchange, used, nothingSent);
     if (next.Refused)
       break;
-    end = std::move(next);
+    used.push_back(next.Target);
+    end = combine(std::move(end), std::move(next));
   }
   if (end.Status == ExchangeStatus::Answered)
     return std::move(end.Answer);
@@ -112,9 +117,9 @@
   return refusalOf(reply);
 }
 
-RequestPipeline::AttemptEnd RequestPipeline::attempt(Exchange &exchange,
-                                                     const std::vector<core::TargetId> &exclude,
-                                                     bool nothingSent) {
+std::optional<balance::Choice>
+RequestPipeline::chooseTarget(Exchange &exchange, const std::vector<core::TargetId> &exclude,
+                              bool nothingSent) {
   balance::PoolId pool = poolOf(*exchange.Route);
   std::optional<balance::Choice> choice =
       exclude.empty() ? Slots.acquire(exchange.Customer, pool, exchange.Deadline)
@@ -123,20 +128,40 @@
   // wait.
   if (!choice && nothingSent)
     choice = Slots.acquire(exchange.Customer, pool, exchange.Deadline);
+  return choice;
+}
+
+RequestPipeline::AttemptEnd RequestPipeline::attempt(Exchange &exchange,
+                                                     const std::vector<core::TargetId> &exclude,
+                                                     bool nothingSent) {
+  std::optional<balance::Choice> choice = chooseTarget(exchange, exclude, nothingSent);
   if (!choice) {
     AttemptEnd end;
     end.Refused = refuseForNow(RefusalCode::NoCapacity);
     return end;
   }
+  std::shared_ptr<const forwarding::TargetRequest> request = prepare(exchange);
+  // Only first attempts are hedged: a request runs on two targets at once and three in all at most.
+  if (exclude.empty() && !isOnce(*exchange.Route))
+    return exchangeWithHedge(exchange, *choice, request);
+  return exchangeWith(exchange, *choice, request.get(), nullptr);
+}
+
+RequestPipeline::AttemptEnd RequestPipeline::exchangeWith(const Exchange &exchange,
+                                                          const balance::Choice &choice,
+                                                          const forwarding::TargetRequest *request,
+                                                          forwarding::Cancellation *cancellation) {
   core::Time sentAt = Clock.now();
-  AttemptEnd end = sendTo(exchange, *choice);
-  Slots.release(pool, choice->Target);
-  recordEnd(exchange, *choice, end, Clock.now() - sentAt);
+  AttemptEnd end = sendTo(exchange, choice, request, cancellation);
+  Slots.release(poolOf(*exchange.Route), choice.Target);
+  recordEnd(exchange, choice, end, Clock.now() - sentAt);
   return end;
 }
 
-RequestPipeline::AttemptEnd RequestPipeline::sendTo(Exchange &exchange,
-                                                    const balance::Choice &choice) {
+RequestPipeline::AttemptEnd RequestPipeline::sendTo(const Exchange &exchange,
+                                                    const balance::Choice &choice,
+                                                    const forwarding::TargetRequest *request,
+                                                    forwarding::Cancellation *cancellation) {
   AttemptEnd end;
   end.Target = choice.Target;
   const config::TargetRecord *target = config::find(exchange.State->Records.Targets, choice.Target);
@@ -144,9 +169,7 @@
     end.Refused = refuseForNow(RefusalCode::NoCapacity);
     return end;
   }
-  forwarding::TargetAddress address = forwarding::parseTargetAddress(target->Address);
-  forwarding::TargetRequest request;
-  if (!prepare(exchange, request).ok()) {
+  if (request == nullptr) {
     end.Refused = refuse(RefusalCode::BadRequest, "the path holds a key");
     return end;
   }
@@ -154,12 +177,16 @@
   end.Refused = checkBeforeSending(exchange);
   if (end.Refused)
     return end;
-  end.Address = address;
-  end.Answer = Targets.exchange(address, request, exchange.Deadline);
+  end.Address = forwarding::parseTargetAddress(target->Address);
+  end.Answer = Targets.exchange(end.Address, *request, exchange.Deadline, cancellation);
   end.Status = end.Answer.Status;
   return end;
 }
 
+bool RequestPipeline::isWholeAnswer(const AttemptEnd &end) {
+  return end.Status == ExchangeStatus::Answered && !mayRetry(end.Answer);
+}
+
 std::optional<Refusal> RequestPipeline::checkBeforeSending(const Exchange &exchange) const {
   core::Time now = Clock.now();
   if (now >= exchange.Deadline)
@@ -219,15 +246,23 @@
   return blamed;
 }
 
-absl::Status RequestPipeline::prepare(const Exchange &exchange,
-                                      forwarding::TargetRequest &request) const {
-  absl::Status status = copyForTarget(*exchange.Req, request);
-  core::Duration left = exchange.Deadline - Clock.now();
-  request.Headers.emplace("Briarspar-Deadline-Ms", absl::StrCat(left.Ms));
+std::shared_ptr<const forwarding::TargetRequest>
+RequestPipeline::prepare(const Exchange &exchange) const {
+  auto request = std::make_shared<forwarding::TargetRequest>();
+  if (!copyForTarget(*exchange.Req, *request).ok())
+    return nullptr;
+  setDeadline(exchange, *request);
   if (!exchange.Customer.empty())
-    request.Headers.emplace("Briarspar-Customer", exchange.Customer.Value);
-  request.FreshConnection = isOnce(*exchange.Route);
-  return status;
+    request->Headers.emplace("Briarspar-Customer", exchange.Customer.Value);
+  request->FreshConnection = isOnce(*exchange.Route);
+  return request;
+}
+
+void RequestPipeline::setDeadline(const Exchange &exchange,
+                                  forwarding::TargetRequest &request) const {
+  const core::Duration left = exchange.Deadline - Clock.now();
+  request.Headers.erase("Briarspar-Deadline-Ms");
+  request.Headers.emplace("Briarspar-Deadline-Ms", absl::StrCat(left.Ms));
 }
 
 } // namespace briarspar::daemon
--- a/src/daemon/RequestPipeline.cpp
+++ b/src/daemon/RequestPipeline.cpp
@@ -12,6 +12,9 @@
 
 using forwarding::Refusal;
 
+/// Hedges in progress at once. A hedge that finds all threads busy starts late or not at all.
+constexpr size_t MaxHedges = 16;
+
 constexpr std::string_view LookupPath = "/.well-known/briarspar/entry";
 
 } // namespace
@@ -21,7 +24,7 @@
                                  core::EventSink &events, observability::Metrics &metrics,
                                  ReportCrashes reportCrashes)
     : Side(side), Slots(slots), Claims(claims), Targets(targets), Clock(clock), Events(events),
-      Metrics(metrics), AskCrashReport(std::move(reportCrashes)) {}
+      Metrics(metrics), AskCrashReport(std::move(reportCrashes)), HedgeThreads(clock, MaxHedges) {}
 
 void RequestPipeline::handle(const httplib::Request &req, httplib::Response &res) {
   if (req.path == LookupPath) {
--- a/src/daemon/RequestPipeline.h
+++ b/src/daemon/RequestPipeline.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "balance/HedgePolicy.h"
 #include "balance/RetryBudget.h"
 #include "daemon/ClaimBridge.h"
+#include "daemon/HedgePool.h"
 #include "daemon/SlotQueue.h"
 #include "daemon/VmSide.h"
 #include "daemon/Waiters.h"
@@ -62,11 +64,14 @@
     forwarding::ExchangeStatus Status = forwarding::ExchangeStatus::NotSent;
     forwarding::TargetAnswer Answer;
     forwarding::TargetAddress Address;
-    core::TargetId Target; ///< Empty when no target was chosen.
+    core::TargetId Target;      ///< Empty when no target was chosen.
+    core::TargetId HedgeTarget; ///< Empty when no hedge was sent.
     std::optional<forwarding::Refusal>
         Refused; ///< Set when nothing was sent for a reason of our own.
   };
 
+  struct HedgedExchange;
+
   using Step = std::optional<forwarding::Refusal> (RequestPipeline::*)(Exchange &);
   using Result = std::variant<forwarding::TargetAnswer, forwarding::Refusal>;
 
@@ -84,7 +89,26 @@
   /// slot.
   AttemptEnd attempt(Exchange &exchange, const std::vector<core::TargetId> &exclude,
                      bool nothingSent);
-  AttemptEnd sendTo(Exchange &exchange, const balance::Choice &choice);
+  std::optional<balance::Choice>
+  chooseTarget(Exchange &exchange, const std::vector<core::TargetId> &exclude, bool nothingSent);
+  /// Sends the request to the chosen target, gives the slot back when the exchange has ended and
+  /// records the end. A null request is refused.
+  AttemptEnd exchangeWith(const Exchange &exchange, const balance::Choice &choice,
+                          const forwarding::TargetRequest *request,
+                          forwarding::Cancellation *cancellation);
+  AttemptEnd sendTo(const Exchange &exchange, const balance::Choice &choice,
+                    const forwarding::TargetRequest *request,
+                    forwarding::Cancellation *cancellation);
+  /// As exchangeWith(); a second target gets the request when the first is slow. Returns the first
+  /// whole answer, or the end of both that is closest to an answer.
+  AttemptEnd exchangeWithHedge(const Exchange &exchange, const balance::Choice &choice,
+                               const std::shared_ptr<const forwarding::TargetRequest> &request);
+  AttemptEnd settle(HedgedExchange &hedged, AttemptEnd end);
+  void runHedge(HedgedExchange &hedged);
+  /// Returns the end that says more about whether the request ran. A connection that a later target
+  /// refuses does not take back that an earlier one may have run the request.
+  static AttemptEnd combine(AttemptEnd earlier, AttemptEnd later);
+  static bool isWholeAnswer(const AttemptEnd &end);
   std::optional<forwarding::Refusal> checkBeforeSending(const Exchange &exchange) const;
   void recordEnd(const Exchange &exchange, const balance::Choice &choice, const AttemptEnd &end,
                  core::Duration latency);
@@ -92,7 +116,9 @@
   /// ended.
   std::optional<uint32_t> reportIfCrash(const Exchange &exchange, const balance::Choice &choice,
                                         const AttemptEnd &end);
-  absl::Status prepare(const Exchange &exchange, forwarding::TargetRequest &request) const;
+  /// Returns the request as a target gets it; null when its path holds a key.
+  std::shared_ptr<const forwarding::TargetRequest> prepare(const Exchange &exchange) const;
+  void setDeadline(const Exchange &exchange, forwarding::TargetRequest &request) const;
   forwarding::Refusal refusalOf(const Exchange &exchange, const AttemptEnd &end) const;
   forwarding::Refusal refusalOf(const idempotency::CallerReply &reply) const;
   std::vector<std::string> otherVms(const ServingState &state) const;
@@ -111,9 +137,11 @@
   observability::Metrics &Metrics;
   ReportCrashes AskCrashReport;
   balance::RetryBudget Retries;
+  balance::HedgePolicy Hedges{Retries};
   EventCounter Grants;
   EventCounter CrashAcks;
   std::atomic<bool> Refusing{false};
+  HedgePool HedgeThreads; ///< Last: its threads use the other members.
 };
 
 } // namespace briarspar::daemon
--- /dev/null
+++ b/src/daemon/tests/RequestPipelineTest.cpp
@@ -0,0 +1,186 @@
+#include "daemon/RequestPipeline.h"
+#include "core/testing/Property.h"
+#include "daemon/testing/InMemoryFleet.h"
+#include "forwarding/HttpServer.h"
+
+#include <atomic>
+#include <future>
+#include <string>
+#include <thread>
+
+using namespace briarspar;
+using namespace briarspar::daemon;
+using daemon::testing::InMemoryFleet;
+
+namespace {
+
+const balance::PoolId Pool("read");
+const core::RouteId Route("read");
+
+/// Injected time that the test and the threads of the pipeline share.
+struct SharedClock final : core::Clock {
+  std::atomic<int64_t> Ms{0};
+  core::Time now() const override { return {Ms}; }
+};
+
+struct NullSink final : core::EventSink {
+  void emit(const core::Event &) override {}
+};
+
+/// Half the deadline of the route: an exchange that is not cancelled ends later.
+constexpr std::chrono::seconds Limit(10);
+
+/// Waits for a condition that other threads bring about. The limit only ends a failed test.
+bool eventually(const std::function<bool()> &condition) {
+  auto end = std::chrono::steady_clock::now() + Limit;
+  while (!condition() && std::chrono::steady_clock::now() < end)
+    std::this_thread::yield();
+  return condition();
+}
+
+void answer(httplib::Response &res, const std::string &text) {
+  res.set_content(text, "text/plain");
+}
+
+/// Ends the connection in the middle of the answer.
+void breakOff(httplib::Response &res) {
+  res.set_chunked_content_provider("text/plain", [](size_t, httplib::DataSink &) { return false; });
+}
+
+/// A target on loopback. Its handler may be replaced between requests.
+struct Target {
+  forwarding::HttpServer::Handler Handler = [](const auto &, auto &res) { answer(res, "warm"); };
+  std::atomic<int> Arrived{0};
+  forwarding::HttpServer Server{{}, [this](const auto &req, auto &res) {
+                                  ++Arrived;
+                                  Handler(req, res);
+                                }};
+  Target() { cr_assert(Server.start().ok()); }
+  ~Target() { Server.stop(); }
+  std::string address() const { return "127.0.0.1:" + std::to_string(Server.port()); }
+};
+
+/// The pipeline of one VM of a fleet whose time stands still, with a near and a far target. The
+/// near one is chosen first.
+struct Fixture {
+  explicit Fixture(const std::string &farAddress = "", uint32_t farNode = 3) {
+    cr_assert(Fleet.advanceUntil([&] { return Fleet.leader().has_value(); }, {10'000}));
+    for (uint32_t n = 0; n < Fleet.size(); ++n)
+      Fleet.propose(config::PutVm{InMemoryFleet::nameOf(n), "127.0.0.1:1", "127.0.0.1:2",
+                                  Fleet.placeOf(n).Region, Fleet.placeOf(n).Domain});
+    Fleet.propose(config::CreateRoute{
+        Route, "/read", config::RouteAccess::Open, config::RouteSemantics::Idempotent, {20'000}});
+    Fleet.advance({100});
+    add("near", Near.address(), 0);
+    add("far", farAddress.empty() ? Far.address() : farAddress, farNode);
+    Side.slots().setWaiting(Pool, Demand);
+    cr_assert(Fleet.advanceUntil(
+        [&] {
+          return Side.state()->Targets.size() == 2 &&
+                 Side.slots().available(core::TargetId("near")) > 1 &&
+                 Side.slots().available(core::TargetId("far")) > 1;
+        },
+        {60'000}));
+    Clock.Ms = Fleet.clock().now().Ms;
+  }
+
+  void add(const std::string &name, const std::string &address, uint32_t node) {
+    balance::Place place = Fleet.placeOf(node);
+    Fleet.propose(config::AddTarget{core::TargetId(name), Route, address, core::VersionId("v1"), 40,
+                                    place.Region, place.Domain});
+    Fleet.advance({100});
+  }
+
+  httplib::Response send() {
+    httplib::Request req;
+    req.method = "GET";
+    req.path = req.target = "/read/x";
+    httplib::Response res;
+    Pipeline.handle(req, res);
+    return res;
+  }
+
+  /// Gives the hedge policy the latencies it needs.
+  void warmUp() {
+    for (size_t n = 0; n < balance::HedgeSettings().MinSamples; ++n)
+      cr_assert_eq(send().status, 200);
+    Near.Arrived = 0;
+  }
+
+  bool allSlotsFree() { return Side.slots().poolSlots(Pool).All == free(); }
+  uint32_t free() { return Side.slots().poolSlots(Pool).Free; }
+
+  static constexpr uint32_t Demand = 50;
+  InMemoryFleet Fleet{{}};
+  VmSide &Side = Fleet.node(0).vm();
+  SharedClock Clock;
+  NullSink Events;
+  observability::Metrics Metrics;
+  Target Near;
+  Target Far;
+  forwarding::TargetClientPool Targets{Clock, {}};
+  SlotQueue Slots{Side.chooser(), Side.slots(), Clock};
+  ClaimBridge Claims{[](auto) {}, [](const auto &) {}, [](auto, const auto &) {}};
+  RequestPipeline Pipeline{Side, Slots, Claims, Targets, Clock, Events, Metrics, [] {}};
+};
+
+} // namespace
+
+/// Guards against a caller that waits for a slow target although the hedge is answered, and against
+/// a loser that keeps its connection and its slot.
+Test(RequestPipeline, hedgeAnswersAndCancelsTheFirst) {
+  Fixture f;
+  f.warmUp();
+  std::promise<void> ended;
+  auto held = ended.get_future().share();
+  f.Near.Handler = [held](const auto &, auto &res) { held.wait(); };
+  f.Far.Handler = [](const auto &, auto &res) { answer(res, "hedge"); };
+  auto response = std::async(std::launch::async, [&] { return f.send(); });
+  cr_assert(eventually([&] { return f.Near.Arrived == 1; }));
+  f.Clock.Ms += 100;
+  cr_expect(response.wait_for(Limit) == std::future_status::ready);
+  cr_expect_str_eq(response.get().body.c_str(), "hedge");
+  cr_expect(f.allSlotsFree());
+  ended.set_value();
+}
+
+/// Guards against a hedge that is not cancelled when the first target answers.
+Test(RequestPipeline, firstAnswersAndCancelsTheHedge) {
+  Fixture f;
+  f.warmUp();
+  std::promise<void> ended;
+  auto held = ended.get_future().share();
+  f.Near.Handler = [&](const auto &, auto &res) {
+    eventually([&] { return f.Far.Arrived == 1; });
+    answer(res, "first");
+  };
+  f.Far.Handler = [held](const auto &, auto &res) { held.wait(); };
+  auto response = std::async(std::launch::async, [&] { return f.send(); });
+  cr_assert(eventually([&] { return f.Near.Arrived == 1; }));
+  f.Clock.Ms += 100;
+  cr_expect(response.wait_for(Limit) == std::future_status::ready);
+  cr_expect_str_eq(response.get().body.c_str(), "first");
+  cr_expect(eventually([&] { return f.allSlotsFree(); }));
+  ended.set_value();
+}
+
+/// Guards against "not-run" for a request that a target may have run, because a later target, as a
+/// retry or as a hedge, refused the connection.
+Test(RequestPipeline, outcomeStaysUnknownWhenALaterTargetRefuses) {
+  for (bool hedged : {false, true}) {
+    Fixture f("127.0.0.1:1");
+    f.warmUp();
+    f.Near.Handler = [&](const auto &, auto &res) {
+      if (f.Near.Arrived > 1)
+        return answer(res, "sent again after it may have run");
+      if (hedged)
+        eventually([&] { return f.Side.chooser().isEjected(core::TargetId("far")); });
+      breakOff(res);
+    };
+    auto response = std::async(std::launch::async, [&] { return f.send(); });
+    cr_assert(eventually([&] { return f.Near.Arrived == 1; }));
+    f.Clock.Ms += hedged ? 100 : 0;
+    cr_expect_str_eq(response.get().get_header_value("Briarspar-Outcome").c_str(), "unknown");
+    cr_expect(f.Side.chooser().isEjected(core::TargetId("far")));
+  }
+}
