Let the leading customer leave slots free in the daemon

Cause: SlotQueue called FairQueue::pop without the numbers of slots, which turns the reserve for the other customers off, and requests that found a free slot passed the queue by.

Change: SlotQueue gives the free and all slots of the pool at this VM. Every request passes through the queue; FairQueue::holdsBack tells before a target is chosen whether the next request has to wait.

--- a/src/balance/FairQueue.cpp
+++ b/src/balance/FairQueue.cpp
@@ -105,6 +105,12 @@
   return next;
 }
 
+bool FairQueue::holdsBack(uint32_t freeSlots, uint32_t allSlots) const {
+  std::lock_guard<std::mutex> lock(Mutex);
+  return !Ready.empty() &&
+         leavesReserve(Flows.find(Ready.begin()->second)->second, freeSlots, allSlots);
+}
+
 std::vector<Waiting> FairQueue::expire(Time now) {
   std::lock_guard<std::mutex> lock(Mutex);
   collectExpired(now);
--- a/src/balance/FairQueue.h
+++ b/src/balance/FairQueue.h
@@ -63,6 +63,10 @@
   /// `allSlots` counts the slots in use too. 0 for both turns this off.
   std::optional<Waiting> pop(core::Time now, uint32_t freeSlots = 0, uint32_t allSlots = 0);
 
+  /// True when pop() would return nothing because the next request's customer leaves the free slots
+  /// to others.
+  bool holdsBack(uint32_t freeSlots, uint32_t allSlots) const;
+
   /// Removes and returns the requests whose deadline has passed. They have not run.
   std::vector<Waiting> expire(core::Time now);
 
--- a/src/daemon/SlotQueue.cpp
+++ b/src/daemon/SlotQueue.cpp
@@ -29,13 +29,6 @@
                                                   const balance::PoolId &id, core::Time deadline) {
   Pool &pool = poolOf(id);
   std::unique_lock<std::mutex> lock(pool.Mutex);
-  if (pool.Queue.size() == 0) {
-    std::optional<balance::Choice> choice = Chooser.choose({id, {}}, Clock.now());
-    if (choice) {
-      pool.Queue.passed(customer);
-      return choice;
-    }
-  }
   Waiter waiter;
   uint64_t handle = ++pool.LastHandle;
   balance::PushResult pushed = pool.Queue.push({handle, customer, deadline}, Clock.now());
@@ -50,6 +43,11 @@
   if (!pushed.Queued)
     return std::nullopt;
   pool.Waiters[handle] = &waiter;
+  // A request that finds a free slot passes through the queue as well, so that the customer that is
+  // ahead of the others leaves them the last free slots.
+  serve(id, pool);
+  if (waiter.Ended)
+    return waiter.Served;
   return wait(id, pool, handle, waiter, deadline, lock);
 }
 
@@ -100,10 +98,13 @@
 
 void SlotQueue::serve(const balance::PoolId &id, Pool &pool) {
   while (pool.Queue.size() > 0) {
+    const balance::SlotHolder::PoolSlots slots = Slots.poolSlots(id);
+    if (pool.Queue.holdsBack(slots.Free, slots.All))
+      return;
     std::optional<balance::Choice> choice = Chooser.choose({id, {}}, Clock.now());
     if (!choice)
       return;
-    std::optional<balance::Waiting> next = pool.Queue.pop(Clock.now());
+    std::optional<balance::Waiting> next = pool.Queue.pop(Clock.now(), slots.Free, slots.All);
     auto it = next ? pool.Waiters.find(next->Handle) : pool.Waiters.end();
     if (it == pool.Waiters.end()) {
       // The waiting requests are past their deadline; nobody takes the slot.
--- a/src/daemon/SlotQueue.h
+++ b/src/daemon/SlotQueue.h
@@ -38,6 +38,9 @@
   /// Hands out slots after the limits, the targets or the lease changed.
   void changed();
 
+  /// Requests that wait for a slot of the pool.
+  size_t waiting(const balance::PoolId &pool) { return poolOf(pool).Queue.size(); }
+
   void setWeight(const core::CustomerId &customer, uint32_t weight);
 
 private:
--- a/src/daemon/tests/RequestPipelineTest.cpp
+++ b/src/daemon/tests/RequestPipelineTest.cpp
@@ -184,3 +184,22 @@
     cr_expect(f.Side.chooser().isEjected(core::TargetId("far")));
   }
 }
+
+/// Guards against a customer that takes the last free slots, so that the others wait for the end of
+/// one of its requests.
+Test(SlotQueue, leadingCustomerLeavesSlotsToOthers) {
+  Fixture f;
+  const uint32_t all = f.free();
+  const uint32_t reserve = all * balance::FairQueueSettings().ReservePermille / 1000;
+  cr_assert_gt(reserve, 0U);
+  const core::Time deadline = f.Clock.now() + core::Duration{10};
+  for (uint32_t n = reserve; n < all; ++n)
+    cr_assert(f.Slots.acquire(core::CustomerId("flood"), Pool, deadline).has_value());
+  auto flood = std::async(std::launch::async, [&] {
+    return f.Slots.acquire(core::CustomerId("flood"), Pool, deadline);
+  });
+  cr_assert(eventually([&] { return f.Slots.waiting(Pool) == 1; }), "the reserve was taken");
+  cr_expect(f.Slots.acquire(core::CustomerId("shop"), Pool, deadline).has_value());
+  f.Clock.Ms += 10;
+  cr_expect_not(flood.get().has_value());
+}
