Take load reports of targets into the choice of targets

Cause: TargetChooser::recordLoad had no caller, and a failing target that reported no load ranked before a healthy one that reported much.

Change: a target's answer may carry Briarspar-Load, 0 to 1000; the stand-in target sends it. The report of a target that fails 10% of its requests is ignored and the target counts as full, and failures older than the window no longer rank it down. Reports lapse within 10 s as before.

--- a/src/balance/TargetChooser.cpp
+++ b/src/balance/TargetChooser.cpp
@@ -214,23 +214,30 @@
   const int64_t inUse = Slots.inUse(target.Info.Id);
   const int64_t all = std::max<int64_t>(1, inUse + Slots.available(target.Info.Id));
   const int64_t own = (inUse + 1) * FullPermille * FullPermille / (all * rampPermille(target, now));
+  return own + failurePermille(target, now) + reportedLoad(target, now);
+}
+
+int64_t TargetChooser::failurePermille(const Target &target, Time now) const {
   const int64_t samples = target.WindowGood + target.WindowFailed;
-  const int64_t failures = samples == 0 ? 0 : target.WindowFailed * FullPermille / samples;
-  return own + failures + reportedLoad(target, now);
+  const bool isOver = now >= target.WindowStart + Settings.SampleWindow;
+  return samples == 0 || isOver ? 0 : target.WindowFailed * FullPermille / samples;
 }
 
 /// The weight of a load report falls to nothing while no new one comes, so that targets count as
-/// equal when the measurements stop.
+/// equal when the measurements stop. A report says what the target believes: one that fails counts
+/// as full whatever it reports, so that a report of little load draws no requests to it.
 int64_t TargetChooser::reportedLoad(const Target &target, Time now) const {
   if (!target.LoadAt)
     return 0;
   const int64_t age = (now - *target.LoadAt).Ms;
   if (age >= Settings.LoadStale.Ms)
     return 0;
+  const bool isFailing = failurePermille(target, now) >= Settings.FailurePermilleToDistrust;
+  const int64_t load = isFailing ? FullPermille : target.LoadPermille;
   if (age <= Settings.LoadFresh.Ms)
-    return target.LoadPermille;
+    return load;
   const int64_t span = Settings.LoadStale.Ms - Settings.LoadFresh.Ms;
-  return target.LoadPermille * (Settings.LoadStale.Ms - age) / span;
+  return load * (Settings.LoadStale.Ms - age) / span;
 }
 
 void TargetChooser::record(const Outcome &outcome, Time now) {
--- a/src/balance/TargetChooser.h
+++ b/src/balance/TargetChooser.h
@@ -18,19 +18,20 @@
 
 /// Thresholds of passive health, ramp and load of a TargetChooser.
 struct TargetChooserSettings {
-  uint32_t FailuresToEject = 3;           ///< Failures in a row that eject a target.
-  uint32_t FailurePermilleToEject = 500;  ///< Share of failures that ejects a target.
-  uint32_t MinSamples = 10;               ///< Outcomes needed before the share counts.
-  core::Duration SampleWindow{10'000};    ///< Span over which the share is counted.
-  core::Duration FirstEjection{1000};     ///< Doubles with every further ejection.
-  core::Duration LongestEjection{30'000}; ///< Longest ejection.
-  core::Duration ProbeTimeout{5000};      ///< A probe without an outcome is given up.
-  uint32_t ProbesToRecover = 2;           ///< Good probes in a row that end an ejection.
-  uint32_t MaxEjectedPermille = 500;      ///< Beyond it a pool ignores ejections.
-  core::Duration Ramp{10'000};            ///< From the first request to full load.
-  uint32_t RampStartPermille = 100;       ///< Share of its slots used on a cold target.
-  core::Duration LoadFresh{2000};         ///< Load reports younger than this count fully.
-  core::Duration LoadStale{10'000};       ///< Load reports older than this do not count.
+  uint32_t FailuresToEject = 3;             ///< Failures in a row that eject a target.
+  uint32_t FailurePermilleToEject = 500;    ///< Share of failures that ejects a target.
+  uint32_t MinSamples = 10;                 ///< Outcomes needed before the share counts.
+  core::Duration SampleWindow{10'000};      ///< Span over which the share is counted.
+  core::Duration FirstEjection{1000};       ///< Doubles with every further ejection.
+  core::Duration LongestEjection{30'000};   ///< Longest ejection.
+  core::Duration ProbeTimeout{5000};        ///< A probe without an outcome is given up.
+  uint32_t ProbesToRecover = 2;             ///< Good probes in a row that end an ejection.
+  uint32_t MaxEjectedPermille = 500;        ///< Beyond it a pool ignores ejections.
+  core::Duration Ramp{10'000};              ///< From the first request to full load.
+  uint32_t RampStartPermille = 100;         ///< Share of its slots used on a cold target.
+  uint32_t FailurePermilleToDistrust = 100; ///< Share of failures that voids a load report.
+  core::Duration LoadFresh{2000};           ///< Load reports younger than this count fully.
+  core::Duration LoadStale{10'000};         ///< Load reports older than this do not count.
 };
 
 /// What is to be sent.
@@ -129,6 +130,7 @@
   int64_t rampPermille(const Target &target, core::Time now) const;
   bool isUnderRamp(const Target &target, core::Time now) const;
   int64_t score(const Target &target, core::Time now) const;
+  int64_t failurePermille(const Target &target, core::Time now) const;
   int64_t reportedLoad(const Target &target, core::Time now) const;
   void onProbeOutcome(Target &target, const Outcome &outcome, core::Time now);
   void onGood(Target &target, core::Time now);
--- a/src/balance/tests/TargetChooserTest.cpp
+++ b/src/balance/tests/TargetChooserTest.cpp
@@ -124,6 +124,16 @@
   cr_expect_eq(served, 15);
 }
 
+/// Guards against a failing target that draws requests by a report of no load.
+Test(TargetChooser, failuresCountBeforeLoadReports) {
+  Fixture f({target("a"), target("b")});
+  for (int n = 0; n < 10; ++n)
+    f.Chooser.record({TargetId("a"), n % 5 == 0 ? Outcome::Failed : Outcome::Good, {}}, f.Now);
+  f.Chooser.recordLoad(TargetId("a"), 0, f.Now);
+  f.Chooser.recordLoad(TargetId("b"), 900, f.Now);
+  cr_expect_str_eq(f.choose().c_str(), "b");
+}
+
 /// Guards against a load report that steers for ever after the reports have stopped.
 Test(TargetChooser, oldLoadReportsLoseTheirWeight) {
   Fixture f({target("a"), target("b")});
--- a/src/daemon/HttpHeaders.cpp
+++ b/src/daemon/HttpHeaders.cpp
@@ -1,5 +1,6 @@
 #include "daemon/HttpHeaders.h"
 
+#include "absl/strings/numbers.h"
 #include "auth/Credentials.h"
 #include "core/Codec.h"
 
@@ -46,6 +47,8 @@
 /// Headers with this prefix are set by the system only.
 constexpr std::string_view OwnPrefix = "briarspar-";
 
+constexpr uint32_t FullLoadPermille = 1000;
+
 bool equalsIgnoringCase(std::string_view a, std::string_view b) {
   return a.size() == b.size() && ::strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
@@ -73,6 +76,15 @@
   return auth::stripCredentials(out.Headers, out.PathAndQuery, trailers);
 }
 
+std::optional<uint32_t> reportedLoad(const TargetAnswer &answer) {
+  auto it = answer.Headers.find("Briarspar-Load");
+  uint32_t permille = 0;
+  if (it == answer.Headers.end() || !absl::SimpleAtoi(it->second, &permille) ||
+      permille > FullLoadPermille)
+    return std::nullopt;
+  return permille;
+}
+
 void writeAnswer(const TargetAnswer &answer, httplib::Response &res) {
   res.status = answer.HttpStatus;
   std::string type;
--- a/src/daemon/HttpHeaders.h
+++ b/src/daemon/HttpHeaders.h
@@ -6,6 +6,7 @@
 #include <httplib.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,10 @@
 /// Returns InvalidArgument when the path itself holds the key.
 absl::Status copyForTarget(const httplib::Request &req, forwarding::TargetRequest &out);
 
+/// Returns the load that a target reports with its answer, 0 (idle) to 1000 (full); nothing when it
+/// reports none or the value is malformed.
+std::optional<uint32_t> reportedLoad(const forwarding::TargetAnswer &answer);
+
 /// Copies a target's answer to a caller's response.
 void writeAnswer(const forwarding::TargetAnswer &answer, httplib::Response &res);
 
--- a/src/daemon/RequestDispatch.cpp
+++ b/src/daemon/RequestDispatch.cpp
@@ -211,6 +211,8 @@
   balance::Outcome::Kind kind = outcomeKind(end.Answer);
   std::optional<uint32_t> blamed = reportIfCrash(exchange, choice, end);
   Side.chooser().record({choice.Target, kind, latency}, Clock.now());
+  if (std::optional<uint32_t> load = reportedLoad(end.Answer))
+    Side.chooser().recordLoad(choice.Target, *load, Clock.now());
   if (kind == balance::Outcome::Cancelled)
     return;
   if (kind == balance::Outcome::Good)
--- a/src/daemon/tests/RequestPipelineTest.cpp
+++ b/src/daemon/tests/RequestPipelineTest.cpp
@@ -185,6 +185,23 @@
   }
 }
 
+/// Guards against load reports that steer nothing or reach the caller.
+Test(RequestPipeline, loadReportSteersRequestsAway) {
+  Fixture f("", /*farNode=*/0); // Both in the VM's own failure domain.
+  std::atomic<int> loaded{0};   // Port of the target that is chosen while there is no report.
+  std::atomic<int> onLoaded{0};
+  f.Near.Handler = f.Far.Handler = [&](const auto &req, auto &res) {
+    int none = 0;
+    loaded.compare_exchange_strong(none, req.local_port);
+    onLoaded += req.local_port == loaded ? 1 : 0;
+    res.set_header("Briarspar-Load", req.local_port == loaded ? "1000" : "0");
+    answer(res, "ok");
+  };
+  for (int n = 0; n < 8; ++n)
+    cr_expect_not(f.send().has_header("Briarspar-Load"));
+  cr_expect_eq(onLoaded, 1);
+}
+
 /// Guards against a customer that takes the last free slots, so that the others wait for the end of
 /// one of its requests.
 Test(SlotQueue, leadingCustomerLeavesSlotsToOthers) {
--- a/tools/target_standin/TargetStandin.cpp
+++ b/tools/target_standin/TargetStandin.cpp
@@ -5,6 +5,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
@@ -85,6 +86,8 @@
   if (ms > 0)
     std::this_thread::sleep_for(std::chrono::milliseconds(ms));
   res.set_header("X-Target", options.Name);
+  res.set_header("Briarspar-Load",
+                 std::to_string(std::min(1000, stats.InFlight * 1000 / options.Slots)));
   if (static_cast<int>(n % 1000) < options.FailPermille)
     res.status = 500;
   res.set_content(options.Name + " ran " + req.method + " " + req.path + "\n", "text/plain");
@@ -100,7 +103,8 @@
   app.add_option("--port", options.Port, "Port to listen on; 0 chooses a free one");
   app.add_option("--name", options.Name, "Name in answers");
   app.add_option("--service-ms", options.ServiceMs, "Time a request takes, in ms");
-  app.add_option("--slots", options.Slots, "Requests at once that the worker accepts");
+  app.add_option("--slots", options.Slots, "Requests at once that the worker accepts")
+      ->check(CLI::PositiveNumber);
   app.add_option("--fail-permille", options.FailPermille,
                  "Requests answered with 500, in thousandths");
   app.add_option("--threads", options.Threads, "Connections served at once");
