Probe a target more than once before a broken connection is no crash

The logs show no TargetEnded for some of the ended targets: a process that was ending accepted the probe, so its reset of a reused connection passed for an idle close.

Change: the target counts as alive only after three accepted probes, 20 ms apart.

An idle close that cuts a request now costs 40 ms before the retry.

--- a/src/daemon/RequestDispatch.cpp
+++ b/src/daemon/RequestDispatch.cpp
@@ -4,6 +4,8 @@
 #include "daemon/RequestPipeline.h"
 
 #include <algorithm>
+#include <chrono>
+#include <thread>
 
 namespace briarspar::daemon {
 
@@ -25,6 +27,11 @@
 /// Longest wait for a connection that tells whether a target's process ended.
 constexpr core::Duration CrashProbeTimeout{100};
 
+/// Probes of a target that closed a reused connection. A process that is ending may accept a
+/// connection after it has closed another.
+constexpr int CrashProbes = 3;
+constexpr std::chrono::milliseconds CrashProbeInterval{20};
+
 constexpr int ServiceUnavailable = 503;
 
 balance::PoolId poolOf(const RouteView &route) { return balance::PoolId(route.Record.Id.Value); }
@@ -46,6 +53,17 @@
   return balance::Outcome::Failed;
 }
 
+/// Returns whether the target's process lives on after it closed a connection.
+bool isAlive(const forwarding::TargetAddress &address) {
+  for (int n = 0; n < CrashProbes; ++n) {
+    if (n > 0)
+      std::this_thread::sleep_for(CrashProbeInterval);
+    if (!forwarding::acceptsConnections(address, CrashProbeTimeout))
+      return false;
+  }
+  return true;
+}
+
 bool mayRetry(const TargetAnswer &answer) {
   if (answer.Status == ExchangeStatus::Answered)
     return answer.HttpStatus == ServiceUnavailable;
@@ -233,7 +251,7 @@
   if (end.Status != ExchangeStatus::Broken)
     return std::nullopt;
   // A reused connection may have been closed by an idle target, which is no crash.
-  if (end.Answer.ReusedConnection && forwarding::acceptsConnections(end.Address, CrashProbeTimeout))
+  if (end.Answer.ReusedConnection && isAlive(end.Address))
     return std::nullopt;
   uint64_t seen = CrashAcks.current();
   uint32_t blamed =
