--- a/src/daemon/RequestDispatch.cpp
+++ b/src/daemon/RequestDispatch.cpp
@@ -4,6 +4,8 @@
 #include "daemon/RequestPipeline.h"
 
 #include <algorithm>
+#include <chrono>
+#include <thread>
 
 namespace briarspar::daemon {
 
@@ -25,6 +27,11 @@
 /// Longest wait for a connection that tells whether a target's process ended.
 constexpr core::Duration CrashProbeTimeout{100};
 
+/// Probes of a target that closed a reused connection. A process that is ending may accept a
+/// connection after it has closed another.
+constexpr int CrashProbes = 3;
+constexpr std::chrono::milliseconds CrashProbeInterval{20};
+
 constexpr int ServiceUnavailable = 503;
 
 balance::PoolId poolOf(const RouteView &route) { return balance::PoolId(route.Record.Id.Value); }
@@ -46,6 +53,17 @@
   return balance::Outcome::Failed;
 }
 
+/// Returns whether the target's process lives on after it closed a connection.
+bool isAlive(const forwarding::TargetAddress &address) {
+  for (int n = 0; n < CrashProbes; ++n) {
+    if (n > 0)
+      std::this_thread::sleep_for(CrashProbeInterval);
+    if (!forwarding::acceptsConnections(address, CrashProbeTimeout))
+      return false;
+  }
+  return true;
+}
+
 bool mayRetry(const TargetAnswer &answer) {
   if (answer.Status == ExchangeStatus::Answered)
     return answer.HttpStatus == ServiceUnavailable;
@@ -58,18 +76,23 @@
   Retries.onRequest();
   std::vector<core::TargetId> used;
   AttemptEnd end = attempt(exchange, used, /*nothingSent=*/true);
-  bool nothingSent = true;
-  while (!end.Refused && mayRetry(end.Answer) && used.size() + 1 < MaxAttempts) {
-    used.push_back(end.Target);
-    nothingSent = nothingSent && end.Status == ExchangeStatus::NotSent;
-    if (end.Status != ExchangeStatus::NotSent && !Retries.tryTake(/*idempotent=*/true))
+  used.push_back(end.Target);
+  if (!end.HedgeTarget.empty())
+    used.push_back(end.HedgeTarget);
+  while (!end.Refused && mayRetry(end.Answer) && used.size() < MaxAttempts) {
+    const bool nothingSent = end.Status == ExchangeStatus::NotSent;
+    if (!nothingSent && !Retries.tryTake(/*idempotent=*/true))
       break;
-    if (!Side.crashes().admits(exchange.Fingerprint, Clock.now()))
-      return refuse(RefusalCode::RequestQuarantined);
+    if (!Side.crashes().admits(exchange.Fingerprint, Clock.now())) {
+      Refusal refusal = refuse(RefusalCode::RequestQuarantined);
+      refusal.Outcome = nothingSent ? RequestOutcome::NotRun : RequestOutcome::Unknown;
+      return refusal;
+    }
     AttemptEnd next = attempt(exchange, used, nothingSent);
     if (next.Refused)
       break;
-    end = std::move(next);
+    used.push_back(next.Target);
+    end = combine(std::move(end), std::move(next));
   }
   if (end.Status == ExchangeStatus::Answered)
     return std::move(end.Answer);
@@ -112,9 +135,9 @@
   return refusalOf(reply);
 }
 
-RequestPipeline::AttemptEnd RequestPipeline::attempt(Exchange &exchange,
-                                                     const std::vector<core::TargetId> &exclude,
-                                                     bool nothingSent) {
+std::optional<balance::Choice>
+RequestPipeline::chooseTarget(Exchange &exchange, const std::vector<core::TargetId> &exclude,
+                              bool nothingSent) {
   balance::PoolId pool = poolOf(*exchange.Route);
   std::optional<balance::Choice> choice =
       exclude.empty() ? Slots.acquire(exchange.Customer, pool, exchange.Deadline)
@@ -123,20 +146,40 @@
   // wait.
   if (!choice && nothingSent)
     choice = Slots.acquire(exchange.Customer, pool, exchange.Deadline);
+  return choice;
+}
+
+RequestPipeline::AttemptEnd RequestPipeline::attempt(Exchange &exchange,
+                                                     const std::vector<core::TargetId> &exclude,
+                                                     bool nothingSent) {
+  std::optional<balance::Choice> choice = chooseTarget(exchange, exclude, nothingSent);
   if (!choice) {
     AttemptEnd end;
     end.Refused = refuseForNow(RefusalCode::NoCapacity);
     return end;
   }
+  std::shared_ptr<const forwarding::TargetRequest> request = prepare(exchange);
+  // Only first attempts are hedged: a request runs on two targets at once and three in all at most.
+  if (exclude.empty() && !isOnce(*exchange.Route))
+    return exchangeWithHedge(exchange, *choice, request);
+  return exchangeWith(exchange, *choice, request.get(), nullptr);
+}
+
+RequestPipeline::AttemptEnd RequestPipeline::exchangeWith(const Exchange &exchange,
+                                                          const balance::Choice &choice,
+                                                          const forwarding::TargetRequest *request,
+                                                          forwarding::Cancellation *cancellation) {
   core::Time sentAt = Clock.now();
-  AttemptEnd end = sendTo(exchange, *choice);
-  Slots.release(pool, choice->Target);
-  recordEnd(exchange, *choice, end, Clock.now() - sentAt);
+  AttemptEnd end = sendTo(exchange, choice, request, cancellation);
+  Slots.release(poolOf(*exchange.Route), choice.Target);
+  recordEnd(exchange, choice, end, Clock.now() - sentAt);
   return end;
 }
 
-RequestPipeline::AttemptEnd RequestPipeline::sendTo(Exchange &exchange,
-                                                    const balance::Choice &choice) {
+RequestPipeline::AttemptEnd RequestPipeline::sendTo(const Exchange &exchange,
+                                                    const balance::Choice &choice,
+                                                    const forwarding::TargetRequest *request,
+                                                    forwarding::Cancellation *cancellation) {
   AttemptEnd end;
   end.Target = choice.Target;
   const config::TargetRecord *target = config::find(exchange.State->Records.Targets, choice.Target);
@@ -144,9 +187,7 @@
     end.Refused = refuseForNow(RefusalCode::NoCapacity);
     return end;
   }
-  forwarding::TargetAddress address = forwarding::parseTargetAddress(target->Address);
-  forwarding::TargetRequest request;
-  if (!prepare(exchange, request).ok()) {
+  if (request == nullptr) {
     end.Refused = refuse(RefusalCode::BadRequest, "the path holds a key");
     return end;
   }
@@ -154,12 +195,16 @@
   end.Refused = checkBeforeSending(exchange);
   if (end.Refused)
     return end;
-  end.Address = address;
-  end.Answer = Targets.exchange(address, request, exchange.Deadline);
+  end.Address = forwarding::parseTargetAddress(target->Address);
+  end.Answer = Targets.exchange(end.Address, *request, exchange.Deadline, cancellation);
   end.Status = end.Answer.Status;
   return end;
 }
 
+bool RequestPipeline::isWholeAnswer(const AttemptEnd &end) {
+  return end.Status == ExchangeStatus::Answered && !mayRetry(end.Answer);
+}
+
 std::optional<Refusal> RequestPipeline::checkBeforeSending(const Exchange &exchange) const {
   core::Time now = Clock.now();
   if (now >= exchange.Deadline)
@@ -184,6 +229,8 @@
   balance::Outcome::Kind kind = outcomeKind(end.Answer);
   std::optional<uint32_t> blamed = reportIfCrash(exchange, choice, end);
   Side.chooser().record({choice.Target, kind, latency}, Clock.now());
+  if (std::optional<uint32_t> load = reportedLoad(end.Answer))
+    Side.chooser().recordLoad(choice.Target, *load, Clock.now());
   if (kind == balance::Outcome::Cancelled)
     return;
   if (kind == balance::Outcome::Good)
@@ -204,7 +251,7 @@
   if (end.Status != ExchangeStatus::Broken)
     return std::nullopt;
   // A reused connection may have been closed by an idle target, which is no crash.
-  if (end.Answer.ReusedConnection && forwarding::acceptsConnections(end.Address, CrashProbeTimeout))
+  if (end.Answer.ReusedConnection && isAlive(end.Address))
     return std::nullopt;
   uint64_t seen = CrashAcks.current();
   uint32_t blamed =
@@ -219,15 +266,23 @@
   return blamed;
 }
 
-absl::Status RequestPipeline::prepare(const Exchange &exchange,
-                                      forwarding::TargetRequest &request) const {
-  absl::Status status = copyForTarget(*exchange.Req, request);
-  core::Duration left = exchange.Deadline - Clock.now();
-  request.Headers.emplace("Briarspar-Deadline-Ms", absl::StrCat(left.Ms));
+std::shared_ptr<const forwarding::TargetRequest>
+RequestPipeline::prepare(const Exchange &exchange) const {
+  auto request = std::make_shared<forwarding::TargetRequest>();
+  if (!copyForTarget(*exchange.Req, *request).ok())
+    return nullptr;
+  setDeadline(exchange, *request);
   if (!exchange.Customer.empty())
-    request.Headers.emplace("Briarspar-Customer", exchange.Customer.Value);
-  request.FreshConnection = isOnce(*exchange.Route);
-  return status;
+    request->Headers.emplace("Briarspar-Customer", exchange.Customer.Value);
+  request->FreshConnection = isOnce(*exchange.Route);
+  return request;
+}
+
+void RequestPipeline::setDeadline(const Exchange &exchange,
+                                  forwarding::TargetRequest &request) const {
+  const core::Duration left = exchange.Deadline - Clock.now();
+  request.Headers.erase("Briarspar-Deadline-Ms");
+  request.Headers.emplace("Briarspar-Deadline-Ms", absl::StrCat(left.Ms));
 }
 
 } // namespace briarspar::daemon
