Divide scarce slots between VMs in proportion to their demand

Cause: VMs asked for the peak use of 2 to 4 s plus a quarter, so the wishes always exceeded the slots, and these were then shared equally: 40 of 120 slots were idle at VMs with few callers while 160 to 500 requests waited at others. Change: SlotHolder reports its mean use, the square root of it and the waiting requests; SlotLedger divides scarce slots in proportion, one VM's wish counting as four equal shares at most.

--- a/src/balance/SlotHolder.cpp
+++ b/src/balance/SlotHolder.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
-#include <utility>
+#include <cmath>
 
 namespace briarspar::balance {
 
@@ -40,12 +40,13 @@
 bool SlotHolder::acquire(const TargetId &target) {
   std::lock_guard<std::mutex> lock(Mutex);
   auto it = Slots.find(target);
-  if (it == Slots.end() || it->second.InUse >= it->second.Limit || !limitsValid(Clock.now()))
+  const Time now = Clock.now();
+  if (it == Slots.end() || it->second.InUse >= it->second.Limit || !limitsValid(now))
     return false;
   ++it->second.InUse;
   Demand &demand = Demands[it->second.Pool];
+  ageMean(demand, now);
   ++demand.InUse;
-  noteDemand(demand);
   return true;
 }
 
@@ -54,7 +55,9 @@
   auto it = Slots.find(target);
   assert(it != Slots.end() && it->second.InUse > 0 && "release follows a successful acquire");
   --it->second.InUse;
-  --Demands[it->second.Pool].InUse;
+  Demand &demand = Demands[it->second.Pool];
+  ageMean(demand, Clock.now());
+  --demand.InUse;
 }
 
 uint32_t SlotHolder::available(const TargetId &target) const {
@@ -73,12 +76,23 @@
 
 void SlotHolder::setWaiting(const PoolId &pool, uint32_t waiting) {
   std::lock_guard<std::mutex> lock(Mutex);
-  Demand &demand = Demands[pool];
-  demand.Waiting = waiting;
-  noteDemand(demand);
+  Demands[pool].Waiting = waiting;
+}
+
+void SlotHolder::ageMean(Demand &demand, Time now) const {
+  const auto age = static_cast<double>((now - demand.At).Ms);
+  const double kept = std::exp(-age / static_cast<double>(Settings.DemandWindow.Ms));
+  demand.MeanInUse = demand.MeanInUse * kept + demand.InUse * (1 - kept);
+  demand.At = now;
 }
 
-void SlotHolder::noteDemand(Demand &demand) { demand.Peak = std::max(demand.Peak, demand.now()); }
+/// The mean use and its usual variation. The peak use would do for one VM, but the peaks of all VMs
+/// do not come together: their sum exceeds the slots long before these are busy, and then VMs keep
+/// idle slots while requests wait at others.
+uint32_t SlotHolder::wanted(const Demand &demand) const {
+  const double usual = demand.MeanInUse + Settings.DemandSpread * std::sqrt(demand.MeanInUse);
+  return std::max(demand.InUse, static_cast<uint32_t>(std::lround(usual))) + demand.Waiting;
+}
 
 uint32_t SlotHolder::connectionLimit(const TargetId &target) const {
   std::lock_guard<std::mutex> lock(Mutex);
@@ -133,14 +147,9 @@
       report.Usable[target] = slot.Limit;
   }
   for (auto &[pool, demand] : Demands) {
-    if (now >= demand.WindowStart + Settings.DemandWindow) {
-      demand.WindowStart = now;
-      demand.PreviousPeak = std::exchange(demand.Peak, demand.now());
-    }
-    noteDemand(demand);
-    const uint32_t wanted = std::max(demand.Peak, demand.PreviousPeak);
-    if (wanted != 0)
-      report.Demand[pool] = wanted;
+    ageMean(demand, now);
+    if (const uint32_t n = wanted(demand))
+      report.Demand[pool] = n;
   }
   return report;
 }
--- a/src/balance/SlotHolder.h
+++ b/src/balance/SlotHolder.h
@@ -41,11 +41,12 @@
 
 /// Timing and bounds of a SlotHolder.
 struct SlotHolderSettings {
-  core::Duration Term{3000};              ///< As in SlotLedgerSettings.
-  core::Duration ReportInterval{500};     ///< Between reports when demand is steady.
-  core::Duration UrgentInterval{20};      ///< Between reports when requests wait for slots.
-  core::Duration AnswerTimeout{1000};     ///< After it a report without an answer is replaced.
-  core::Duration DemandWindow{2000};      ///< Demand is the peak over this span.
+  core::Duration Term{3000};          ///< As in SlotLedgerSettings.
+  core::Duration ReportInterval{500}; ///< Between reports when demand is steady.
+  core::Duration UrgentInterval{20};  ///< Between reports when requests wait for slots.
+  core::Duration AnswerTimeout{1000}; ///< After it a report without an answer is replaced.
+  core::Duration DemandWindow{2000};  ///< Time constant of the mean use.
+  double DemandSpread = 1;            ///< Slots wanted beyond the mean use, times its square root.
   uint32_t MaxConnectionsPerTarget = 400; ///< Over all VMs.
 };
 
@@ -92,13 +93,12 @@
   struct Demand {
     uint32_t InUse = 0;
     uint32_t Waiting = 0;
-    uint32_t Peak = 0;         ///< Of the current window.
-    uint32_t PreviousPeak = 0; ///< Of the window before.
-    core::Time WindowStart;
-    uint32_t now() const { return InUse + Waiting; }
+    double MeanInUse = 0; ///< Exponentially aged, as of At.
+    core::Time At;
   };
 
-  void noteDemand(Demand &demand);
+  void ageMean(Demand &demand, core::Time now) const;
+  uint32_t wanted(const Demand &demand) const;
   bool isUrgent() const;
   bool limitsValid(core::Time now) const;
 
--- a/src/balance/SlotLedger.cpp
+++ b/src/balance/SlotLedger.cpp
@@ -233,10 +233,9 @@
     held += vm.Current->Avoided.count(target) == 0 ? countIn(limits, target) : 0;
   const uint32_t wish = wishOf(*vm.Current, poolId);
   const uint32_t reserve = reserveOf(pool);
-  const uint32_t level = pool.Shares->Level + static_cast<uint32_t>(pool.Shares->OneMore.count(id));
   // The reserve gives a first slot at once to a VM that has none.
   const bool isStarved = held == 0 && wish > 0;
-  const uint32_t share = std::max(std::min(wish, level), isStarved ? 1U : 0U);
+  const uint32_t share = std::max(shareOf(*pool.Shares, id, wish), isStarved ? 1U : 0U);
   const uint32_t free = freeIn(pool);
   if (held < share) {
     const uint32_t room = free > reserve ? free - reserve : 0;
@@ -253,37 +252,63 @@
 void SlotLedger::divide(const PoolId &poolId, Pool &pool, Time now) const {
   if (pool.Shares && now < pool.Shares->At + Settings.DivisionInterval)
     return;
-  std::vector<std::pair<uint32_t, VmId>> wishes;
+  std::map<VmId, uint32_t> wishes;
+  uint64_t sum = 0;
+  uint32_t largest = 0;
   for (const auto &[id, vm] : Vms)
     if (vm.Current && !vm.Current->Expired)
-      if (const uint32_t wish = wishOf(*vm.Current, poolId))
-        wishes.emplace_back(wish, id);
-  std::sort(wishes.begin(), wishes.end());
-
+      if (const uint32_t wish = wishOf(*vm.Current, poolId)) {
+        wishes[id] = wish;
+        sum += wish;
+        largest = std::max(largest, wish);
+      }
   Division division;
   division.At = now;
   const uint32_t reserve = reserveOf(pool);
-  uint32_t rest = pool.Slots > reserve ? pool.Slots - reserve : 0;
-  size_t next = 0;
-  // Small wishes are met in full; the others share the rest equally.
-  while (next < wishes.size() && wishes[next].first <= rest / (wishes.size() - next)) {
-    division.Level = wishes[next].first;
-    rest -= wishes[next++].first;
-  }
-  const size_t unmet = wishes.size() - next;
-  division.Contended = unmet != 0;
-  if (unmet != 0) {
-    division.Level = rest / static_cast<uint32_t>(unmet);
-    const size_t first = static_cast<size_t>(now.Ms / Settings.RotationPeriod.Ms);
-    for (size_t n = 0; n < rest % unmet; ++n)
-      division.OneMore.insert(wishes[next + (first + n) % unmet].second);
-  } else {
+  const uint32_t slots = pool.Slots > reserve ? pool.Slots - reserve : 0;
+  division.Contended = sum > slots;
+  if (division.Contended)
+    divideByWish(division, slots, std::move(wishes));
+  else
     // A wish that grows before the next division may take what is left.
-    division.Level += rest;
-  }
+    division.Level = largest + slots - static_cast<uint32_t>(sum);
   pool.Shares = std::move(division);
 }
 
+/// Equal shares would leave slots idle at VMs with few callers while requests wait at those with
+/// many. In proportion to the wishes, a request waits equally long wherever it entered.
+void SlotLedger::divideByWish(Division &division, uint32_t slots,
+                              std::map<VmId, uint32_t> wishes) const {
+  // Bounds what one VM with a long queue takes from the others.
+  const uint64_t most =
+      1 + uint64_t{slots} * Settings.MaxWishInEqualShares / std::max<size_t>(1, wishes.size());
+  uint64_t sum = 0;
+  for (auto &[id, wish] : wishes)
+    sum += wish = static_cast<uint32_t>(std::min<uint64_t>(wish, most));
+  uint32_t rest = slots;
+  for (const auto &[id, wish] : wishes) {
+    const uint64_t part = std::min<uint64_t>(wish, wish * uint64_t{slots} / sum);
+    division.Shares[id] = static_cast<uint32_t>(part);
+    rest -= static_cast<uint32_t>(part);
+  }
+  // The remainder of the division goes to other VMs from time to time.
+  const auto first = static_cast<size_t>(division.At.Ms / Settings.RotationPeriod.Ms);
+  auto it = std::next(division.Shares.begin(),
+                      static_cast<std::ptrdiff_t>(first % division.Shares.size()));
+  for (size_t n = std::min<size_t>(rest, division.Shares.size()); n > 0; --n) {
+    ++it->second;
+    if (++it == division.Shares.end())
+      it = division.Shares.begin();
+  }
+}
+
+uint32_t SlotLedger::shareOf(const Division &division, const VmId &vm, uint32_t wish) {
+  if (!division.Contended)
+    return std::min(wish, division.Level);
+  auto it = division.Shares.find(vm);
+  return it == division.Shares.end() ? 0 : std::min(wish, it->second);
+}
+
 void SlotLedger::grow(Vm &vm, const Pool &pool, SlotMap &limits, uint32_t n) {
   Holding &holding = *vm.Current;
   for (; n > 0; --n) {
@@ -329,7 +354,8 @@
   auto it = holding.Demand.find(pool);
   if (it == holding.Demand.end() || it->second == 0)
     return 0;
-  return it->second + it->second * Settings.DemandMarginPermille / 1000 + 1;
+  // One slot is free for the next request; the demand covers the usual variation.
+  return it->second + 1;
 }
 
 uint32_t SlotLedger::reserveOf(const Pool &pool) const {
--- a/src/balance/SlotLedger.h
+++ b/src/balance/SlotLedger.h
@@ -21,8 +21,8 @@
   core::Duration LongestDeadline{30000}; ///< Longest deadline of any route.
   core::Duration DivisionInterval{50};   ///< A division of a pool is used this long.
   core::Duration RotationPeriod{2000};   ///< How often a remainder moves to other VMs.
+  uint32_t MaxWishInEqualShares = 4;     ///< A larger wish counts as this many equal shares.
   uint32_t ReservePermille = 50;         ///< Share of a pool kept for VMs that hold nothing.
-  uint32_t DemandMarginPermille = 250;   ///< Slots granted beyond the demand.
 };
 
 /// A VM that may hold slots.
@@ -104,12 +104,13 @@
     std::optional<Holding> Current;
   };
 
-  /// The fair division of a pool: a VM gets its wish up to Level, some VMs one more.
+  /// The division of a pool. While the wishes fit, each is met up to Level; otherwise each VM gets
+  /// a part of the slots in proportion to its wish.
   struct Division {
     core::Time At;
     uint32_t Level = 0;
-    std::set<core::VmId> OneMore;
-    bool Contended = false; ///< The wishes exceed the slots.
+    std::map<core::VmId, uint32_t> Shares; ///< When contended.
+    bool Contended = false;                ///< The wishes exceed the slots.
   };
 
   struct Pool {
@@ -130,6 +131,9 @@
   void allocate(const core::VmId &id, Vm &vm, const PoolId &poolId, SlotMap &limits,
                 core::Time now);
   void divide(const PoolId &poolId, Pool &pool, core::Time now) const;
+  void divideByWish(Division &division, uint32_t slots,
+                    std::map<core::VmId, uint32_t> wishes) const;
+  static uint32_t shareOf(const Division &division, const core::VmId &vm, uint32_t wish);
   void grow(Vm &vm, const Pool &pool, SlotMap &limits, uint32_t n);
   void shrink(const Vm &vm, const Pool &pool, SlotMap &limits, uint32_t n) const;
   uint32_t wishOf(const Holding &holding, const PoolId &pool) const;
--- a/src/balance/tests/SlotHolderTest.cpp
+++ b/src/balance/tests/SlotHolderTest.cpp
@@ -3,6 +3,7 @@
 #include "core/testing/Property.h"
 
 #include <atomic>
+#include <map>
 #include <string>
 #include <thread>
 #include <vector>
@@ -173,3 +174,45 @@
   cr_assert_gt(answer->Limits[TargetId("new")], 0);
   cr_assert_eq(answer->Limits[TargetId("old")], 0);
 }
+
+/// Guards against slots that stay idle at a VM because of a short peak of its use.
+Test(SlotHolder, shortPeakIsNotDemand) {
+  Fixture f;
+  f.answer(f.report().Sequence, 5);
+  for (int n = 0; n < 5; ++n)
+    cr_assert(f.Holder.acquire(Target));
+  f.Clock.advance(Duration{10});
+  for (int n = 0; n < 5; ++n)
+    f.Holder.release(Target);
+  const SlotReport idle = f.report();
+  cr_expect_eq(idle.Demand.count(TestPool), 0U);
+  f.answer(idle.Sequence, 5);
+  f.Holder.setWaiting(TestPool, 3);
+  cr_expect_eq(f.report().Demand.at(TestPool), 3U);
+}
+
+/// Guards against equal shares of scarce slots for VMs with unequal numbers of callers, which leave
+/// requests waiting at one VM while slots are idle at another; and against a VM that takes all.
+Test(SlotLedger, scarceSlotsFollowTheDemand) {
+  SlotLedger ledger;
+  ledger.setVms({VmInfo{VmId("a"), Place{}}, VmInfo{VmId("b"), Place{}}});
+  ledger.setTargets({});
+  ledger.becomeLeader(Term(1), Time{0});
+  ledger.setTargets({});
+  ledger.setTargets({TargetInfo{Target, TestPool, VersionId("v"), Place{}, 40}});
+  std::map<std::string, uint32_t> limits;
+  const auto round = [&](uint64_t sequence, uint32_t demandOfB) {
+    for (const char *vm : {"a", "b"}) {
+      SlotReport r{VmId(vm), Incarnation(1), Term(1), sequence, Duration{90'000}, {}, {}, {}, {}};
+      r.Held[Target] = r.Usable[Target] = limits[vm];
+      r.Demand[TestPool] = std::string(vm) == "a" ? 20 : demandOfB;
+      limits[vm] = ledger.report(r, Time{static_cast<int64_t>(sequence) * 500})->Limits[Target];
+    }
+  };
+  for (uint64_t n = 1; n < 10; ++n)
+    round(n, 60);
+  cr_expect_geq(limits["b"], 2 * limits["a"]);
+  for (uint64_t n = 10; n < 20; ++n)
+    round(n, 100'000);
+  cr_expect_geq(limits["a"], 4U);
+}
