--- a/tools/policy/Managed.cpp
+++ b/tools/policy/Managed.cpp
@@ -80,8 +80,6 @@
   core::Term Term{1};
   std::vector<balance::TargetInfo> Targets;
   std::array<uint64_t, VmCount> InFlightSequence{};
-  std::array<bool, VmCount> AppliedDrain{};
-  core::DomainId Drained;
   Time MoveStarted;
 };
 
@@ -182,16 +180,17 @@
   for (const moves::VersionStats &stats : Vms[n]->takeStats())
     if (W.What.Event == SceneEvent::BadVersion)
       toLeader(n, [this, stats](Leader &l) { l.Moves.observe(stats, W.Clock.now()); });
-  if (!AppliedDrain[n])
-    return;
-  moves::InFlightReport report;
-  report.Source = vmId(n);
-  report.SourceIncarnation = Vms[n]->Run;
-  report.Sequence = ++InFlightSequence[n];
-  report.Move = core::MoveId("drain");
-  report.AppliedDrain = true;
-  report.InFlight = Vms[n]->inFlightOn(Drained);
-  toLeader(n, [this, report](Leader &l) { l.Moves.observe(report, W.Clock.now()); });
+  ++InFlightSequence[n];
+  for (const core::TargetId &target : Vms[n]->drained()) {
+    moves::InFlightReport report;
+    report.Source = vmId(n);
+    report.SourceIncarnation = Vms[n]->Run;
+    report.Sequence = InFlightSequence[n];
+    report.Move = core::MoveId(target.Value);
+    report.AppliedDrain = true;
+    report.InFlight = Vms[n]->Slots.inUse(target);
+    toLeader(n, [this, report](Leader &l) { l.Moves.observe(report, W.Clock.now()); });
+  }
 }
 
 void Managed::reportRegionLoads() {
@@ -249,15 +248,18 @@
 }
 
 void Managed::drain(const core::DomainId &domain) {
-  moves::MoveRecord record;
-  record.Id = core::MoveId("drain");
-  record.Kind = moves::MoveKind::Drain;
-  record.Limit = DrainLimit;
-  record.Scope = moves::DrainScope::Domain;
-  record.Name = domain.Value;
-  Drained = domain;
   MoveStarted = W.Clock.now();
-  Leaders[Present]->Moves.start(record, MoveStarted);
+  for (const balance::TargetInfo &target : Targets) {
+    if (target.Where.Domain != domain)
+      continue;
+    moves::MoveRecord record;
+    record.Id = core::MoveId(target.Id.Value);
+    record.Kind = moves::MoveKind::Drain;
+    record.Limit = DrainLimit;
+    record.Scope = moves::DrainScope::Target;
+    record.Name = target.Id.Value;
+    Leaders[Present]->Moves.start(record, MoveStarted);
+  }
 }
 
 void Managed::moveVersion() {
@@ -284,10 +286,10 @@
   noteEnd();
   if (step.Kind == moves::StepKind::BeginDrain) {
     for (balance::TargetInfo &target : Targets)
-      if (target.Where.Domain == Drained)
+      if (target.Id.Value == step.Id.Value)
         target.Slots = 0;
     Leaders[Present]->Slots.setTargets(Targets);
-    applyEverywhere([this](ManagedVm &vm) { vm.setTargets(Targets); });
+    applyEverywhere([targets = Targets](ManagedVm &vm) { vm.setTargets(targets); });
   }
   if (const moves::MoveRecord *record = moves.find(core::MoveId("version"))) {
     const std::map<core::VersionId, uint32_t> shares{
@@ -302,7 +304,8 @@
   for (const moves::MoveOutcome &outcome : Leaders[Present]->Moves.takeOutcomes()) {
     const bool done = outcome.End == moves::MoveOutcome::Kind::Done;
     W.Result.Move = done ? "done" : "reversed";
-    if (outcome.Id == core::MoveId("drain") && done)
+    // The last target counts.
+    if (outcome.Id != core::MoveId("version") && done)
       W.Result.DrainMs = (W.Clock.now() - MoveStarted).Ms;
   }
 }
@@ -312,12 +315,9 @@
   const int64_t ms = W.Clock.now().Ms;
   for (uint32_t n = 0; n < VmCount; ++n) {
     const int64_t wait = RenewalMs - 1 - (ms + n * RenewalMs / VmCount - 1) % RenewalMs;
-    const bool isDrain = !Drained.empty();
-    W.after(Duration{wait} + oneWay(n) * 2, [this, n, change, isDrain] {
-      if (!Vms[n]->Alive)
-        return;
-      change(*Vms[n]);
-      AppliedDrain[n] = isDrain;
+    W.after(Duration{wait} + oneWay(n) * 2, [this, n, change] {
+      if (Vms[n]->Alive)
+        change(*Vms[n]);
     });
   }
 }
--- a/tools/policy/ManagedVm.cpp
+++ b/tools/policy/ManagedVm.cpp
@@ -48,11 +48,12 @@
   Slots.setTargets(targets, VmCount);
 }
 
-uint64_t ManagedVm::inFlightOn(const core::DomainId &domain) const {
-  uint64_t n = 0;
+std::vector<core::TargetId> ManagedVm::drained() const {
+  std::vector<core::TargetId> ids;
   for (const balance::TargetInfo &target : Targets)
-    n += target.Where.Domain == domain ? Slots.inUse(target.Id) : 0;
-  return n;
+    if (target.Slots == 0)
+      ids.push_back(target.Id);
+  return ids;
 }
 
 std::optional<balance::SlotReport> ManagedVm::slotReport(core::Term leader) {
--- a/tools/policy/ManagedVm.h
+++ b/tools/policy/ManagedVm.h
@@ -33,7 +33,8 @@
   void lose();
 
   void setTargets(absl::Span<const balance::TargetInfo> targets);
-  uint64_t inFlightOn(const core::DomainId &domain) const;
+  /// Targets that take no new work, as far as this VM knows.
+  std::vector<core::TargetId> drained() const;
   std::optional<balance::SlotReport> slotReport(core::Term leader);
   /// Counts of the first service by version since the last call.
   std::vector<moves::VersionStats> takeStats();
