End the drain of a target with the last VM's report

Change: DrainTracker ends when every VM has reported the drain as applied with nothing in flight, or has expired; drains of VMs, domains and regions still wait for cached lookups. So that the report is true, SlotHolder refuses slots of a drained target at once, before the leader calls them back. Two tests fail without the changes.

--- a/src/balance/SlotHolder.cpp
+++ b/src/balance/SlotHolder.cpp
@@ -41,7 +41,7 @@
   std::lock_guard<std::mutex> lock(Mutex);
   auto it = Slots.find(target);
   const Time now = Clock.now();
-  if (it == Slots.end() || it->second.InUse >= it->second.Limit || !limitsValid(now))
+  if (it == Slots.end() || !it->second.hasFree() || !limitsValid(now))
     return false;
   ++it->second.InUse;
   Demand &demand = Demands[it->second.Pool];
@@ -63,7 +63,7 @@
 uint32_t SlotHolder::available(const TargetId &target) const {
   std::lock_guard<std::mutex> lock(Mutex);
   auto it = Slots.find(target);
-  if (it == Slots.end() || it->second.InUse >= it->second.Limit || !limitsValid(Clock.now()))
+  if (it == Slots.end() || !it->second.hasFree() || !limitsValid(Clock.now()))
     return 0;
   return it->second.Limit - it->second.InUse;
 }
--- a/src/balance/SlotHolder.h
+++ b/src/balance/SlotHolder.h
@@ -88,6 +88,8 @@
     uint32_t Limit = 0;
     uint32_t InUse = 0;
     uint32_t Reported = 0; ///< Held according to the latest report.
+    /// A drained target takes nothing new, although the leader has yet to call back its slots.
+    bool hasFree() const { return TargetSlots != 0 && InUse < Limit; }
   };
 
   struct Demand {
--- a/src/balance/tests/SlotHolderTest.cpp
+++ b/src/balance/tests/SlotHolderTest.cpp
@@ -94,6 +94,10 @@
   TargetInfo drained = open;
   drained.Slots = 0;
   ledger.setTargets({drained});
+  // A VM reports a drain as applied before the leader has called back its slots.
+  f.setSlots(0);
+  cr_expect_not(f.Holder.acquire(Target));
+  cr_expect_eq(f.Holder.available(Target), 0U);
   exchange();
   cr_expect_not(f.Holder.acquire(Target));
   cr_expect_geq(ledger.granted(Target), 1U);
--- a/src/moves/DrainTracker.cpp
+++ b/src/moves/DrainTracker.cpp
@@ -59,11 +59,15 @@
 }
 
 bool DrainTracker::mayAssign(core::Time now) const {
-  return now - CommittedAt < Settings.NoNewWork;
+  return now - CommittedAt < Settings.NoNewWork && unreported() != 0;
 }
 
 bool DrainTracker::empty(core::Time now) const {
-  if (mayAssign(now) || now - CommittedAt < Settings.NoNewWork + Settings.CallerTtl)
+  // A VM that has applied a drain assigns nothing, so a drain of targets need not wait until
+  // NoNewWork has passed. Callers that act on cached lookups do not report.
+  const bool callersArrive = Settings.CallerTtl > core::Duration{0} &&
+                             now - CommittedAt < Settings.NoNewWork + Settings.CallerTtl;
+  if (callersArrive)
     return false;
   return std::all_of(Vms.begin(), Vms.end(), [now](const auto &entry) {
     const Vm &vm = entry.second;
--- a/src/moves/DrainTracker.h
+++ b/src/moves/DrainTracker.h
@@ -16,7 +16,8 @@
   core::Incarnation SourceIncarnation;
   uint64_t Sequence = 0; ///< Increases within an incarnation; older reports are ignored.
   core::MoveId Move;
-  bool AppliedDrain = false; ///< The VM had applied the drain before it counted.
+  /// The VM had applied the drain before it counted, and assigns nothing from then on.
+  bool AppliedDrain = false;
   uint64_t InFlight = 0;
 };
 
--- a/src/moves/tests/PartsTest.cpp
+++ b/src/moves/tests/PartsTest.cpp
@@ -227,6 +227,23 @@
   cr_assert_not(lease(15'001));
 }
 
+/// Guards against a drain of targets that waits although every VM has applied it, and against one
+/// of VMs that ends while callers still act on cached lookups.
+Test(DrainTracker, endsWithTheLastReport) {
+  DrainSettings settings;
+  for (Duration ttl : {Duration{0}, Duration{10'000}}) {
+    settings.CallerTtl = ttl;
+    DrainTracker tracker(settings, {VmId("x"), VmId("y")}, Time{0});
+    tracker.report({VmId("x"), Incarnation(1), 1, MoveId("m"), true, 0}, Time{500});
+    cr_assert(tracker.mayAssign(Time{500}));
+    cr_assert_not(tracker.empty(Time{500}));
+    tracker.report({VmId("y"), Incarnation(1), 1, MoveId("m"), true, 0}, Time{600});
+    cr_assert_eq(tracker.empty(Time{600}), ttl == Duration{0});
+    cr_assert_not(tracker.empty(Time{ttl.Ms + 2'999}) && ttl != Duration{0});
+    cr_assert(tracker.empty(Time{ttl.Ms + 3'000}));
+  }
+}
+
 /// Guards against a drain that ends on a count from before the drain, on an old or repeated report,
 /// or without the work of a VM that died.
 Test(DrainTracker, waitsForEveryVm) {
