--- a/src/balance/SlotLedger.cpp
+++ b/src/balance/SlotLedger.cpp
@@ -268,7 +268,7 @@
   const uint32_t slots = pool.Slots > reserve ? pool.Slots - reserve : 0;
   division.Contended = sum > slots;
   if (division.Contended)
-    divideByWish(division, slots, std::move(wishes));
+    divideByWish(division, slots, wishes);
   else
     // A wish that grows before the next division may take what is left.
     division.Level = largest + slots - static_cast<uint32_t>(sum);
@@ -278,16 +278,17 @@
 /// Equal shares would leave slots idle at VMs with few callers while requests wait at those with
 /// many. In proportion to the wishes, a request waits equally long wherever it entered.
 void SlotLedger::divideByWish(Division &division, uint32_t slots,
-                              std::map<VmId, uint32_t> wishes) const {
+                              const std::map<VmId, uint32_t> &wishes) const {
   // Bounds what one VM with a long queue takes from the others.
   const uint64_t most =
       1 + uint64_t{slots} * Settings.MaxWishInEqualShares / std::max<size_t>(1, wishes.size());
   uint64_t sum = 0;
-  for (auto &[id, wish] : wishes)
-    sum += wish = static_cast<uint32_t>(std::min<uint64_t>(wish, most));
+  for (const auto &[id, wish] : wishes)
+    sum += std::min<uint64_t>(wish, most);
   uint32_t rest = slots;
   for (const auto &[id, wish] : wishes) {
-    const uint64_t part = std::min<uint64_t>(wish, wish * uint64_t{slots} / sum);
+    const uint64_t counted = std::min<uint64_t>(wish, most);
+    const uint64_t part = std::min(counted, counted * slots / sum);
     division.Shares[id] = static_cast<uint32_t>(part);
     rest -= static_cast<uint32_t>(part);
   }
--- a/src/balance/SlotLedger.h
+++ b/src/balance/SlotLedger.h
@@ -132,7 +132,7 @@
                 core::Time now);
   void divide(const PoolId &poolId, Pool &pool, core::Time now) const;
   void divideByWish(Division &division, uint32_t slots,
-                    std::map<core::VmId, uint32_t> wishes) const;
+                    const std::map<core::VmId, uint32_t> &wishes) const;
   static uint32_t shareOf(const Division &division, const core::VmId &vm, uint32_t wish);
   void grow(Vm &vm, const Pool &pool, SlotMap &limits, uint32_t n);
   void shrink(const Vm &vm, const Pool &pool, SlotMap &limits, uint32_t n) const;
