Distribute client blocks to the VMs as configuration

Cause: placement/BlockTable reached no VM, so every caller belonged to the region that it asked. Change: set block, delete block and show blocks; a command names up to 256 blocks and takes effect as a whole. The serving state no longer copies block records. The configuration refuses more than 20,000 blocks. Three tests of operator_language list the new statements, messages and records now.

--- a/src/config/ChangeApplier.cpp
+++ b/src/config/ChangeApplier.cpp
@@ -1,4 +1,4 @@
-#include "config/ChangeApplier.h"
+#include "config/ChangeApplierChecks.h"
 
 #include "config/Encoding.h"
 #include "config/Text.h"
@@ -27,10 +27,6 @@
   return it == texts.end() ? std::string() : *it;
 }
 
-template <class R> std::string describe(const decltype(R::Id) &id) {
-  return concat(nameOf(kindOf<R>()), " ", id.Value);
-}
-
 /// Thousandths of traffic on the new side after an update to this state.
 uint32_t shareIn(MoveState state, uint32_t requested, uint32_t whenDone) {
   if (state == MoveState::Done)
@@ -89,34 +85,6 @@
   return Request.Expected.Value == 0 ? invalid(reason) : conflict(removed.Command, reason);
 }
 
-template <class R>
-const R *ChangeApplier::subject(const decltype(R::Id) &id, Outcome &failure) const {
-  const R *record = find(tableOf<R>(Current), id);
-  if (record == nullptr) {
-    failure = missing(kindOf<R>(), id.Value);
-    return nullptr;
-  }
-  return isExpected(describe<R>(id), record->Changed, failure) ? record : nullptr;
-}
-
-template <class R> bool ChangeApplier::isFree(const decltype(R::Id) &id, Outcome &failure) const {
-  if (const R *record = find(tableOf<R>(Current), id)) {
-    failure = conflict(record->Changed.Command, concat(describe<R>(id), " exists already"));
-    return false;
-  }
-  if (Request.Expected.Value == 0)
-    return true;
-  failure = missing(kindOf<R>(), id.Value);
-  return false;
-}
-
-template <class R>
-bool ChangeApplier::mayReplace(const decltype(R::Id) &id, Outcome &failure) const {
-  if (find(tableOf<R>(Current), id) != nullptr)
-    return subject<R>(id, failure) != nullptr;
-  return isFree<R>(id, failure);
-}
-
 Outcome ChangeApplier::operator()(const CreateCustomer &change) {
   Outcome failure;
   if (!isFree<CustomerRecord>(change.Id, failure))
--- a/src/config/ChangeApplier.h
+++ b/src/config/ChangeApplier.h
@@ -39,6 +39,8 @@
   Outcome operator()(const PutVm &change);
   Outcome operator()(const RemoveVm &change);
   Outcome operator()(const SetRegionFailure &change);
+  Outcome operator()(const SetBlocks &change);
+  Outcome operator()(const DeleteBlocks &change);
 
 private:
   Outcome accepted(std::string subject) const;
@@ -72,6 +74,7 @@
   bool isRegion(const std::string &name) const;
   bool isDomain(const std::string &name) const;
   std::string checkCaps(const StartShift &change) const;
+  std::string checkBlocks(const std::vector<BlockId> &blocks) const;
 
   const ConfigStore &Store;
   const Records &Current;
--- /dev/null
+++ b/src/config/ChangeApplierChecks.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "config/ChangeApplier.h"
+#include "config/Text.h"
+
+/// Checks of the ChangeApplier that its files share.
+namespace briarspar::config {
+
+template <class R> std::string describe(const decltype(R::Id) &id) {
+  return concat(nameOf(kindOf<R>()), " ", id.Value);
+}
+
+template <class R>
+const R *ChangeApplier::subject(const decltype(R::Id) &id, Outcome &failure) const {
+  const R *record = find(tableOf<R>(Current), id);
+  if (record == nullptr) {
+    failure = missing(kindOf<R>(), id.Value);
+    return nullptr;
+  }
+  return isExpected(describe<R>(id), record->Changed, failure) ? record : nullptr;
+}
+
+template <class R> bool ChangeApplier::isFree(const decltype(R::Id) &id, Outcome &failure) const {
+  if (const R *record = find(tableOf<R>(Current), id)) {
+    failure = conflict(record->Changed.Command, concat(describe<R>(id), " exists already"));
+    return false;
+  }
+  if (Request.Expected.Value == 0)
+    return true;
+  failure = missing(kindOf<R>(), id.Value);
+  return false;
+}
+
+template <class R>
+bool ChangeApplier::mayReplace(const decltype(R::Id) &id, Outcome &failure) const {
+  if (find(tableOf<R>(Current), id) != nullptr)
+    return subject<R>(id, failure) != nullptr;
+  return isFree<R>(id, failure);
+}
+
+} // namespace briarspar::config
--- a/src/config/Command.h
+++ b/src/config/Command.h
@@ -150,15 +150,27 @@
   std::vector<ForcedShare> Forced;
 };
 
-using Change =
-    std::variant<CreateCustomer, UpdateCustomer, CreateKey, WithdrawKey, CreateRoute, DeleteRoute,
-                 AddTarget, DeleteTarget, SetCap, StartDrain, UpdateDrain, CancelDrain, StartShift,
-                 UpdateShift, StartMove, UpdateMove, CancelMove, PutVm, RemoveVm, SetRegionFailure>;
+/// Adds the blocks or gives them to another region. Command::Expected is for a single block only.
+struct SetBlocks {
+  std::vector<BlockId> Blocks;
+  core::RegionId Region;
+};
+
+struct DeleteBlocks {
+  std::vector<BlockId> Blocks;
+};
+
+using Change = std::variant<CreateCustomer, UpdateCustomer, CreateKey, WithdrawKey, CreateRoute,
+                            DeleteRoute, AddTarget, DeleteTarget, SetCap, StartDrain, UpdateDrain,
+                            CancelDrain, StartShift, UpdateShift, StartMove, UpdateMove, CancelMove,
+                            PutVm, RemoveVm, SetRegionFailure, SetBlocks, DeleteBlocks>;
 
 /// Longest accepted command id, operator name and record name, in bytes.
 constexpr size_t MaxNameBytes = 64;
 /// Longest accepted reason, in bytes.
 constexpr size_t MaxReasonBytes = 512;
+/// Most blocks of one command. It bounds the log entry and the delta of a command.
+constexpr size_t MaxBlocksPerCommand = 256;
 /// Longest accepted opaque progress of a move or shift, in bytes.
 constexpr size_t MaxProgressBytes = 16 * 1024;
 
--- a/src/config/ConfigStore.cpp
+++ b/src/config/ConfigStore.cpp
@@ -49,9 +49,11 @@
   case RecordKind::Vm:
     return f(static_cast<VmRecord *>(nullptr));
   case RecordKind::RegionFailure:
+    return f(static_cast<RegionFailureRecord *>(nullptr));
+  case RecordKind::Block:
     break;
   }
-  return f(static_cast<RegionFailureRecord *>(nullptr));
+  return f(static_cast<BlockRecord *>(nullptr));
 }
 
 /// Hash of the record now stored, or 0 if there is none.
--- a/src/config/Encoding.h
+++ b/src/config/Encoding.h
@@ -115,6 +115,12 @@
       field("load", &R::Load), field("forced", &R::Forced), field("changed", &R::Changed));
 };
 
+template <> struct Fields<BlockRecord> {
+  using R = BlockRecord;
+  static constexpr auto Table = std::make_tuple(field("id", &R::Id), field("region", &R::Region),
+                                                field("changed", &R::Changed));
+};
+
 template <> struct Fields<CreateCustomer> {
   using R = CreateCustomer;
   static constexpr const char *Name = "create-customer";
@@ -235,6 +241,16 @@
       std::make_tuple(field("id", &R::Id), field("down", &R::Down), field("cause", &R::Cause),
                       field("load", &R::Load), field("forced", &R::Forced));
 };
+template <> struct Fields<SetBlocks> {
+  using R = SetBlocks;
+  static constexpr const char *Name = "set-blocks";
+  static constexpr auto Table =
+      std::make_tuple(field("blocks", &R::Blocks), field("region", &R::Region));
+};
+template <> struct Fields<DeleteBlocks> {
+  static constexpr const char *Name = "delete-blocks";
+  static constexpr auto Table = std::make_tuple(field("blocks", &DeleteBlocks::Blocks));
+};
 template <> struct Fields<Outcome> {
   using R = Outcome;
   static constexpr auto Table = std::make_tuple(
--- a/src/config/Records.cpp
+++ b/src/config/Records.cpp
@@ -28,6 +28,16 @@
   return hasDrain(records, DrainKind::Vm, vm.Id.Value) || placeIsDraining(records, vm);
 }
 
+Records withoutBlocks(const Records &records) {
+  Records out;
+  records.forEachTable([&](const auto &table) {
+    using R = typename std::decay_t<decltype(table)>::mapped_type;
+    if constexpr (!std::is_same_v<R, BlockRecord>)
+      tableOf<R>(out) = table;
+  });
+  return out;
+}
+
 const MoveRecord *runningMove(const Records &records, const core::RouteId &route) {
   for (const auto &[id, move] : records.Moves)
     if (move.Route == route && !isFinal(move.State))
--- a/src/config/Records.h
+++ b/src/config/Records.h
@@ -18,6 +18,7 @@
 
 using CapId = core::StringId<struct CapTag>;
 using DrainId = core::StringId<struct DrainTag>;
+using BlockId = core::StringId<struct BlockTag>; ///< An IPv4 prefix such as 10.1.0.0/16.
 
 /// Who may call a route.
 enum class RouteAccess : uint8_t {
@@ -218,8 +219,16 @@
   Stamp Changed;
 };
 
-using AnyRecord = std::variant<CustomerRecord, KeyRecord, RouteRecord, TargetRecord, CapRecord,
-                               DrainRecord, ShiftRecord, MoveRecord, VmRecord, RegionFailureRecord>;
+/// Callers whose addresses are in the block belong to the region. The longest block wins.
+struct BlockRecord {
+  BlockId Id;
+  core::RegionId Region;
+  Stamp Changed;
+};
+
+using AnyRecord =
+    std::variant<CustomerRecord, KeyRecord, RouteRecord, TargetRecord, CapRecord, DrainRecord,
+                 ShiftRecord, MoveRecord, VmRecord, RegionFailureRecord, BlockRecord>;
 
 /// Kind of a record: the index of its type in AnyRecord.
 enum class RecordKind : uint8_t {
@@ -232,12 +241,13 @@
   Shift,
   Move,
   Vm,
-  RegionFailure
+  RegionFailure,
+  Block
 };
 template <> struct EnumNames<RecordKind> {
-  static constexpr std::array<std::string_view, 10> Values{
-      "customer", "key",   "route", "target", "cap",
-      "drain",    "shift", "move",  "vm",     "region-failure"};
+  static constexpr std::array<std::string_view, 11> Values{
+      "customer", "key",  "route", "target",         "cap",  "drain",
+      "shift",    "move", "vm",    "region-failure", "block"};
 };
 
 /// Returns the kind of records of type R.
@@ -259,6 +269,7 @@
   RecordTable<MoveRecord> Moves;
   RecordTable<VmRecord> Vms;
   RecordTable<RegionFailureRecord> RegionFailures;
+  RecordTable<BlockRecord> Blocks;
 
   /// Calls `f(table)` for every table in the order of RecordKind.
   template <class F> void forEachTable(F &&f) { visitTables(*this, f); }
@@ -276,6 +287,7 @@
     f(self.Moves);
     f(self.Vms);
     f(self.RegionFailures);
+    f(self.Blocks);
   }
 };
 
@@ -292,6 +304,9 @@
   return const_cast<RecordTable<R> &>(tableOf<R>(std::as_const(records)));
 }
 
+/// Returns a copy of all records but the client blocks, which may be millions.
+Records withoutBlocks(const Records &records);
+
 /// Returns the record with this id, or null.
 template <class R> const R *find(const RecordTable<R> &table, const decltype(R::Id) &id) {
   auto it = table.find(id);
--- a/src/config/Validation.cpp
+++ b/src/config/Validation.cpp
@@ -60,6 +60,28 @@
   return concat(what, " must be IP:PORT or [IP]:PORT");
 }
 
+std::string checkBlock(std::string_view block) {
+  std::string wrong = concat("block must be an IPv4 prefix such as 10.1.0.0/16");
+  size_t slash = block.find('/');
+  if (slash == std::string_view::npos)
+    return wrong;
+  std::string_view digits = block.substr(slash + 1);
+  in_addr address{};
+  uint32_t length = 0;
+  // Each block has one spelling only; inet_pton refuses leading zeros in the address.
+  bool ok = !digits.empty() && digits.size() <= 2 && (digits[0] != '0' || digits == "0") &&
+            std::all_of(digits.begin(), digits.end(),
+                        [](unsigned char c) { return absl::ascii_isdigit(c); }) &&
+            absl::SimpleAtoi(std::string(digits), &length) && length <= 32 &&
+            ::inet_pton(AF_INET, std::string(block.substr(0, slash)).c_str(), &address) == 1;
+  if (!ok)
+    return wrong;
+  uint64_t beyond = (uint64_t{1} << (32 - length)) - 1;
+  return (ntohl(address.s_addr) & beyond) == 0
+             ? ""
+             : concat("block ", block, " has bits set beyond its length");
+}
+
 std::string checkPathPrefix(std::string_view prefix) {
   if (prefix.empty() || prefix[0] != '/')
     return "path must start with '/'";
--- a/src/config/Validation.h
+++ b/src/config/Validation.h
@@ -15,6 +15,9 @@
 /// An address IP:PORT, or [IP]:PORT for IPv6, with a port from 1 to 65535.
 std::string checkAddress(std::string_view what, std::string_view address);
 
+/// An IPv4 prefix such as 10.1.0.0/16, without bits beyond its length.
+std::string checkBlock(std::string_view block);
+
 /// A path prefix: '/', then printable ASCII without space, '?', '#' or '%', at most 256 bytes.
 std::string checkPathPrefix(std::string_view prefix);
 
--- a/src/config/tests/ConfigStoreTest.cpp
+++ b/src/config/tests/ConfigStoreTest.cpp
@@ -23,6 +23,41 @@
 
 } // namespace
 
+/// Guards against a command for several blocks that takes effect in part, and against a block with
+/// two spellings.
+Test(ConfigStore, blocksChangeTogetherOrNotAtAll) {
+  ConfigStore store = populated();
+  auto set = [&store](std::string id, std::vector<BlockId> blocks, uint64_t expected = 0) {
+    return store
+        .apply(command(std::move(id), SetBlocks{std::move(blocks), core::RegionId("eu")}, expected))
+        .What;
+  };
+  BlockId a("10.1.0.0/16");
+  BlockId b("10.2.0.0/16");
+  cr_assert_eq(set("a", {a, b}), Outcome::Accepted);
+  cr_assert_eq(set("b", {a, b}, store.version().Value), Outcome::Invalid);
+  cr_assert_eq(set("c", {a}, store.version().Value), Outcome::Accepted);
+  for (const char *wrong : {"10.1.0.0/08", "10.1.0.0/8", "10.01.0.0/16", "10.1.0.0/33", "10.1.0.0"})
+    cr_assert_eq(set(std::string("wrong-") + std::to_string(wrong[3]) +
+                         std::to_string(std::string(wrong).size()),
+                     {b, BlockId(wrong)}),
+                 Outcome::Invalid, "%s", wrong);
+  DeleteBlocks both{{b, BlockId("10.3.0.0/16")}};
+  cr_assert_eq(store.apply(command("d", both)).What, Outcome::Invalid);
+  cr_assert_eq(store.records().Blocks.size(), 2);
+  cr_assert_eq(store.apply(command("e", DeleteBlocks{{a, b}})).What, Outcome::Accepted);
+  cr_assert(store.records().Blocks.empty());
+
+  // A larger table would not fit into the frame that carries a full state.
+  for (int n = 0; n < 79; ++n) {
+    std::vector<BlockId> blocks;
+    for (int k = 0; k < 256; ++k)
+      blocks.emplace_back("10." + std::to_string(n) + "." + std::to_string(k) + ".0/24");
+    Outcome::Kind wanted = n < 78 ? Outcome::Accepted : Outcome::Invalid;
+    cr_assert_eq(set("many-" + std::to_string(n), blocks), wanted);
+  }
+}
+
 /// Guards against a late proposal of an earlier leader that sends a region's callers away again
 /// after its successor has returned them, and against a round trip that loses the shares.
 Test(ConfigStore, regionFailuresFollowOneLeaderAtATime) {
--- a/src/ctl/Completion.cpp
+++ b/src/ctl/Completion.cpp
@@ -61,7 +61,7 @@
     out += "    " + verb + ") words=\"" + joined(words) + "\" ;;\n";
   out += "    help) words=\"" + joined(first) + "\" ;;\n";
   out += "    *) words=\"" + joined(first) +
-         " --server --key-file --file --json --help\" ;;\n"
+         " --server --key-file --file --blocks --json --help\" ;;\n"
          "  esac\n"
          "  COMPREPLY=($(compgen -W \"$words\" -- \"$cur\"))\n"
          "}\n"
--- a/src/ctl/Program.cpp
+++ b/src/ctl/Program.cpp
@@ -17,6 +17,7 @@
   std::vector<std::string> Servers;
   std::string KeyFile;
   std::string Script;
+  std::string Blocks;
   std::vector<std::string> Words; ///< The words of one statement.
   bool Json = false;
 };
@@ -42,6 +43,8 @@
   app.add_option("--key-file", options.KeyFile, "file whose first line is the operator key")
       ->envname("BRIARSPAR_KEY_FILE");
   app.add_option("--file", options.Script, "script with one statement a line");
+  app.add_option("--blocks", options.Blocks,
+                 "file of client blocks, PREFIX REGION or PREFIX - a line");
   app.add_flag("--json", options.Json, "print JSON");
   app.add_option("statement", options.Words, "one statement; without it and --file, a prompt");
   app.footer("Statements:\n" + operator_language::helpText());
@@ -71,6 +74,8 @@
     return tool.run(joined(options.Words));
   if (!options.Script.empty())
     return tool.runScript(script, options.Script);
+  if (!options.Blocks.empty())
+    return tool.runBlocks(script, options.Blocks);
   return tool.runPrompt(streams.In);
 }
 
@@ -98,14 +103,16 @@
     key = *std::move(read);
   }
   std::ifstream script;
-  if (!options.Script.empty()) {
-    script.open(options.Script);
-    if (!script || !options.Words.empty())
-      return usageError(streams, script ? "give a statement or --file, not both"
-                                        : "cannot read " + options.Script);
+  std::string file = options.Script.empty() ? options.Blocks : options.Script;
+  if (!file.empty()) {
+    script.open(file);
+    bool isOnly = options.Words.empty() && (options.Script.empty() || options.Blocks.empty());
+    if (!script || !isOnly)
+      return usageError(streams, script ? "give a statement, --file or --blocks, not several"
+                                        : "cannot read " + file);
   }
-  if (options.Words.empty() && options.Script.empty() && !streams.IsTerminal)
-    return usageError(streams, "give a statement or --file");
+  if (options.Words.empty() && file.empty() && !streams.IsTerminal)
+    return usageError(streams, "give a statement, --file or --blocks");
   HttpTransport transport(key);
   Client client(transport, std::move(servers));
   auth::OpenSslRandomSource random;
--- a/src/ctl/Tool.cpp
+++ b/src/ctl/Tool.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/escaping.h"
 #include "auth/KeyDigest.h"
 #include "config/Text.h"
+#include "ctl/BlockFile.h"
 #include "operator_language/Help.h"
 #include "operator_language/Parser.h"
 
@@ -202,6 +203,24 @@
   return ExitCode::Ok;
 }
 
+ExitCode Tool::runBlocks(std::istream &blocks, std::string_view name) {
+  BlockFile file(blocks);
+  while (true) {
+    absl::StatusOr<std::string> statement = file.next();
+    if (!statement.ok()) {
+      Err << name << ": " << statement.status().message() << "\n";
+      return ExitCode::Usage;
+    }
+    if (statement->empty())
+      return ExitCode::Ok;
+    ExitCode code = run(*statement);
+    if (code != ExitCode::Ok) {
+      Err << name << ":" << file.firstLine() << ": the blocks before this line were accepted\n";
+      return code;
+    }
+  }
+}
+
 ExitCode Tool::runPrompt(std::istream &input) {
   std::string line;
   while (Out << "briarspar> " << std::flush && std::getline(input, line)) {
--- a/src/ctl/Tool.h
+++ b/src/ctl/Tool.h
@@ -48,6 +48,9 @@
   /// Runs the statements of a script, one a line, until the first one that fails.
   ExitCode runScript(std::istream &script, std::string_view name);
 
+  /// Sends a file of client blocks in pieces; see BlockFile. Ends at the first piece that fails.
+  ExitCode runBlocks(std::istream &blocks, std::string_view name);
+
   /// Reads statements with a prompt until the end of input, `exit` or `quit`. Returns Ok.
   ExitCode runPrompt(std::istream &input);
 
--- a/src/daemon/OperatorApi.cpp
+++ b/src/daemon/OperatorApi.cpp
@@ -24,6 +24,9 @@
 
 constexpr size_t MaxEventsPerAnswer = 8192;
 
+/// A table may hold millions of blocks; an answer of this length still fits a terminal's history.
+constexpr size_t MaxListedBlocks = 1000;
+
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
 constexpr int BadRequest = 400;
@@ -159,11 +162,21 @@
     answer.Rows = timelineTable(Events.collect(timeline->Request));
   else if (show != nullptr && show->What == operator_language::Collection::Version)
     answer.Rows = operator_language::versionTable(state->Version, state->Digest);
+  else if (show != nullptr && show->What == operator_language::Collection::Blocks)
+    answer.Rows = operator_language::queryRecords(query, listedBlocks());
   else
     answer.Rows = operator_language::queryRecords(query, state->Records);
   return answer;
 }
 
+config::Records OperatorApi::listedBlocks() {
+  config::Records records;
+  for (const config::BlockRecord &it :
+       Control.call([this] { return Node.vm().blocks(MaxListedBlocks); }))
+    records.Blocks[it.Id] = it;
+  return records;
+}
+
 void OperatorApi::onEvents(const httplib::Request &req, httplib::Response &res) const {
   uint64_t since = std::strtoull(req.get_param_value("since").c_str(), nullptr, 10);
   uint64_t limit = std::strtoull(req.get_param_value("limit").c_str(), nullptr, 10);
--- a/src/daemon/OperatorApi.h
+++ b/src/daemon/OperatorApi.h
@@ -32,6 +32,7 @@
   std::optional<std::string> operatorOf(const httplib::Request &req) const;
 
   void onStatement(const std::string &name, const httplib::Request &req, httplib::Response &res);
+  config::Records listedBlocks();
   void onEvents(const httplib::Request &req, httplib::Response &res) const;
   void onStatus(httplib::Response &res);
   void onPlatformList(const httplib::Request &req, httplib::Response &res);
--- a/src/daemon/ServingState.cpp
+++ b/src/daemon/ServingState.cpp
@@ -1,5 +1,7 @@
 #include "daemon/ServingState.h"
 
+#include "daemon/BlockIndex.h"
+
 #include <algorithm>
 
 namespace briarspar::daemon {
@@ -28,19 +30,8 @@
   return view;
 }
 
-/// Numbers the regions in the order of their names; every VM gets the same numbers.
-std::map<core::RegionId, placement::SiteId> numberRegions(const config::Records &records) {
-  std::map<core::RegionId, placement::SiteId> sites;
-  for (const auto &[id, vm] : records.Vms)
-    sites[vm.Region] = {};
-  uint16_t n = 0;
-  for (auto &[region, site] : sites)
-    site = placement::SiteId{n++};
-  return sites;
-}
-
 std::vector<placement::Site> sitesOf(const config::Records &records, const ServingContext &context,
-                                     const std::map<core::RegionId, placement::SiteId> &numbers) {
+                                     const SiteNumbers &numbers) {
   std::vector<placement::Site> sites;
   for (const auto &[region, number] : numbers) {
     placement::Site site;
@@ -66,20 +57,12 @@
 
 std::shared_ptr<const placement::LookupPolicy> lookupsOf(const config::Records &records,
                                                          const ServingContext &context) {
-  std::map<core::RegionId, placement::SiteId> numbers = numberRegions(records);
-  auto home = numbers.find(context.OwnRegion);
+  SiteNumbers numbers = numberRegions(records);
   placement::LookupSettings settings;
   settings.MaxTtl = context.LookupTtl;
   settings.DrainTtl = context.LookupTtl;
-  auto blocks = std::make_shared<const placement::BlockTable>();
-  // A caller without a block of its own belongs to the region that it asks.
-  if (home != numbers.end()) {
-    placement::BlockChange all;
-    all.Site = home->second;
-    blocks = blocks->with({all});
-  }
-  return std::make_shared<const placement::LookupPolicy>(blocks, sitesOf(records, context, numbers),
-                                                         settings);
+  return std::make_shared<const placement::LookupPolicy>(
+      context.Blocks, sitesOf(records, context, numbers), settings);
 }
 
 } // namespace
@@ -131,7 +114,7 @@
   const config::Records &records = config.records();
   state->Version = config.version();
   state->Digest = config.digest();
-  state->Records = records;
+  state->Records = config::withoutBlocks(records);
   for (const auto &[id, route] : records.Routes)
     state->Routes.push_back(viewOf(records, route));
   std::sort(state->Routes.begin(), state->Routes.end(), [](const auto &a, const auto &b) {
--- a/src/daemon/ServingState.h
+++ b/src/daemon/ServingState.h
@@ -27,8 +27,8 @@
 /// The configuration in force at this VM in the form that traffic threads read. Immutable.
 struct ServingState {
   core::ConfigVersion Version;
-  uint64_t Digest = 0; ///< Of the records.
-  config::Records Records;
+  uint64_t Digest = 0;           ///< Of the records.
+  config::Records Records;       ///< Without client blocks; Lookups has them.
   std::vector<RouteView> Routes; ///< Longest path prefix first.
   std::vector<balance::TargetInfo> Targets;
   auth::KeyVerifier Keys;
@@ -41,7 +41,8 @@
 /// What a VM knows besides the configuration when it builds its serving state.
 struct ServingContext {
   core::RegionId OwnRegion;
-  std::set<core::VmId> Excluded;  ///< VMs that look-ups must not name.
+  std::set<core::VmId> Excluded; ///< VMs that look-ups must not name.
+  std::shared_ptr<const placement::BlockTable> Blocks = placement::BlockTable::empty();
   core::Duration LookupTtl{5000}; ///< Longest time for which callers cache a look-up.
 };
 
--- a/src/daemon/VmSide.cpp
+++ b/src/daemon/VmSide.cpp
@@ -28,6 +28,7 @@
 VmSide::VmSide(const VmIdentity &identity, const core::Clock &clock, core::EventSink &events,
                Sender sender, lease::LeaseHolder::Random random, VmSideListener &listener)
     : Identity(identity), Clock(clock), Events(events), Send(std::move(sender)), Listener(listener),
+      Blocks(identity.Where.Region),
       Lease({}, identity.Vm, identity.Run, *this, std::move(random), this), Permission(*this),
       Quota({}, identity.Vm, identity.Run), Slots(identity.Vm, identity.Run, clock, Permission),
       Chooser(identity.Where, Slots, {}, &events), Crashes(originOf(identity.Vm, identity.Run)),
@@ -116,11 +117,13 @@
     absl::StatusOr<config::Delta> delta = config::decodeDelta(bytes);
     if (!delta.ok())
       return delta.status();
-    Config.receive(*delta);
+    if (Config.receive(*delta) == config::ConfigReplica::Step::Applied)
+      Blocks.apply(*delta, Config.records());
   } else {
     absl::Status status = Config.receiveFullState(bytes);
     if (!status.ok())
       return status;
+    Blocks.rebuild(Config.records(), Config.version());
   }
   if (Config.version() != to || Config.digest() != digest || Config.needsFullState())
     return absl::DataLossError("the update does not lead to the leader's configuration");
@@ -130,6 +133,7 @@
 }
 
 void VmSide::publish(core::Time now) {
+  Context.Blocks = Blocks.table();
   std::shared_ptr<const ServingState> state = buildServingState(Config, Context);
   Chooser.setTargets(state->Targets, now);
   Slots.setTargets(state->Targets,
@@ -140,6 +144,16 @@
   Listener.onSlots();
 }
 
+std::vector<config::BlockRecord> VmSide::blocks(size_t limit) const {
+  std::vector<config::BlockRecord> out;
+  for (const auto &[id, record] : Config.records().Blocks) {
+    if (out.size() == limit)
+      break;
+    out.push_back(record);
+  }
+  return out;
+}
+
 std::string VmSide::renewalAttachment(core::Time now) {
   std::shared_ptr<const ServingState> state = this->state();
   std::vector<std::pair<core::RouteId, core::VersionId>> pairs;
--- a/src/daemon/VmSide.h
+++ b/src/daemon/VmSide.h
@@ -6,6 +6,7 @@
 #include "balance/TargetChooser.h"
 #include "config/ConfigReplica.h"
 #include "core/Event.h"
+#include "daemon/BlockIndex.h"
 #include "daemon/CommandRelay.h"
 #include "daemon/Messages.h"
 #include "daemon/ServingState.h"
@@ -79,6 +80,9 @@
   std::shared_ptr<const ServingState> state() const { return std::atomic_load(&State); }
   quota::QuotaHolder &quota() { return Quota; }
   balance::SlotHolder &slots() { return Slots; }
+  /// Returns up to `limit` client blocks in the order of their ids. Control thread only.
+  std::vector<config::BlockRecord> blocks(size_t limit) const;
+
   balance::TargetChooser &chooser() { return Chooser; }
   balance::CrashGuard &crashes() { return Crashes; }
   TrafficStats &stats() { return Stats; }
@@ -127,6 +131,7 @@
   config::ConfigReplica Config;
   std::shared_ptr<const ServingState> State; ///< Accessed with the atomic functions only.
   ServingContext Context;
+  BlockIndex Blocks;
   lease::LeaseHolder Lease;
   LeasePermission Permission;
   quota::QuotaHolder Quota;
--- a/src/operator_language/Grammar.h
+++ b/src/operator_language/Grammar.h
@@ -30,6 +30,7 @@
   Version,
   Slots,
   Region,
+  Blocks,
   Domain,
   Rate,
   Burst,
@@ -56,6 +57,7 @@
 BRIARSPAR_KEYWORD(KwAdd, "add")
 BRIARSPAR_KEYWORD(KwAddress, "address")
 BRIARSPAR_KEYWORD(KwAs, "as")
+BRIARSPAR_KEYWORD(KwBlock, "block")
 BRIARSPAR_KEYWORD(KwBurst, "burst")
 BRIARSPAR_KEYWORD(KwBy, "by")
 BRIARSPAR_KEYWORD(KwCancel, "cancel")
@@ -107,6 +109,7 @@
 using Socket = pegtl::plus<pegtl::sor<pegtl::xdigit, pegtl::one<'.', ':', '[', ']'>>>;
 using Prefix = pegtl::seq<pegtl::one<'/'>, pegtl::star<pegtl::range<'!', '~'>>>;
 using Token = pegtl::plus<pegtl::range<'!', '~'>>;
+using BlockList = pegtl::plus<pegtl::sor<pegtl::digit, pegtl::one<'.', '/', ','>>>;
 using Hex = pegtl::seq<pegtl::rep<64, pegtl::xdigit>, WordEnd>;
 
 using DrainKindText = OneOf<TAO_PEGTL_STRING("target"), TAO_PEGTL_STRING("vm"),
@@ -115,6 +118,7 @@
                              TAO_PEGTL_STRING("routes"), TAO_PEGTL_STRING("targets"),
                              TAO_PEGTL_STRING("vms"), TAO_PEGTL_STRING("moves"),
                              TAO_PEGTL_STRING("drains"), TAO_PEGTL_STRING("caps"),
+                             TAO_PEGTL_STRING("blocks"),
                              TAO_PEGTL_STRING("version")>;
 
 using Name = Arg<Slot::Name, Word>;
@@ -131,6 +135,7 @@
 using Version = Arg<Slot::Version, Word>;
 using Slots = Arg<Slot::Slots, Number>;
 using Region = Arg<Slot::Region, Word>;
+using Blocks = Arg<Slot::Blocks, BlockList>;
 using Domain = Arg<Slot::Domain, Word>;
 using Rate = Arg<Slot::Rate, Number>;
 using Burst = Arg<Slot::Burst, Number>;
@@ -152,7 +157,7 @@
 BRIARSPAR_EXPECT(Owner, "the name of a customer")
 BRIARSPAR_EXPECT(DrainedKind, "'target', 'vm', 'domain' or 'region'")
 BRIARSPAR_EXPECT(Listed, "'customers', 'keys', 'routes', 'targets', 'vms', 'moves', 'drains', "
-                         "'caps' or 'version'")
+                         "'caps', 'blocks' or 'version'")
 BRIARSPAR_EXPECT(Path, "a path prefix such as /orders")
 BRIARSPAR_EXPECT(Access, "'open' or 'keyed'")
 BRIARSPAR_EXPECT(Semantics, "'idempotent' or 'once'")
@@ -169,6 +174,7 @@
 BRIARSPAR_EXPECT(Expected, "a version number")
 BRIARSPAR_EXPECT(Region, "the name of a region")
 BRIARSPAR_EXPECT(Domain, "the name of a domain")
+BRIARSPAR_EXPECT(Blocks, "IPv4 prefixes such as 10.1.0.0/16, separated by commas")
 BRIARSPAR_EXPECT(Digest, "64 hexadecimal digits")
 BRIARSPAR_EXPECT(Percent, "a percentage such as 10% or 2.5%")
 BRIARSPAR_EXPECT(From, "the name of a region or domain")
@@ -202,13 +208,17 @@
 struct WithdrawKey : if_must<KwWithdraw, KwKey, Name> {};
 struct DeleteRoute : if_must<KwRoute, Name> {};
 struct DeleteTarget : if_must<KwTarget, Name> {};
-struct DeleteBody : sor<DeleteRoute, DeleteTarget> {};
-BRIARSPAR_EXPECT(DeleteBody, "'route' or 'target'")
+struct DeleteBlocks : if_must<KwBlock, Blocks> {};
+struct DeleteBody : sor<DeleteRoute, DeleteTarget, DeleteBlocks> {};
+BRIARSPAR_EXPECT(DeleteBody, "'route', 'target' or 'block'")
 
 struct AddTarget
     : if_must<KwAdd, KwTarget, Name, KwAddress, Address, KwRoute, Route, KwVersion, Version,
               KwSlots, Slots, KwRegion, Region, KwDomain, Domain> {};
-struct SetCap : if_must<KwSet, KwCap, Name, Percent, KwPer, Period> {};
+struct SetCap : if_must<KwCap, Name, Percent, KwPer, Period> {};
+struct SetBlocks : if_must<KwBlock, Blocks, KwRegion, Region> {};
+struct SetBody : sor<SetCap, SetBlocks> {};
+BRIARSPAR_EXPECT(SetBody, "'cap' or 'block'")
 struct Drain : if_must<KwDrain, DrainedKind, Name, opt<if_must<KwBy, By>>> {};
 struct Undrain : if_must<KwUndrain, DrainedKind, Name> {};
 struct Shift : if_must<KwShift, From, KwTo, To, Percent, KwBy, By> {};
@@ -222,7 +232,7 @@
     : pegtl::seq<sor<Show, Timeline, Watch>, opt<AsJson>, pegtl::must<QueryEnd>> {};
 
 struct CommandBody : sor<if_must<KwCreate, CreateBody>, UpdateCustomer, WithdrawKey,
-                         if_must<KwDelete, DeleteBody>, AddTarget, SetCap, Drain, Undrain, Shift,
+                         if_must<KwDelete, DeleteBody>, AddTarget, if_must<KwSet, SetBody>, Drain, Undrain, Shift,
                          Move, CancelMove> {};
 struct CommandOption : sor<if_must<KwExpect, Expected>, if_must<KwId, CommandId>> {};
 struct CommandEnd : pegtl::seq<Blanks, pegtl::eof> {};
--- a/src/operator_language/HelpTable.h
+++ b/src/operator_language/HelpTable.h
@@ -3,7 +3,7 @@
 // Syntax, meaning and example of every statement. docs/LANGUAGE.md lists the same rows and
 // docs/design.md the same syntax; a check in CI compares them.
 #define BRIARSPAR_STATEMENTS(X)                                                                    \
-  X("show (customers|keys|routes|targets|vms|moves|drains|caps|version) [as json]",                \
+  X("show (customers|keys|routes|targets|vms|moves|drains|caps|blocks|version) [as json]",         \
     "list records", "show targets as json")                                                        \
   X("watch move ID", "follow a version move or a traffic shift until it ends", "watch move m42")   \
   X("timeline [request ID] [as json]", "list recent events, of one request or of all",             \
@@ -27,6 +27,9 @@
   X("set cap NAME PERCENT per DURATION",                                                           \
     "limit traffic shifts from or to a region or domain, or every shift by the name all",          \
     "set cap all 10% per 10m")                                                                     \
+  X("set block PREFIX[,PREFIX...] region R", "let callers of these addresses belong to a region",  \
+    "set block 10.1.0.0/16 region eu")                                                             \
+  X("delete block PREFIX[,PREFIX...]", "remove client blocks", "delete block 10.1.0.0/16")         \
   X("drain (target|vm|domain|region) NAME [by DURATION]", "give no new work",                      \
     "drain domain eu-1 by 15m")                                                                    \
   X("undrain (target|vm|domain|region) NAME", "end a drain, done or not", "undrain domain eu-1")   \
--- a/src/operator_language/Parser.cpp
+++ b/src/operator_language/Parser.cpp
@@ -9,6 +9,7 @@
 #include <limits>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace briarspar::operator_language {
 
@@ -105,6 +106,22 @@
     return text(slot);
   }
 
+  std::vector<config::BlockId> blocks(Slot slot) {
+    std::vector<config::BlockId> out;
+    std::string_view rest = text(slot);
+    size_t column = value(slot).Column;
+    while (true) {
+      std::string_view one = rest.substr(0, rest.find(','));
+      if (!config::checkBlock(one).empty())
+        fail(column, "an IPv4 prefix such as 10.1.0.0/16");
+      out.emplace_back(std::string(one));
+      if (one.size() == rest.size())
+        return out;
+      rest.remove_prefix(one.size() + 1);
+      column += one.size() + 1;
+    }
+  }
+
   config::KeyDigest digest(Slot slot) const {
     config::KeyDigest out{};
     if (!has(slot))
@@ -208,6 +225,14 @@
                             b.duration(Slot::Period)};
   }
 };
+template <> struct Action<grammar::SetBlocks> {
+  static void apply0(Builder &b) {
+    b.What = config::SetBlocks{b.blocks(Slot::Blocks), b.id<core::RegionId>(Slot::Region)};
+  }
+};
+template <> struct Action<grammar::DeleteBlocks> {
+  static void apply0(Builder &b) { b.What = config::DeleteBlocks{b.blocks(Slot::Blocks)}; }
+};
 template <> struct Action<grammar::Drain> {
   static void apply0(Builder &b) {
     b.What = config::StartDrain{b.choice<config::DrainKind>(Slot::Kind), b.text(Slot::Name),
--- a/src/operator_language/RecordQueries.cpp
+++ b/src/operator_language/RecordQueries.cpp
@@ -24,6 +24,7 @@
 const Column<R> ChangedColumn{
     "changed", [](const Records &, const R &r) { return Json(r.Changed.Version.Value); }};
 
+using config::BlockRecord;
 using config::CapRecord;
 using config::CustomerRecord;
 using config::DrainRecord;
@@ -143,6 +144,13 @@
           ChangedColumn<R>};
 }
 
+template <> std::vector<Column<BlockRecord>> columnsOf() {
+  using R = BlockRecord;
+  return {{"block", [](const Records &, const R &r) { return Json(r.Id.Value); }},
+          {"region", [](const Records &, const R &r) { return Json(r.Region.Value); }},
+          ChangedColumn<R>};
+}
+
 template <class R>
 void addRow(Table &table, const std::vector<Column<R>> &columns, const Records &records,
             const R &record) {
@@ -192,6 +200,8 @@
     return listAll<DrainRecord>(records);
   case Collection::Caps:
     return listAll<CapRecord>(records);
+  case Collection::Blocks:
+    return listAll<BlockRecord>(records);
   case Collection::Version:
     break;
   }
--- a/src/operator_language/Statement.h
+++ b/src/operator_language/Statement.h
@@ -21,14 +21,16 @@
   Moves,
   Drains,
   Caps,
+  Blocks,
   Version,
 };
 
 } // namespace briarspar::operator_language
 
 template <> struct briarspar::config::EnumNames<briarspar::operator_language::Collection> {
-  static constexpr std::array<std::string_view, 9> Values{
-      "customers", "keys", "routes", "targets", "vms", "moves", "drains", "caps", "version"};
+  static constexpr std::array<std::string_view, 10> Values{
+      "customers", "keys",   "routes", "targets", "vms",
+      "moves",     "drains", "caps",   "blocks",  "version"};
 };
 
 namespace briarspar::operator_language {
--- a/src/operator_language/tests/FormattingTest.cpp
+++ b/src/operator_language/tests/FormattingTest.cpp
@@ -41,6 +41,11 @@
                config::PutVm{core::VmId("vm1"), "127.0.0.1:3", "127.0.0.1:4", core::RegionId("eu"),
                              core::DomainId("eu-1")},
                {}});
+  store.apply({"block",
+               "ops",
+               {},
+               config::SetBlocks{{config::BlockId("10.1.0.0/16")}, core::RegionId("eu")},
+               {}});
   return store;
 }
 
@@ -74,7 +79,8 @@
                R"(["s7","shift",null,"eu","us",0.0,2.5,"1h","running","",7])");
   cr_assert_eq(rowText(ask(store, "show drains"), 0), R"(["domain","eu-1","90s","running","",9])");
   cr_assert_eq(rowText(ask(store, "show caps"), 0), R"(["all",2.5,"10m",6])");
-  cr_assert_eq(rowText(versionTable(store.version(), 0xab), 0), R"([10,"00000000000000ab"])");
+  cr_assert_eq(rowText(ask(store, "show blocks"), 0), R"(["10.1.0.0/16","eu",11])");
+  cr_assert_eq(rowText(versionTable(store.version(), 0xab), 0), R"([11,"00000000000000ab"])");
   cr_assert(ask(store, "watch move m99").Rows.empty());
 }
 
--- a/src/operator_language/tests/ParserTest.cpp
+++ b/src/operator_language/tests/ParserTest.cpp
@@ -54,7 +54,7 @@
 Test(Parser, everyExampleParses) {
   for (const std::string &it : examples())
     cr_assert(parse(it).ok(), "%s", it.c_str());
-  cr_assert_eq(statements().size(), 17);
+  cr_assert_eq(statements().size(), 19);
 }
 
 /// Guards against a value that lands in the wrong member of a change.
@@ -75,6 +75,12 @@
   cr_assert(target.Id.Value == "t" && target.Address == "[::1]:80" && target.Route.Value == "r" &&
             target.Version.Value == "v1" && target.Slots == 5 && target.Region.Value == "eu" &&
             target.Domain.Value == "eu-1");
+  auto blocks = changeOf<config::SetBlocks>("set block 10.1.0.0/16,10.2.0.0/16 region eu");
+  cr_assert_eq(blocks.Blocks.size(), 2);
+  cr_assert_eq(blocks.Blocks[1].Value, "10.2.0.0/16");
+  cr_assert_eq(blocks.Region.Value, "eu");
+  auto gone = changeOf<config::DeleteBlocks>("delete block 0.0.0.0/0");
+  cr_assert_eq(gone.Blocks.at(0).Value, "0.0.0.0/0");
   auto cap = changeOf<config::SetCap>("set cap all 2.5% per 10m");
   cr_assert(cap.Id.Value == "all" && cap.Permille == 25 && cap.Per.Ms == 600'000);
   auto drain = changeOf<config::StartDrain>("drain vm vm1 by 1d");
@@ -136,12 +142,15 @@
       {"add target t address 1.2.3:80 route r version v slots 1 region a domain b", 22,
        "an address IP:PORT"},
       {"set cap all 200% per 1s", 13, "a percentage from 0.1%"},
+      {"set route r", 5, "'cap' or 'block'"},
+      {"set block 10.0.0.0/8,10.0.0.1/8 region r", 22, "an IPv4 prefix"},
+      {"set block 10.0.0.0/8, region r", 22, "an IPv4 prefix"},
       {"drain host h", 7, "'target', 'vm', 'domain' or 'region'"},
       {"drain vm v by 367d", 15, "a duration from 1ms to 366d"},
       {"drain vm v by 5 minutes", 15, "a duration"},
       {"drain vm v expect 5 expect 6", 28, "each option once"},
       {"drain vm v soon", 12, "'expect N', 'id COMMAND-ID' or the end"},
-      {"delete customer c", 8, "'route' or 'target'"},
+      {"delete customer c", 8, "'route', 'target' or 'block'"},
       {"move route r to v2", 17, "'version'"},
       {"withdraw key k1\nshow keys", 16, "or the end"},
   };
