Resend to the same target when a reused connection ends without an answer

Cause: fleet Targets.test_crashing_request_ends_at_most_two_targets saw all four targets ended by one request. A probe cannot tell an idle close from an ending process, which still accepts connections, so crashes on reused connections passed for idle closes. A report that the leader did not acknowledge within 300 ms was given up as well.

Change: an idempotent request whose reused connection broke is sent once more to the same target on a fresh connection, within the retry budget; when that breaks or is refused, the crash is recorded. The report is sent again every 200 ms until it is acknowledged, up to a lease length.

--- a/src/daemon/RequestDispatch.cpp
+++ b/src/daemon/RequestDispatch.cpp
@@ -4,8 +4,6 @@
 #include "daemon/RequestPipeline.h"
 
 #include <algorithm>
-#include <chrono>
-#include <thread>
 
 namespace briarspar::daemon {
 
@@ -20,18 +18,16 @@
 /// Attempts of one request on different targets.
 constexpr size_t MaxAttempts = 3;
 
-/// Longest wait for the leader's acknowledgement of a crash report. A round trip between regions
-/// takes 35 ms; a longer wait holds the caller for little gain.
-constexpr core::Duration CrashAckWait{300};
+/// Longest wait for the leader's acknowledgement of a crash report: a VM whose leader is silent for
+/// longer has lost its serving lease.
+constexpr core::Duration CrashAckWait{3000};
+
+/// A report that is not acknowledged after this is sent again: several round trips between regions.
+constexpr core::Duration CrashReportInterval{200};
 
 /// Longest wait for a connection that tells whether a target's process ended.
 constexpr core::Duration CrashProbeTimeout{100};
 
-/// Probes of a target that closed a reused connection. A process that is ending may accept a
-/// connection after it has closed another.
-constexpr int CrashProbes = 3;
-constexpr std::chrono::milliseconds CrashProbeInterval{20};
-
 constexpr int ServiceUnavailable = 503;
 
 balance::PoolId poolOf(const RouteView &route) { return balance::PoolId(route.Record.Id.Value); }
@@ -53,15 +49,10 @@
   return balance::Outcome::Failed;
 }
 
-/// Returns whether the target's process lives on after it closed a connection.
-bool isAlive(const forwarding::TargetAddress &address) {
-  for (int n = 0; n < CrashProbes; ++n) {
-    if (n > 0)
-      std::this_thread::sleep_for(CrashProbeInterval);
-    if (!forwarding::acceptsConnections(address, CrashProbeTimeout))
-      return false;
-  }
-  return true;
+/// Whether the exchange may have ended because the target had closed an idle connection. Only
+/// idempotent requests use such connections.
+bool mayHaveBeenIdle(const TargetAnswer &answer) {
+  return answer.Status == ExchangeStatus::Broken && answer.ReusedConnection;
 }
 
 bool mayRetry(const TargetAnswer &answer) {
@@ -197,10 +188,29 @@
     return end;
   end.Address = forwarding::parseTargetAddress(target->Address);
   end.Answer = Targets.exchange(end.Address, *request, exchange.Deadline, cancellation);
+  if (mayHaveBeenIdle(end.Answer) && Retries.tryTake(/*idempotent=*/true))
+    resendOnFreshConnection(exchange, *request, end, cancellation);
   end.Status = end.Answer.Status;
   return end;
 }
 
+/// A reused connection that ends without an answer was closed by an idle target, or its process
+/// ended. A probe cannot tell, because an ending process still accepts connections; a second
+/// exchange with the same target can, and ends no further target.
+void RequestPipeline::resendOnFreshConnection(const Exchange &exchange,
+                                              const forwarding::TargetRequest &request,
+                                              AttemptEnd &end,
+                                              forwarding::Cancellation *cancellation) {
+  forwarding::TargetRequest fresh = request;
+  setDeadline(exchange, fresh);
+  fresh.FreshConnection = true;
+  TargetAnswer answer = Targets.exchange(end.Address, fresh, exchange.Deadline, cancellation);
+  // Without a process that takes the connection, the first exchange stands: it was cut.
+  if (answer.Status != ExchangeStatus::NotSent)
+    end.Answer = std::move(answer);
+  end.Answer.ReusedConnection = false;
+}
+
 bool RequestPipeline::isWholeAnswer(const AttemptEnd &end) {
   return end.Status == ExchangeStatus::Answered && !mayRetry(end.Answer);
 }
@@ -250,15 +260,13 @@
                                                        const AttemptEnd &end) {
   if (end.Status != ExchangeStatus::Broken)
     return std::nullopt;
-  // A reused connection may have been closed by an idle target, which is no crash.
-  if (end.Answer.ReusedConnection && isAlive(end.Address))
+  // Not sent again, for lack of budget: a probe has to do.
+  if (mayHaveBeenIdle(end.Answer) && forwarding::acceptsConnections(end.Address, CrashProbeTimeout))
     return std::nullopt;
   uint64_t seen = CrashAcks.current();
   uint32_t blamed =
       Side.crashes().recordCrash(exchange.Fingerprint, choice.Target, choice.Version, Clock.now());
-  AskCrashReport();
-  // A resend through another VM must find the record, so the caller gets no answer before.
-  bool acknowledged = CrashAcks.waitAfter(seen, CrashAckWait);
+  bool acknowledged = reportCrash(seen, exchange.Deadline);
   Events.emit({core::EventId::TargetEnded,
                {{"target", choice.Target.Value},
                 {"route", exchange.Route->Record.Id.Value},
@@ -266,6 +274,19 @@
   return blamed;
 }
 
+/// Reports until the leader acknowledges. A resend through another VM must find the record, so the
+/// caller gets no answer before.
+bool RequestPipeline::reportCrash(uint64_t seen, core::Time deadline) {
+  for (core::Duration waited; waited < CrashAckWait; waited = waited + CrashReportInterval) {
+    AskCrashReport();
+    if (CrashAcks.waitAfter(seen, CrashReportInterval))
+      return true;
+    if (Clock.now() >= deadline)
+      break;
+  }
+  return false;
+}
+
 std::shared_ptr<const forwarding::TargetRequest>
 RequestPipeline::prepare(const Exchange &exchange) const {
   auto request = std::make_shared<forwarding::TargetRequest>();
--- a/src/daemon/RequestPipeline.h
+++ b/src/daemon/RequestPipeline.h
@@ -114,6 +114,9 @@
                  core::Duration latency);
   /// Returns how many errors count against the version now, or nothing when no target process
   /// ended.
+  void resendOnFreshConnection(const Exchange &exchange, const forwarding::TargetRequest &request,
+                               AttemptEnd &end, forwarding::Cancellation *cancellation);
+  bool reportCrash(uint64_t seen, core::Time deadline);
   std::optional<uint32_t> reportIfCrash(const Exchange &exchange, const balance::Choice &choice,
                                         const AttemptEnd &end);
   /// Returns the request as a target gets it; null when its path holds a key.
