--- a/src/quota/QuotaHolder.h
+++ b/src/quota/QuotaHolder.h
@@ -20,7 +20,7 @@
 struct QuotaHolderSettings {
   core::Duration MaxWait{200};        ///< Longest time a request waits for a token.
   core::Duration RequestInterval{10}; ///< Shortest time between two grant requests.
-  core::Duration ReportInterval{100}; ///< Uses are reported at least this often.
+  core::Duration ReportInterval{150}; ///< Uses are reported at least this often.
   core::Duration ScarceInterval{20};  ///< The same for a customer whose tokens are scarce.
   core::Duration Refill{150};         ///< Expected demand asked for beyond a round trip, if ample.
   core::Duration DemandWindow{200};   ///< Time constant of the demand estimate.
--- a/src/quota/ReserveLedger.h
+++ b/src/quota/ReserveLedger.h
@@ -23,8 +23,8 @@
 constexpr int64_t MinReserveBurst = 4;
 
 struct ReserveTimes {
-  core::Duration Delay{600};   ///< A VM that heard from its owner this lately uses no reserve.
-  core::Duration Length{2400}; ///< Use of a reserve ends this long after; both: a serving lease.
+  core::Duration Delay{580};   ///< A VM that heard from its owner this lately uses no reserve.
+  core::Duration Length{2420}; ///< Use of a reserve ends this long after; both: a serving lease.
 };
 
 /// The reserves of one customer that may be in force, at the owner that issued them.
