Limit the requests in flight over a link between regions

Cause: RegionBudget bounds links, but nothing set a limit, so spill-over could fill the link of 0.3 Gbit/s between two regions.

Change: the setting max_link_requests reaches the leader's slot ledger for each pair of regions that the configuration names.

--- a/src/daemon/ControlNode.cpp
+++ b/src/daemon/ControlNode.cpp
@@ -25,7 +25,7 @@
     if (!side.ok())
       return side.status();
     node->Voter = *std::move(side);
-    node->Leader = std::make_unique<LeaderSide>(*node->Voter, events, loop);
+    node->Leader = std::make_unique<LeaderSide>(voter->Leader, *node->Voter, events, loop);
   }
   node->Vm = std::make_unique<VmSide>(identity, clock, events, loop, std::move(random), listener);
   return node;
--- a/src/daemon/ControlNode.h
+++ b/src/daemon/ControlNode.h
@@ -14,6 +14,7 @@
 /// What a node needs to take part in the agreement group.
 struct VoterParts {
   agreement::ReplicaSettings Settings;
+  LeaderSettings Leader;
   agreement::LogStorage *Storage = nullptr;
   agreement::RandomSource *Random = nullptr;
 };
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -98,6 +98,7 @@
     VoterParts parts;
     parts.Storage = Storage.get();
     parts.Random = &Random;
+    parts.Leader.MaxLinkRequests = Options.MaxLinkRequests;
     Sender sender = [this](const core::VmId &to, std::string_view kind, std::string bytes) {
       if (Peers)
         Peers->send(to, kind, std::move(bytes));
--- /dev/null
+++ b/src/daemon/LeaderAdoption.cpp
@@ -0,0 +1,119 @@
+#include "daemon/LeaderSide.h"
+#include "daemon/ServingState.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarspar::daemon {
+
+namespace {
+
+/// Requests of a silent VM are assumed to run for at least this long.
+constexpr core::Duration ShortestLongestDeadline{1000};
+
+} // namespace
+
+void LeaderSide::startTerm(core::Time now) {
+  core::Term term = Voter.replica().term();
+  Leases.becomeLeader(now);
+  Members.becomeLeader(now);
+  // The voter holds the leader lease, so the lease of every earlier leader has ended.
+  Quota.becomeOwner(now, term);
+  Slots.becomeLeader(term, now);
+  Serving.clear();
+  LoadReports.clear();
+  HasAdopted = false;
+  adoptMoves(now);
+  Regions.becomeLeader(Voter.machine().config().records(), term, now);
+}
+
+void LeaderSide::adoptMoves(core::Time now) {
+  Voter.machine().takeSteps();
+  std::vector<core::VmId> vms;
+  for (const auto &[id, vm] : Voter.machine().config().records().Vms)
+    vms.push_back(id);
+  Moves.setVms(vms);
+  std::vector<moves::MoveRecord> records;
+  for (const auto &[id, record] : Voter.machine().moves())
+    records.push_back(record);
+  Moves.becomeLeader(records, now);
+}
+
+void LeaderSide::adoptConfig(core::Time now) {
+  const config::Records &records = Voter.machine().config().records();
+  adoptLimits(records, now);
+  adoptVms(records);
+  adoptTargets(records);
+  adoptLinks(records);
+  adoptOrders(records, now);
+  Adopted = version();
+  HasAdopted = true;
+}
+
+void LeaderSide::adoptLimits(const config::Records &records, core::Time now) {
+  std::set<core::CustomerId> gone = std::exchange(Limited, {});
+  for (const auto &[id, customer] : records.Customers) {
+    Quota.setLimit(id, quota::Rate::perSecond(static_cast<int64_t>(customer.Rate)),
+                   quota::Burst{static_cast<int64_t>(customer.Burst)}, now);
+    Limited.insert(id);
+    gone.erase(id);
+  }
+  for (const core::CustomerId &id : gone)
+    Quota.removeCustomer(id, now);
+}
+
+void LeaderSide::adoptVms(const config::Records &records) {
+  // A VM without a record may still hold slots while its lease lasts, so it stays listed.
+  std::vector<balance::VmInfo> vms;
+  for (const auto &[id, run] : Serving)
+    if (records.Vms.count(id) == 0)
+      vms.push_back({id, {}});
+  std::vector<core::VmId> ids;
+  for (const auto &[id, vm] : records.Vms) {
+    vms.push_back({id, {vm.Region, vm.Domain}});
+    ids.push_back(id);
+  }
+  Slots.setVms(vms);
+  Moves.setVms(ids);
+}
+
+void LeaderSide::adoptTargets(const config::Records &records) {
+  std::vector<balance::TargetInfo> targets;
+  for (const auto &[id, target] : records.Targets)
+    targets.push_back(targetInfoOf(records, target));
+  Slots.setTargets(targets);
+  core::Duration longest = ShortestLongestDeadline;
+  for (const auto &[id, route] : records.Routes)
+    longest = std::max(longest, route.Deadline);
+  Slots.setLongestDeadline(longest);
+}
+
+void LeaderSide::adoptLinks(const config::Records &records) {
+  if (Settings.MaxLinkRequests == 0)
+    return;
+  std::set<core::RegionId> regions;
+  for (const auto &[id, vm] : records.Vms)
+    regions.insert(vm.Region);
+  for (const auto &[id, target] : records.Targets)
+    regions.insert(target.Region);
+  for (const core::RegionId &from : regions)
+    for (const core::RegionId &to : regions)
+      if (from != to)
+        Slots.regions().setLink(from, to, Settings.MaxLinkRequests);
+}
+
+void LeaderSide::adoptOrders(const config::Records &records, core::Time now) {
+  for (const auto &[id, cap] : records.Caps)
+    Moves.setCap(core::RegionId(id.Value), {cap.Permille * 10, cap.Per});
+  for (const auto &[id, move] : Voter.machine().moves())
+    if (!move.ended())
+      Moves.start(move, now);
+  for (const auto &[id, move] : records.Moves)
+    if (move.State == config::MoveState::TakingBack)
+      Moves.cancel(id, now);
+  for (const auto &[id, shift] : records.Shifts)
+    if (shift.State == config::MoveState::TakingBack)
+      Moves.cancel(id, now);
+}
+
+} // namespace briarspar::daemon
--- a/src/daemon/LeaderSide.h
+++ b/src/daemon/LeaderSide.h
@@ -19,13 +19,20 @@
 
 namespace briarspar::daemon {
 
+struct LeaderSettings {
+  /// Requests in flight from the VMs of one region on targets of another; 0: no limit. Equal at all
+  /// voters.
+  uint32_t MaxLinkRequests = 0;
+};
+
 /// The duties of the group's leader: serving leases, membership, rates, slots, claims, commands and
 /// moves. It exists at every voter and acts only while the voter leads. Not thread-safe; used on
 /// the control thread.
 class LeaderSide final : private lease::ConfigSource, private lease::LeaseGrantorListener {
 public:
   /// The voter, sink and sender must outlive the object.
-  LeaderSide(VoterSide &voter, core::EventSink &events, Sender sender);
+  LeaderSide(const LeaderSettings &settings, VoterSide &voter, core::EventSink &events,
+             Sender sender);
 
   /// Handles a message of a VM. Returns false for a kind that is not for the leader.
   bool receive(const core::VmId &from, std::string_view kind, std::string_view bytes,
@@ -64,6 +71,11 @@
   void findExcludedVms(core::Time now);
   void startTerm(core::Time now);
   void adoptConfig(core::Time now);
+  void adoptLimits(const config::Records &records, core::Time now);
+  void adoptVms(const config::Records &records);
+  void adoptTargets(const config::Records &records);
+  void adoptLinks(const config::Records &records);
+  void adoptOrders(const config::Records &records, core::Time now);
   void adoptMoves(core::Time now);
   /// Takes in a VM's report and returns the digest of the excluded VMs that it knows of.
   std::optional<uint64_t> observeReport(const lease::Renewal &renewal, core::Time now);
@@ -74,6 +86,7 @@
                      core::Term term, core::Time now);
   void reportMoves();
 
+  LeaderSettings Settings;
   VoterSide &Voter;
   core::EventSink &Events;
   Sender Send;
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -63,6 +63,7 @@
     "log_file": {"type": "string"},
     "max_caller_connections": {"type": "integer", "minimum": 1, "maximum": 4096},
     "max_body_bytes": {"type": "integer", "minimum": 1, "maximum": 16777216},
+    "max_link_requests": {"type": "integer", "minimum": 0, "maximum": 1000000},
     "drain_grace_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
     "lookup_ttl_ms": {"type": "integer", "minimum": 1000, "maximum": 10000}
   }
@@ -127,6 +128,7 @@
   read(j, "log_file", settings.LogFile);
   read(j, "max_caller_connections", settings.MaxCallerConnections);
   read(j, "max_body_bytes", settings.MaxBodyBytes);
+  read(j, "max_link_requests", settings.MaxLinkRequests);
   readDuration(j, "drain_grace_ms", settings.DrainGrace);
   readDuration(j, "lookup_ttl_ms", settings.LookupTtl);
   for (const Json &peer : j.at("peers"))
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -43,6 +43,7 @@
   std::string LogFile;               ///< Empty: standard error.
   size_t MaxCallerConnections = 512; ///< Connections of callers served at once.
   size_t MaxBodyBytes = 1024 * 1024; ///< Longest request body.
+  uint32_t MaxLinkRequests = 0;      ///< In flight from one region to another; 0: no limit.
   core::Duration DrainGrace{3000};   ///< Time for callers to follow a planned stop.
   core::Duration LookupTtl{5000};    ///< Longest time for which callers cache a look-up.
 
--- a/src/daemon/testing/InMemoryFleet.h
+++ b/src/daemon/testing/InMemoryFleet.h
@@ -19,6 +19,7 @@
   uint32_t DomainsPerRegion = 2;
   core::Duration Tick{5};
   uint64_t Seed = 1;
+  LeaderSettings Leader;
   core::testing::FaultSettings Faults;
 };
 
@@ -158,6 +159,7 @@
       identity.Voters.push_back(nameOf(v));
     VoterParts parts;
     parts.Random = node.Random.get();
+    parts.Leader = Settings.Leader;
     if (n < Settings.Voters && !node.Storage)
       node.Storage = newStorage({nameOf(n), core::Incarnation(1)});
     parts.Storage = node.Storage.get();
--- a/src/daemon/tests/ControlNodeTest.cpp
+++ b/src/daemon/tests/ControlNodeTest.cpp
@@ -15,7 +15,11 @@
 /// A fleet with a leader, leases everywhere and one customer.
 struct Fixture {
   explicit Fixture(uint64_t seed = 1, daemon::testing::FleetObserver *observer = nullptr)
-      : Fleet(settings(seed), observer) {
+      : Fixture(settings(seed), observer) {}
+
+  explicit Fixture(const InMemoryFleetSettings &settings,
+                   daemon::testing::FleetObserver *observer = nullptr)
+      : Fleet(settings, observer) {
     cr_assert(Fleet.advanceUntil([&] { return Fleet.leader().has_value(); }, {10'000}));
     for (uint32_t n = 0; n < Fleet.size(); ++n) {
       balance::Place place = Fleet.placeOf(n);
@@ -153,6 +157,43 @@
   cr_assert(traffic.Bytes < bytesPerSecond * seconds, "%lu bytes in %d s", traffic.Bytes, seconds);
 }
 
+/// Guards against spill-over beyond the link between two regions, also when a new leader takes
+/// over.
+Test(ControlNode, slotsOverALinkStayWithinItsLimit) {
+  constexpr uint32_t limit = 4;
+  InMemoryFleetSettings settings = Fixture::settings(1);
+  settings.Leader.MaxLinkRequests = limit;
+  Fixture f(settings);
+  const balance::PoolId pool("read");
+  const core::TargetId target("far");
+  const balance::Place far = f.Fleet.placeOf(1);
+  f.Fleet.propose(config::CreateRoute{core::RouteId("read"),
+                                      "/read",
+                                      config::RouteAccess::Open,
+                                      config::RouteSemantics::Idempotent,
+                                      {1000}});
+  f.Fleet.propose(config::AddTarget{target, core::RouteId("read"), "127.0.0.1:1",
+                                    core::VersionId("v1"), 40, far.Region, far.Domain});
+  for (uint32_t n = 0; n < f.Fleet.size(); ++n)
+    f.Fleet.node(n).vm().slots().setWaiting(pool, 20);
+  auto heldFrom = [&](const core::RegionId &region) {
+    uint32_t sum = 0;
+    for (uint32_t n = 0; n < f.Fleet.size(); ++n)
+      if (f.Fleet.isUp(n) && f.Fleet.placeOf(n).Region == region)
+        sum += f.Fleet.node(n).vm().slots().available(target);
+    return sum;
+  };
+  const core::RegionId near = f.Fleet.placeOf(0).Region;
+  cr_assert(f.Fleet.advanceUntil([&] { return heldFrom(near) > 0; }, {30'000}));
+  f.Fleet.crash(*f.Fleet.leader());
+  for (int step = 0; step < 200; ++step) {
+    f.Fleet.advance({50});
+    for (uint32_t n : {0, 2})
+      cr_assert_leq(heldFrom(f.Fleet.placeOf(n).Region), limit);
+  }
+  cr_assert_gt(heldFrom(far.Region), limit);
+}
+
 /// Guards against a list of dead VMs in every renewal answer, which grows with a failed region, and
 /// against VMs that never get the list.
 Test(ControlNode, deadVmsAreToldOnce) {
