--- a/tools/fleet/data_path.py
+++ b/tools/fleet/data_path.py
@@ -1,6 +1,7 @@
 """Requests a second and latency through one VM, beside the same load on a target directly."""
 
 import json
+import os
 import subprocess
 import tempfile
 
@@ -26,6 +27,13 @@
     return 0
 
 
+def cpu_us(pid):
+    """User and system time of a process in microseconds."""
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    return [int(it) * 1_000_000 / os.sysconf("SC_CLK_TCK") for it in fields[11:13]]
+
+
 def main():
     overrides = {"max_caller_connections": 512}
     with tempfile.TemporaryDirectory(prefix="briarspar-data-path-") as folder:
@@ -43,7 +51,9 @@
             load(vm.caller_port, key, 16)
             before = resident_mb(vm.process.child.pid)
             for callers in CALLERS:
+                start = cpu_us(vm.process.child.pid)
                 through = load(vm.caller_port, key, callers)
+                user_us, system_us = [(b - a) / REQUESTS for a, b in zip(start, cpu_us(vm.process.child.pid))]
                 straight = load(direct.port, key, callers)
                 row = {
                     "callers": callers,
@@ -51,6 +61,8 @@
                     "direct": straight,
                     "p50_ratio": through["p50_us"] / max(1, straight["p50_us"]),
                     "p99_ratio": through["p99_us"] / max(1, straight["p99_us"]),
+                    "vm_user_us_per_request": user_us,
+                    "vm_system_us_per_request": system_us,
                     "vm_mb": resident_mb(vm.process.child.pid),
                     "vm_mb_before": before,
                 }
--- a/tools/fleet/fleet.py
+++ b/tools/fleet/fleet.py
@@ -24,10 +24,15 @@
 PATIENCE_S = 60
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+class Port:
+    """A free port that stays reserved. A bound socket that does not listen keeps other sockets and outgoing connections
+    off the port, also while the process that listens on it is down."""
+
+    def __init__(self):
+        self.holder = socket.socket()
+        self.holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.holder.bind((HOST, 0))
+        self.number = self.holder.getsockname()[1]
 
 
 def wait_for(condition, what, patience_s=PATIENCE_S):
@@ -69,7 +74,7 @@
 class Target:
     """A stand-in target."""
 
-    def __init__(self, folder, name, service_ms=1, slots=6, port=0, options=()):
+    def __init__(self, folder, name, service_ms=1, slots=6, options=()):
         self.name = name
         self.slots = slots
         self.arguments = [
@@ -77,12 +82,12 @@
             "--slots", str(slots), *(options or ("--threads", "64")),
         ]
         self.log = folder / f"{name}.log"
-        self.port = port
+        self.reserved = Port()
+        self.port = self.reserved.number
         self.start()
 
     def start(self):
         self.process = Process([*self.arguments, "--port", str(self.port)], self.log)
-        self.port = int(self.process.first_line.split()[1])
 
     def stats(self):
         return json.loads(request(self.port, "GET", "/standin/stats").body)
@@ -97,9 +102,8 @@
         self.region = region
         self.domain = domain
         self.voter = voter
-        self.peer_port = free_port()
-        self.caller_port = free_port()
-        self.operator_port = free_port()
+        self.ports = [Port(), Port(), Port()]
+        self.peer_port, self.caller_port, self.operator_port = [it.number for it in self.ports]
         self.process = None
         self.links = {}
         self.data = fleet.folder / f"{name}.data"
@@ -232,6 +236,8 @@
         for vm in self.vms.values():
             for link in vm.links.values():
                 link.close()
+            for port in vm.ports:
+                port.holder.close()
         for process in [*self.vms.values(), *self.targets.values()]:
             if process.process is not None and process.process.running():
                 process.process.end(signal.SIGKILL)
