--- a/tools/policy/Managed.cpp
+++ b/tools/policy/Managed.cpp
@@ -63,7 +63,7 @@
   void reportRegionLoads();
   void driveMoves();
   void commit(const moves::MoveStep &step);
-  void applyEverywhere(std::function<void(ManagedVm &)> change);
+  void applyEverywhere(const std::function<void(ManagedVm &)> &change);
   void noteEnd();
   /// Runs an action at the present leader, or at a VM, one way later.
   template <class Action> void toLeader(uint32_t vm, Action action);
@@ -311,7 +311,7 @@
 }
 
 /// Every VM applies a change with its next renewal.
-void Managed::applyEverywhere(std::function<void(ManagedVm &)> change) {
+void Managed::applyEverywhere(const std::function<void(ManagedVm &)> &change) {
   const int64_t ms = W.Clock.now().Ms;
   for (uint32_t n = 0; n < VmCount; ++n) {
     const int64_t wait = RenewalMs - 1 - (ms + n * RenewalMs / VmCount - 1) % RenewalMs;
