--- a/src/daemon/LeaderSide.cpp
+++ b/src/daemon/LeaderSide.cpp
@@ -277,7 +277,7 @@
   if (!body.ok() || !Leading || !body->contains("data") || !(*body)["data"].is_number_unsigned())
     return;
   agreement::VoterId id{from, core::Incarnation((*body)["data"].get<uint64_t>())};
-  // A step that is refused for now is repeated with the next join message.
+  // One voter is admitted at a time; the VM repeats its join message until it is its turn.
   (void)Voter.admit(id, now);
 }
 
--- a/src/operator_language/RecordQueries.cpp
+++ b/src/operator_language/RecordQueries.cpp
@@ -24,6 +24,14 @@
 const Column<R> ChangedColumn{
     "changed", [](const Records &, const R &r) { return Json(r.Changed.Version.Value); }};
 
+/// Whether the target or VM is drained, by itself or with its failure domain or region.
+template <class R>
+const Column<R> DrainStateColumn{"state", [](const Records &all, const R &r) {
+                                   return Json(nameOf(isDraining(all, r)
+                                                          ? config::TargetState::Draining
+                                                          : config::TargetState::Active));
+                                 }};
+
 using config::BlockRecord;
 using config::CapRecord;
 using config::CustomerRecord;
@@ -73,11 +81,7 @@
           {"slots", [](const Records &, const R &r) { return Json(r.Slots); }},
           {"region", [](const Records &, const R &r) { return Json(r.Region.Value); }},
           {"domain", [](const Records &, const R &r) { return Json(r.Domain.Value); }},
-          {"state",
-           [](const Records &all, const R &r) {
-             return Json(nameOf(isDraining(all, r) ? config::TargetState::Draining
-                                                   : config::TargetState::Active));
-           }},
+          DrainStateColumn<R>,
           ChangedColumn<R>};
 }
 
@@ -88,11 +92,7 @@
           {"traffic", [](const Records &, const R &r) { return Json(r.TrafficAddress); }},
           {"region", [](const Records &, const R &r) { return Json(r.Region.Value); }},
           {"domain", [](const Records &, const R &r) { return Json(r.Domain.Value); }},
-          {"state",
-           [](const Records &all, const R &r) {
-             return Json(nameOf(isDraining(all, r) ? config::TargetState::Draining
-                                                   : config::TargetState::Active));
-           }},
+          DrainStateColumn<R>,
           ChangedColumn<R>};
 }
 
