--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -7,11 +7,14 @@
 find_package(PkgConfig REQUIRED)
 find_package(prometheus-cpp REQUIRED)
 pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
-pkg_check_modules(criterion REQUIRED IMPORTED_TARGET criterion)
-find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
+find_library(HTTP_PARSER_LIBRARY http_parser REQUIRED)
 # The packaged cpp-httplib is compiled with OpenSSL and compression. Its classes differ in size without the
 # same definitions, which only its pkg-config file lists.
 pkg_check_modules(httplib REQUIRED IMPORTED_TARGET cpp-httplib)
 
-add_library(briarspar_test_deps INTERFACE)
-target_link_libraries(briarspar_test_deps INTERFACE PkgConfig::criterion ${RAPIDCHECK_LIBRARY})
+if(NOT BRIARSPAR_DAEMON_ONLY)
+  pkg_check_modules(criterion REQUIRED IMPORTED_TARGET criterion)
+  find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
+  add_library(briarspar_test_deps INTERFACE)
+  target_link_libraries(briarspar_test_deps INTERFACE PkgConfig::criterion ${RAPIDCHECK_LIBRARY})
+endif()
--- a/cmake/Slice.cmake
+++ b/cmake/Slice.cmake
@@ -21,7 +21,7 @@
           FILES_MATCHING PATTERN "*.h" PATTERN "tests" EXCLUDE)
 
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/tests/*.cpp)
-  if(tests)
+  if(tests AND NOT BRIARSPAR_DAEMON_ONLY)
     add_executable(${name}_tests ${tests})
     target_link_libraries(${name}_tests PRIVATE ${library} ${arg_TEST_LINK} briarspar_test_deps)
     add_test(NAME ${name} COMMAND ${name}_tests --jobs 2)
--- /dev/null
+++ b/src/agreement/Admission.cpp
@@ -0,0 +1,32 @@
+#include "agreement/Admission.h"
+
+#include "agreement/Configuration.h"
+
+namespace briarspar::agreement {
+
+namespace {
+
+const VoterId *identityOf(const std::set<VoterId> &members, const core::VmId &vm) {
+  for (const VoterId &it : members)
+    if (it.Vm == vm)
+      return &it;
+  return nullptr;
+}
+
+} // namespace
+
+absl::Status admitVoter(Replica &leader, const VoterId &id, core::Time now) {
+  const Configuration &members = leader.configuration();
+  if (members.contains(id))
+    return absl::OkStatus();
+  const VoterId *older = identityOf(members.Voters, id.Vm);
+  if (older == nullptr)
+    older = identityOf(members.Learners, id.Vm);
+  if (older == nullptr)
+    return leader.addVoter(id, now);
+  if (!(older->Data < id.Data))
+    return absl::FailedPreconditionError("the identity is older");
+  return leader.removeVoter(VoterId(*older), now);
+}
+
+} // namespace briarspar::agreement
--- /dev/null
+++ b/src/control/ControlMachine.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "agreement/StateMachine.h"
+#include "catalog/Catalog.h"
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace briarspar::control {
+
+/// Orders of the replicated log.
+struct ChangeItems {
+  catalog::Change What;
+};
+struct StartRollout {
+  std::string Service;
+  std::string From; ///< Version of the service's targets when the rollout was ordered.
+  std::string Target;
+  core::Duration Period;
+};
+struct StepRollout {
+  std::string Service;
+  core::LogIndex OrderedAt; ///< Names the rollout.
+  catalog::RolloutState State = catalog::RolloutState::Running;
+  uint32_t SharePermille = 0;
+  core::Duration Elapsed; ///< Since the order.
+};
+struct SetEvacuation {
+  core::DomainId Domain;
+  bool Active = false;
+};
+
+using Order = std::variant<ChangeItems, StartRollout, StepRollout, SetEvacuation>;
+
+std::string encode(const Order &order);
+absl::StatusOr<Order> decodeOrder(std::string_view bytes);
+
+/// Encodes the outcome of an order as the answer of the state machine, and decodes it.
+std::string encodeOutcome(const absl::Status &status);
+absl::Status decodeOutcome(std::string_view bytes);
+
+/// The replicated state of the control group.
+class ControlMachine final : public agreement::StateMachine {
+public:
+  std::string apply(core::LogIndex index, std::string_view command) override;
+  std::string snapshot() const override;
+  absl::Status restore(std::string_view snapshot) override;
+
+  const catalog::Catalog &catalog() const { return Catalog; }
+
+private:
+  absl::Status applyOrder(core::LogIndex index, const Order &order);
+
+  catalog::Catalog Catalog;
+};
+
+} // namespace briarspar::control
--- /dev/null
+++ b/src/control/ControlNode.cpp
@@ -0,0 +1,534 @@
+#include "control/ControlNode.h"
+
+#include "absl/strings/str_cat.h"
+#include "agreement/Admission.h"
+#include "agreement/Messages.h"
+#include "core/Hash.h"
+#include "link/Messages.h"
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+
+namespace briarspar::control {
+
+namespace {
+
+/// Identity of the data folders of the first voters, which all of them know without a message.
+constexpr core::Incarnation FirstData{1};
+
+uint64_t wallClockMs() {
+  using namespace std::chrono;
+  return static_cast<uint64_t>(
+      duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count());
+}
+
+int httpStatus(const absl::Status &status) {
+  switch (status.code()) {
+  case absl::StatusCode::kOk:
+    return 200;
+  case absl::StatusCode::kInvalidArgument:
+    return 400;
+  case absl::StatusCode::kAlreadyExists:
+    return 409;
+  default:
+    return 503;
+  }
+}
+
+/// Voters are replaced only while there is one too many.
+bool isEven(size_t n) { return n % 2 == 0; }
+
+} // namespace
+
+class ControlNode::Random final : public agreement::RandomSource {
+public:
+  uint64_t next() override { return Engine(); }
+
+private:
+  std::mt19937_64 Engine{std::random_device{}()};
+};
+
+/// Reads pages of the list, one at a time, over one kept connection.
+class ControlNode::ListFetch final : public http::AnswerListener {
+public:
+  ListFetch(ControlNode &node) : Node(node) {}
+  ~ListFetch() override { close(); }
+
+  void request(const std::string &target) {
+    if (!Connection || !Connection->mayReuse(Node.Clock.now(), false)) {
+      close();
+      Connection = std::make_shared<http::ClientConnection>(
+          Node.Io, Node.Clock, Node.Settings.ListHost, Node.Settings.ListPort,
+          http::ClientConnectionSettings{});
+    }
+    http::Head head;
+    head.Method = "GET";
+    head.Target = target;
+    head.add("Host", absl::StrCat(Node.Settings.ListHost, ":", Node.Settings.ListPort));
+    Connection->start(head, "", *this);
+    Connection->finishRequest();
+  }
+
+  void close() {
+    if (Connection)
+      Connection->close();
+    Connection.reset();
+  }
+
+  void onAnswerHead(http::Head head) override {
+    Status = head.Status;
+    Body.clear();
+  }
+
+  void onAnswerBody(std::string_view bytes) override { Body.append(bytes); }
+
+  void onAnswerEnd() override { Node.onListPage(Status, Body); }
+
+  void onConnectionLost(http::ConnectionLoss) override {
+    Node.Events.emit({core::EventId::ListFailed, {{"reason", "the connection was lost"}}});
+    Node.Reader.onFailure(Node.Clock.now());
+  }
+
+private:
+  ControlNode &Node;
+  std::shared_ptr<http::ClientConnection> Connection;
+  int Status = 0;
+  std::string Body;
+};
+
+ControlNode::ControlNode(asio::io_context &io, const core::Clock &clock, core::EventSink &events,
+                         transport::Transport &transport, const OperatorFormat &format,
+                         const discovery::ListFormat &listFormat,
+                         const ControlNodeSettings &settings)
+    : Io(io), Clock(clock), Events(events), Peers(transport), Format(format), Settings(settings),
+      Randomness(std::make_unique<Random>()),
+      OperatorServer(io, [this](const http::WholeRequest &request,
+                                const Responder &respond) { onHttp(request, respond); }),
+      LookupServer(io, [this](const http::WholeRequest &request,
+                              const Responder &respond) { onHttp(request, respond); }),
+      TickTimer(io), Crashes(core::hash64(settings.Vm.Value, wallClockMs())),
+      Reader(listFormat, settings.List), Fetch(std::make_shared<ListFetch>(*this)) {}
+
+ControlNode::~ControlNode() = default;
+
+absl::Status ControlNode::start() {
+  if (absl::Status status = openReplica(); !status.ok())
+    return status;
+  if (absl::Status status = OperatorServer.start(Settings.Host, Settings.OperatorPort);
+      !status.ok())
+    return status;
+  if (Settings.LookupPort != Settings.OperatorPort)
+    if (absl::Status status = LookupServer.start(Settings.Host, Settings.LookupPort); !status.ok())
+      return status;
+  tick();
+  return absl::OkStatus();
+}
+
+absl::Status ControlNode::openReplica() {
+  auto storage = agreement::FileLogStorage::open(Files, Settings.DataFolder);
+  if (absl::IsNotFound(storage.status())) {
+    bool isSeed =
+        std::find(Settings.Seeds.begin(), Settings.Seeds.end(), Settings.Vm) != Settings.Seeds.end();
+    bool isFirst = Settings.Bootstrap && isSeed;
+    agreement::VoterId self{Settings.Vm,
+                            isFirst ? FirstData : core::Incarnation(wallClockMs())};
+    std::set<agreement::VoterId> voters;
+    for (const core::VmId &it : Settings.Seeds)
+      voters.insert({it, FirstData});
+    agreement::Configuration first = agreement::makeConfiguration(voters);
+    absl::Status status = agreement::FileLogStorage::initialize(
+        Files, Settings.DataFolder, {Settings.Group, self}, isFirst ? &first : nullptr);
+    if (!status.ok())
+      return status;
+    storage = agreement::FileLogStorage::open(Files, Settings.DataFolder);
+  }
+  if (!storage.ok())
+    return storage.status();
+  Storage = *std::move(storage);
+  absl::StatusOr<std::unique_ptr<agreement::Replica>> log =
+      agreement::Replica::open({}, *Storage, Machine, *Randomness, Clock.now());
+  if (!log.ok())
+    return log.status();
+  Log = *std::move(log);
+  return absl::OkStatus();
+}
+
+void ControlNode::setSeeds(const std::vector<core::VmId> &seeds) { Settings.Seeds = seeds; }
+
+void ControlNode::stop() {
+  OperatorServer.stop();
+  LookupServer.stop();
+  TickTimer.cancel();
+  Fetch->close();
+}
+
+void ControlNode::tick() {
+  core::Time now = Clock.now();
+  Log->tick(now);
+  flush();
+  for (const core::VmId &vm : Entries.takeLost(now))
+    Events.emit({core::EventId::EntryLost,
+                 {{"vm", vm}, {"silent_ms", now - Entries.records().at(vm).HeardAt}}});
+  if (isLeading(now))
+    lead(now);
+  else
+    Leading = false;
+  join(now);
+  TickTimer.expires_after(std::chrono::milliseconds(Settings.Tick.Ms));
+  TickTimer.async_wait([this](const asio::error_code &ec) {
+    if (!ec)
+      tick();
+  });
+}
+
+bool ControlNode::isLeading(core::Time now) const {
+  return Log->isLeader() && Log->canRead(now).ok();
+}
+
+void ControlNode::lead(core::Time now) {
+  if (!Leading) {
+    Leading = true;
+    Rates.becomeLeader(now);
+    Judge.becomeLeader();
+    RolloutPending.clear();
+    Targets.startEpoch(Log->term().Value);
+    Reader.restart(now);
+    LastVoterCheck = now;
+    for (auto &[vm, at] : HeardFrom)
+      at = now;
+  }
+  checkVoters(now);
+  readList(now);
+  judgeRollouts(now);
+}
+
+void ControlNode::flush() {
+  agreement::Actions actions = Log->take();
+  for (const agreement::Envelope &envelope : actions.Messages) {
+    Peers.setAddress(envelope.To.Vm, {envelope.To.Vm.Value, Settings.PeerPort});
+    Peers.send(envelope.To.Vm, link::kind::Raft, agreement::encodeEnvelope(envelope));
+  }
+  for (const core::Event &event : actions.Events)
+    Events.emit(event);
+  for (agreement::ProposalResult &result : actions.Results) {
+    auto it = Pending.find(result.Index);
+    if (it == Pending.end())
+      continue;
+    auto done = std::move(it->second);
+    Pending.erase(it);
+    done(result.Answer);
+  }
+  if (Leading && Pushed < Machine.catalog().changedAt())
+    pushToEntries();
+}
+
+void ControlNode::join(core::Time now) {
+  if (Log->configuration().isVoter(Log->self()) || now - LastJoin < Settings.JoinInterval)
+    return;
+  LastJoin = now;
+  std::set<core::VmId> to = members();
+  to.insert(Settings.Seeds.begin(), Settings.Seeds.end());
+  to.erase(Settings.Vm);
+  for (const core::VmId &vm : to) {
+    Peers.setAddress(vm, {vm.Value, Settings.PeerPort});
+    Peers.send(vm, link::kind::Join, encode(link::JoinRequest{Settings.Vm, Log->self().Data}));
+  }
+}
+
+void ControlNode::checkVoters(core::Time now) {
+  constexpr core::Duration CheckInterval{500};
+  if (now - LastVoterCheck < CheckInterval)
+    return;
+  LastVoterCheck = now;
+  const agreement::Configuration &group = Log->configuration();
+  if (!isEven(group.Voters.size()))
+    return;
+  for (const agreement::VoterId &it : group.Voters) {
+    if (it == Log->self())
+      continue;
+    core::Time &heard = HeardFrom[it.Vm];
+    if (heard.Ms == 0)
+      heard = now;
+    if (now - heard < Settings.VoterSilence)
+      continue;
+    absl::Status status = Log->removeVoter(it, now);
+    Events.emit({core::EventId::VoterRemoved,
+                 {{"vm", it.Vm}, {"silent_ms", now - heard}, {"outcome", status.ToString()}}});
+    flush();
+    return;
+  }
+}
+
+void ControlNode::onMessage(const transport::PeerMessage &message) {
+  core::Time now = Clock.now();
+  if (message.Kind == link::kind::Report) {
+    onReport(message);
+    return;
+  }
+  HeardFrom[message.From] = now;
+  if (message.Kind == link::kind::Raft) {
+    absl::StatusOr<agreement::Envelope> envelope = agreement::decodeEnvelope(message.Body);
+    if (!envelope.ok()) {
+      Events.emit(
+          {core::EventId::PeerMessageRejected,
+           {{"peer", message.From}, {"reason", std::string(envelope.status().message())}}});
+      return;
+    }
+    Log->receive(*envelope, now);
+    flush();
+  } else if (message.Kind == link::kind::Join) {
+    absl::StatusOr<link::JoinRequest> request = link::decodeJoinRequest(message.Body);
+    if (!request.ok() || !isLeading(now))
+      return;
+    agreement::VoterId id{request->Vm, request->Data};
+    if (Log->configuration().contains(id))
+      return;
+    absl::Status status = agreement::admitVoter(*Log, id, now);
+    Events.emit({core::EventId::VoterAdmitted,
+                 {{"vm", id.Vm}, {"data", id.Data}, {"outcome", status.ToString()}}});
+    flush();
+  }
+}
+
+void ControlNode::onReport(const transport::PeerMessage &message) {
+  core::Time now = Clock.now();
+  absl::StatusOr<link::EntryReport> report = link::decodeEntryReport(message.Body);
+  if (!report.ok()) {
+    Events.emit({core::EventId::PeerMessageRejected,
+                 {{"peer", message.From}, {"reason", std::string(report.status().message())}}});
+    return;
+  }
+  if (Entries.report(message.From, message.FromIncarnation, *report, now))
+    Events.emit({core::EventId::EntryJoined,
+                 {{"vm", message.From}, {"address", report->Address}, {"run", message.FromIncarnation}}});
+  discovery::ListVersion list{report->ListEpoch, report->ListSequence};
+  EntryVersions[message.From] = {report->Catalog, list};
+  const EntryRecord &record = Entries.records().at(message.From);
+  link::ControlAnswer answer = makeAnswer(record, report->Catalog, list, now);
+  answer.Sequence = report->Sequence;
+  if (answer.Leads && report->Sequence != 0) {
+    std::vector<core::VmId> live = Entries.live(now);
+    answer.Shares =
+        Rates.divide(message.From, message.FromIncarnation, report->Uses, live.size(), now);
+    Judge.report(message.From, message.FromIncarnation, report->Versions);
+    for (const core::VmId &it : live) {
+      answer.Entries.push_back(it);
+      answer.EntryRegions.push_back(Entries.records().at(it).Region.Value);
+    }
+    if (!report->Crashes.empty()) {
+      absl::StatusOr<balance::CrashReport> crashes = balance::decodeCrashReport(report->Crashes);
+      if (crashes.ok())
+        Crashes.merge(*crashes, now);
+    }
+    balance::CrashReport crashes = Crashes.report(now);
+    if (!crashes.Entries.empty())
+      answer.Crashes = balance::encode(crashes);
+  }
+  // A control VM that does not lead answers only those that do not know the leader.
+  if (answer.Leads || report->Sequence != 0)
+    Peers.send(message.From, link::kind::Answer, encode(answer));
+}
+
+link::ControlAnswer ControlNode::makeAnswer(const EntryRecord &, core::LogIndex catalog,
+                                            const discovery::ListVersion &list,
+                                            core::Time now) const {
+  link::ControlAnswer answer;
+  answer.Leads = isLeading(now);
+  if (std::optional<agreement::VoterId> leader = Log->leaderHint())
+    answer.Leader = leader->Vm;
+  std::set<core::VmId> vms = members();
+  answer.Members.assign(vms.begin(), vms.end());
+  if (!answer.Leads)
+    return answer;
+  if (catalog < Machine.catalog().changedAt())
+    answer.CatalogDelta = Machine.catalog().deltaSince(catalog);
+  const discovery::ListVersion &mine = Targets.version();
+  if (mine.Sequence != 0 && (list.Epoch != mine.Epoch || list.Sequence < mine.Sequence))
+    answer.ListDelta = Targets.deltaSince(list, now);
+  return answer;
+}
+
+void ControlNode::pushToEntries() {
+  core::Time now = Clock.now();
+  if (!isLeading(now))
+    return;
+  Pushed = Machine.catalog().changedAt();
+  for (const core::VmId &vm : Entries.live(now)) {
+    auto &[catalog, list] = EntryVersions[vm];
+    link::ControlAnswer answer = makeAnswer(Entries.records().at(vm), catalog, list, now);
+    if (answer.CatalogDelta.is_null() && answer.ListDelta.is_null())
+      continue;
+    // What gets lost is sent again in answer to the next report, which names what has arrived.
+    Peers.send(vm, link::kind::Answer, encode(answer));
+  }
+}
+
+std::set<core::VmId> ControlNode::members() const {
+  std::set<core::VmId> out;
+  for (const agreement::VoterId &it : Log->configuration().Voters)
+    out.insert(it.Vm);
+  for (const agreement::VoterId &it : Log->configuration().Learners)
+    out.insert(it.Vm);
+  return out;
+}
+
+void ControlNode::readList(core::Time now) {
+  if (std::optional<std::string> target = Reader.next(now))
+    Fetch->request(*target);
+}
+
+void ControlNode::onListPage(int status, const std::string &body) {
+  core::Time now = Clock.now();
+  uint64_t leftOut = Reader.entriesLeftOut();
+  absl::StatusOr<std::optional<std::vector<discovery::Target>>> reading =
+      Reader.onPage(status, body, now);
+  if (!reading.ok()) {
+    Events.emit({core::EventId::ListFailed, {{"reason", std::string(reading.status().message())}}});
+    return;
+  }
+  if (!*reading || !isLeading(now))
+    return;
+  size_t before = Targets.targets().size();
+  if (!Targets.update(**reading, now))
+    return;
+  Events.emit({core::EventId::ListRead,
+               {{"sequence", Targets.version().Sequence},
+                {"targets", Targets.targets().size()},
+                {"before", before},
+                {"left_out", Reader.entriesLeftOut() - leftOut}}});
+  pushToEntries();
+}
+
+void ControlNode::judgeRollouts(core::Time now) {
+  for (const auto &[service, rollout] : Machine.catalog().rollouts()) {
+    if (RolloutPending[service])
+      continue;
+    bool hasTargets = false;
+    for (const auto &[id, target] : Targets.targets())
+      hasTargets = hasTargets || (target.Service == service &&
+                                  target.Version.Value == rollout.Target && !target.Draining);
+    std::optional<RolloutJudge::Step> step = Judge.next(rollout, hasTargets, now);
+    if (!step)
+      continue;
+    Events.emit({core::EventId::RolloutJudged,
+                 {{"service", service},
+                  {"target", rollout.Target},
+                  {"share", step->SharePermille},
+                  {"state", static_cast<int>(step->State)},
+                  {"reason", step->Reason},
+                  {"requests", step->NewRequests},
+                  {"failures", step->NewFailures},
+                  {"elapsed_ms", step->Elapsed}}});
+    absl::StatusOr<core::LogIndex> index =
+        Log->propose(encode(Order(StepRollout{service, rollout.OrderedAt, step->State,
+                                              step->SharePermille, step->Elapsed})),
+                     now);
+    if (!index.ok())
+      continue;
+    RolloutPending[service] = true;
+    Pending[*index] = [this, service = service](const absl::StatusOr<std::string> &) {
+      RolloutPending[service] = false;
+    };
+    flush();
+    return; // The catalogue may have changed under the loop.
+  }
+}
+
+std::string ControlNode::baselineVersion(const std::string &service,
+                                         const std::string &except) const {
+  std::map<std::string, size_t> counts;
+  for (const auto &[id, target] : Targets.targets())
+    if (target.Service == service && target.Version.Value != except)
+      ++counts[target.Version.Value];
+  auto most = std::max_element(counts.begin(), counts.end(), [](const auto &a, const auto &b) {
+    return a.second < b.second;
+  });
+  return most == counts.end() ? "" : most->first;
+}
+
+void ControlNode::onHttp(const http::WholeRequest &request, const Responder &respond) {
+  core::Time now = Clock.now();
+  OperatorCall call = Format.read(request.Start.Method, request.Start.Target, request.Body);
+  if (const auto *it = std::get_if<LookupCall>(&call)) {
+    answerLookup(*it, respond);
+    return;
+  }
+  if (std::holds_alternative<UnknownCall>(call)) {
+    respond({404, Format.writeError("no such call"), "application/json", "", {0}});
+    return;
+  }
+  if (!isLeading(now)) {
+    redirect(request, respond);
+    return;
+  }
+  const catalog::Catalog &catalog = Machine.catalog();
+  if (const auto *it = std::get_if<InvalidCall>(&call)) {
+    Events.emit({core::EventId::OrderRefused, {{"reason", it->Reason}}});
+    respond({400, Format.writeError(it->Reason), "application/json", "", {0}});
+  } else if (std::holds_alternative<ReadItemsCall>(call)) {
+    respond({200, Format.writeItems(catalog), "application/json", "", {0}});
+  } else if (const auto *it = std::get_if<ReadRolloutCall>(&call)) {
+    auto rollout = catalog.rollouts().find(it->Service);
+    if (rollout == catalog.rollouts().end())
+      respond({404, Format.writeError("no rollout"), "application/json", "", {0}});
+    else
+      respond({200, Format.writeRollout(rollout->second), "application/json", "", {0}});
+  } else if (auto *it = std::get_if<ChangeItemsCall>(&call)) {
+    propose(ChangeItems{std::move(it->What)}, "items", respond);
+  } else if (const auto *it = std::get_if<StartRolloutCall>(&call)) {
+    propose(StartRollout{it->Service, baselineVersion(it->Service, it->Version), it->Version,
+                         it->Period},
+            absl::StrCat("rollout of ", it->Service, " to ", it->Version), respond);
+  } else if (const auto *it = std::get_if<EvacuationCall>(&call)) {
+    propose(SetEvacuation{it->Domain, it->Active},
+            absl::StrCat(it->Active ? "evacuation of " : "end of the evacuation of ",
+                         it->Domain.Value),
+            respond);
+  }
+}
+
+void ControlNode::answerLookup(const LookupCall &call, const Responder &respond) {
+  std::vector<std::string> addresses = Entries.lookup(call.Region, call.Domain, Clock.now());
+  if (addresses.empty())
+    respond({503, Format.writeError("no entry VM serves"), "application/json", "",
+             Settings.RetryAfterNoLeader});
+  else
+    respond({200, Format.writeLookup(addresses, Settings.LookupTtl), "application/json", "", {0}});
+}
+
+void ControlNode::propose(const Order &order, const std::string &what, const Responder &respond) {
+  absl::StatusOr<core::LogIndex> index = Log->propose(encode(order), Clock.now());
+  if (!index.ok()) {
+    Events.emit({core::EventId::OrderRefused,
+                 {{"order", what}, {"reason", std::string(index.status().message())}}});
+    respond({503, Format.writeError(std::string(index.status().message())), "application/json", "",
+             Settings.RetryAfterNoLeader});
+    return;
+  }
+  Pending[*index] = [this, what, respond, at = *index](const absl::StatusOr<std::string> &result) {
+    absl::Status status = result.ok() ? decodeOutcome(*result) : result.status();
+    Events.emit({status.ok() ? core::EventId::ItemsChanged : core::EventId::OrderRefused,
+                 {{"order", what}, {"index", at}, {"reason", std::string(status.message())}}});
+    http::WholeAnswer answer;
+    answer.Status = httpStatus(status);
+    answer.Body = status.ok() ? "{}" : Format.writeError(std::string(status.message()));
+    respond(answer);
+  };
+  flush();
+}
+
+void ControlNode::redirect(const http::WholeRequest &request, const Responder &respond) {
+  std::optional<agreement::VoterId> leader = Log->leaderHint();
+  if (!leader || leader->Vm == Settings.Vm) {
+    respond({503, Format.writeError("no leader"), "application/json", "",
+             Settings.RetryAfterNoLeader});
+    return;
+  }
+  respond({307, "", "application/json",
+           absl::StrCat("http://", leader->Vm.Value, ":", Settings.OperatorPort,
+                        request.Start.Target),
+           {0}});
+}
+
+} // namespace briarspar::control
--- /dev/null
+++ b/src/control/ControlNode.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "absl/status/status.h"
+#include "agreement/FileLogStorage.h"
+#include "agreement/PosixFileSystem.h"
+#include "agreement/RandomSource.h"
+#include "agreement/Replica.h"
+#include "balance/CrashGuard.h"
+#include "control/ControlMachine.h"
+#include "control/EntryRegistry.h"
+#include "control/OperatorCall.h"
+#include "control/RateDivision.h"
+#include "control/RolloutJudge.h"
+#include "core/Event.h"
+#include "discovery/ListReader.h"
+#include "discovery/TargetList.h"
+#include "http/ClientConnection.h"
+#include "http/SmallServer.h"
+#include "transport/Transport.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace briarspar::control {
+
+struct ControlNodeSettings {
+  core::VmId Vm; ///< An IP address, as the ids of all VMs.
+  std::string Host;
+  uint16_t OperatorPort = 0;
+  uint16_t LookupPort = 0; ///< May equal OperatorPort.
+  uint16_t PeerPort = 0;   ///< Of the message listeners of all VMs.
+  std::vector<core::VmId> Seeds;
+  std::string DataFolder;
+  bool Bootstrap = false; ///< The system starts for the first time.
+  std::string ListHost;   ///< The platform's list of targets.
+  uint16_t ListPort = 0;
+  agreement::GroupId Group{"main"};
+  core::Duration Tick{25};             ///< Of the agreement group; elections take 600 ms or more.
+  core::Duration JoinInterval{500};    ///< Between two requests to be added to the group.
+  core::Duration VoterSilence{6000};   ///< A voter that is silent for so long may be replaced; a
+                                       ///< restart takes a second, a cut mostly less than this.
+  core::Duration LookupTtl{2000};      ///< Callers cache a look-up for this long.
+  core::Duration RetryAfterNoLeader{300}; ///< About half an election.
+  discovery::ListReaderSettings List;
+};
+
+/// A control VM: a voter of the agreement group that holds the configuration, and while it leads,
+/// the reader of the platform's list, the divider of rates and the judge of rollouts. Answers
+/// operators and look-ups. Runs on the thread of the io_context.
+class ControlNode {
+public:
+  ControlNode(asio::io_context &io, const core::Clock &clock, core::EventSink &events,
+              transport::Transport &transport, const OperatorFormat &format,
+              const discovery::ListFormat &listFormat, const ControlNodeSettings &settings);
+  ~ControlNode();
+
+  /// Opens the data folder and the listeners.
+  absl::Status start();
+
+  void onMessage(const transport::PeerMessage &message);
+
+  void stop();
+
+  void setSeeds(const std::vector<core::VmId> &seeds);
+
+private:
+  class Random;
+  class ListFetch;
+
+  using Responder = http::SmallServer::Responder;
+
+  absl::Status openReplica();
+  void tick();
+  void flush();
+  void lead(core::Time now);
+  void checkVoters(core::Time now);
+  void join(core::Time now);
+  void judgeRollouts(core::Time now);
+  void readList(core::Time now);
+  void onListPage(int status, const std::string &body);
+  void onReport(const transport::PeerMessage &message);
+  link::ControlAnswer makeAnswer(const EntryRecord &record, core::LogIndex catalog,
+                                 const discovery::ListVersion &list, core::Time now) const;
+  void pushToEntries();
+  void onHttp(const http::WholeRequest &request, const Responder &respond);
+  void answerLookup(const LookupCall &call, const Responder &respond);
+  void propose(const Order &order, const std::string &what, const Responder &respond);
+  void redirect(const http::WholeRequest &request, const Responder &respond);
+  std::string baselineVersion(const std::string &service, const std::string &except) const;
+  std::set<core::VmId> members() const;
+  bool isLeading(core::Time now) const;
+
+  asio::io_context &Io;
+  const core::Clock &Clock;
+  core::EventSink &Events;
+  transport::Transport &Peers;
+  const OperatorFormat &Format;
+  ControlNodeSettings Settings;
+  agreement::PosixFileSystem Files;
+  std::unique_ptr<Random> Randomness;
+  std::unique_ptr<agreement::FileLogStorage> Storage;
+  ControlMachine Machine;
+  std::unique_ptr<agreement::Replica> Log;
+  std::map<core::LogIndex, std::function<void(const absl::StatusOr<std::string> &)>> Pending;
+  http::SmallServer OperatorServer;
+  http::SmallServer LookupServer;
+  asio::steady_timer TickTimer;
+
+  EntryRegistry Entries;
+  std::map<core::VmId, std::pair<core::LogIndex, discovery::ListVersion>> EntryVersions;
+  RateDivision Rates;
+  RolloutJudge Judge;
+  balance::CrashGuard Crashes;
+  discovery::TargetList Targets;
+  discovery::ListReader Reader;
+  std::shared_ptr<ListFetch> Fetch;
+
+  bool Leading = false;
+  core::LogIndex Pushed; ///< Newest configuration that was sent to the entry VMs.
+  core::Time LastJoin;
+  core::Time LastVoterCheck;
+  std::map<core::VmId, core::Time> HeardFrom; ///< Control VMs.
+  std::map<std::string, bool> RolloutPending; ///< A step is on its way through the log.
+};
+
+} // namespace briarspar::control
--- /dev/null
+++ b/src/control/EntryRegistry.cpp
@@ -0,0 +1,73 @@
+#include "control/EntryRegistry.h"
+
+#include <algorithm>
+
+namespace briarspar::control {
+
+EntryRegistry::EntryRegistry(const EntryRegistrySettings &settings) : Settings(settings) {}
+
+bool EntryRegistry::report(const core::VmId &vm, core::Incarnation run,
+                           const link::EntryReport &report, core::Time now) {
+  EntryRecord &record = Records[vm];
+  if (run < record.Run)
+    return false;
+  bool stopping = report.Stopping || (record.Run == run && record.Stopping);
+  record = {run,      report.Region, report.Domain, report.Address, report.Serving,
+            stopping, now};
+  bool &wasLive = WasLive[vm];
+  return !std::exchange(wasLive, isLive(record, now)) && wasLive;
+}
+
+std::vector<core::VmId> EntryRegistry::takeLost(core::Time now) {
+  std::vector<core::VmId> lost;
+  for (auto it = Records.begin(); it != Records.end();) {
+    bool &wasLive = WasLive[it->first];
+    if (wasLive && !isLive(it->second, now)) {
+      wasLive = false;
+      lost.push_back(it->first);
+    }
+    if (now - it->second.HeardAt > Settings.Forget) {
+      WasLive.erase(it->first);
+      it = Records.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return lost;
+}
+
+std::vector<std::string> EntryRegistry::lookup(const core::RegionId &region,
+                                               const core::DomainId &domain, core::Time now) const {
+  std::vector<std::string> near;
+  std::vector<std::string> inRegion;
+  std::vector<std::string> all;
+  for (const auto &[vm, record] : Records) {
+    if (!isLive(record, now) || !record.Serving)
+      continue;
+    all.push_back(record.Address);
+    if (record.Region == region)
+      inRegion.push_back(record.Address);
+    if (record.Domain == domain)
+      near.push_back(record.Address);
+  }
+  std::vector<std::string> &chosen = near.size() >= Settings.LeastNamed ? near
+                                     : !inRegion.empty()                ? inRegion
+                                                                        : all;
+  if (chosen.size() > Settings.MaxNamed)
+    chosen.resize(Settings.MaxNamed);
+  return chosen;
+}
+
+std::vector<core::VmId> EntryRegistry::live(core::Time now) const {
+  std::vector<core::VmId> out;
+  for (const auto &[vm, record] : Records)
+    if (isLive(record, now))
+      out.push_back(vm);
+  return out;
+}
+
+bool EntryRegistry::isLive(const EntryRecord &record, core::Time now) const {
+  return !record.Stopping && now - record.HeardAt <= Settings.Silence;
+}
+
+} // namespace briarspar::control
--- /dev/null
+++ b/src/control/EntryRegistry.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "core/Clock.h"
+#include "core/Ids.h"
+#include "link/Messages.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace briarspar::control {
+
+struct EntryRegistrySettings {
+  core::Duration Silence{1500}; ///< A VM that has not reported for so long is not named any more;
+                                ///< reports come every 400 ms.
+  core::Duration Forget{30'000};
+  size_t MaxNamed = 16; ///< VMs in the answer to one look-up.
+  size_t LeastNamed = 2; ///< With fewer VMs in the caller's failure domain, its region is named.
+};
+
+/// Last report of one entry VM.
+struct EntryRecord {
+  core::Incarnation Run;
+  core::RegionId Region;
+  core::DomainId Domain;
+  std::string Address;
+  bool Serving = false;
+  bool Stopping = false;
+  core::Time HeardAt;
+};
+
+/// Which entry VMs are there, from their own reports, and which of them callers should use. Each
+/// control VM has one of its own. Not thread-safe.
+class EntryRegistry {
+public:
+  explicit EntryRegistry(const EntryRegistrySettings &settings = {});
+
+  /// Takes a report. Returns true when the VM was not live before.
+  bool report(const core::VmId &vm, core::Incarnation run, const link::EntryReport &report,
+              core::Time now);
+
+  /// Returns the VMs that have stopped being live since the last call.
+  std::vector<core::VmId> takeLost(core::Time now);
+
+  /// Returns the addresses for a caller: of its failure domain, of its region, or of all, whichever
+  /// is the first with enough VMs. Empty when none serves.
+  std::vector<std::string> lookup(const core::RegionId &region, const core::DomainId &domain,
+                                  core::Time now) const;
+
+  /// Returns the live VMs in the order of their ids.
+  std::vector<core::VmId> live(core::Time now) const;
+
+  const std::map<core::VmId, EntryRecord> &records() const { return Records; }
+  bool isLive(const EntryRecord &record, core::Time now) const;
+
+private:
+  const EntryRegistrySettings Settings;
+  std::map<core::VmId, EntryRecord> Records;
+  std::map<core::VmId, bool> WasLive;
+};
+
+} // namespace briarspar::control
--- /dev/null
+++ b/src/control/RateDivision.cpp
@@ -0,0 +1,63 @@
+#include "control/RateDivision.h"
+
+#include <algorithm>
+
+namespace briarspar::control {
+
+namespace {
+
+constexpr uint32_t Whole = 1000;
+
+} // namespace
+
+RateDivision::RateDivision(const RateDivisionSettings &settings) : Settings(settings) {}
+
+void RateDivision::becomeLeader(core::Time now) {
+  Customers.clear();
+  SettledAt = now + Settings.Validity + Settings.Margin;
+}
+
+std::vector<link::RateShare> RateDivision::divide(const core::VmId &vm, core::Incarnation run,
+                                                  absl::Span<const link::CustomerUse> uses,
+                                                  size_t entries, core::Time now) {
+  std::vector<link::RateShare> shares;
+  for (const link::CustomerUse &use : uses) {
+    Customer &customer = Customers[use.Customer];
+    Holding &mine = customer[vm];
+    uint32_t others = 0;
+    for (const auto &[other, holding] : customer)
+      if (other != vm && now < holding.Until)
+        others += holding.Outstanding;
+    // An answer on its way may still raise the share that the report names.
+    bool confirmed = mine.Run == run && use.SharePermille == mine.Granted;
+    uint32_t before = confirmed || now >= mine.Until
+                          ? use.SharePermille
+                          : std::max({use.SharePermille, mine.Outstanding});
+    mine.Run = run;
+    mine.Demand = use.ArrivalsPerS;
+    uint32_t free = others >= Whole ? 0 : Whole - others;
+    uint32_t share = now < SettledAt ? use.SharePermille
+                                     : std::min(free, wanted(customer, mine, entries));
+    mine.Granted = share;
+    mine.Outstanding = std::max(before, share);
+    mine.Until = now + Settings.Validity + Settings.Margin;
+    shares.push_back({use.Customer, share});
+  }
+  return shares;
+}
+
+uint32_t RateDivision::wanted(const Customer &customer, const Holding &holding,
+                              size_t entries) const {
+  double demand = 0;
+  for (const auto &[vm, it] : customer)
+    demand += it.Demand;
+  double equal = static_cast<double>(Settings.EqualPermille) /
+                 static_cast<double>(std::max<size_t>(1, entries));
+  if (demand <= 0)
+    return static_cast<uint32_t>(static_cast<double>(Whole) /
+                                 static_cast<double>(std::max<size_t>(1, entries)));
+  return static_cast<uint32_t>(equal +
+                               (Whole - Settings.EqualPermille) * holding.Demand / demand);
+}
+
+} // namespace briarspar::control
--- /dev/null
+++ b/src/control/RateDivision.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "absl/types/span.h"
+#include "core/Clock.h"
+#include "core/Ids.h"
+#include "link/Messages.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace briarspar::control {
+
+struct RateDivisionSettings {
+  core::Duration Validity{3000};  ///< For so long after its report a VM may use a share.
+  core::Duration Margin{100};     ///< Added for the difference in rate of two clocks.
+  uint32_t EqualPermille = 250;   ///< Part of each rate that is divided evenly; the rest follows
+                                  ///< the demand.
+};
+
+/// Divides the customers' rates between the entry VMs by their demand. At no time do the shares
+/// that VMs may hold add up to more than the whole rate: a share grows only by what others have
+/// confirmed to have given up, or what has expired. Used by the leader. Not thread-safe.
+class RateDivision {
+public:
+  explicit RateDivision(const RateDivisionSettings &settings = {});
+
+  /// Starts without knowledge of the shares that an earlier leader gave. For one validity, VMs keep
+  /// what they report and get no more.
+  void becomeLeader(core::Time now);
+
+  /// Takes what a VM wants and holds, and returns its new shares. `entries` is the number of live
+  /// VMs.
+  std::vector<link::RateShare> divide(const core::VmId &vm, core::Incarnation run,
+                                      absl::Span<const link::CustomerUse> uses, size_t entries,
+                                      core::Time now);
+
+private:
+  struct Holding {
+    core::Incarnation Run;
+    double Demand = 0;
+    uint32_t Granted = 0;     ///< Last share that was sent.
+    uint32_t Outstanding = 0; ///< Most that the VM may use.
+    core::Time Until;         ///< End of what is outstanding.
+  };
+
+  using Customer = std::map<core::VmId, Holding>;
+
+  uint32_t wanted(const Customer &customer, const Holding &holding, size_t entries) const;
+
+  const RateDivisionSettings Settings;
+  core::Time SettledAt; ///< Shares of earlier leaders have ended.
+  std::map<std::string, Customer> Customers;
+};
+
+} // namespace briarspar::control
--- a/src/core/Codec.h
+++ b/src/core/Codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "absl/status/statusor.h"
+#include "core/Clock.h"
 #include "core/Ids.h"
 
 #include <nlohmann/json.hpp>
@@ -40,6 +41,10 @@
   }
 }
 
+/// Durations are encoded as whole milliseconds.
+inline void to_json(Json &j, const Duration &d) { j = d.Ms; }
+inline void from_json(const Json &j, Duration &d) { j.get_to(d.Ms); }
+
 template <class Tag> void to_json(Json &j, const StringId<Tag> &id) { j = id.Value; }
 template <class Tag> void from_json(const Json &j, StringId<Tag> &id) { j.get_to(id.Value); }
 template <class Tag> void to_json(Json &j, const NumberId<Tag> &id) { j = id.Value; }
--- a/src/core/EventCatalogue.h
+++ b/src/core/EventCatalogue.h
@@ -45,4 +45,26 @@
   X(1102, PeerMessageRejected, "message from a peer was rejected")                                 \
   /* forwarding */                                                                                 \
   X(1200, RequestFinished, "request finished")                                                     \
-  X(1201, RequestRefused, "request refused without running")
+  X(1201, RequestRefused, "request refused without running")                                       \
+  /* entry */                                                                                      \
+  X(1300, TargetChosen, "target chosen for a request")                                             \
+  X(1301, RequestRetried, "request goes to another target")                                        \
+  X(1302, TargetClosing, "target closes its connection after an answer")                           \
+  X(1303, TargetReturned, "ejected target answered a probe")                                       \
+  X(1304, CallerProtocolError, "bytes of a caller are no valid request")                           \
+  X(1305, EntryServing, "entry VM has what it needs to serve")                                     \
+  X(1306, LeaderChanged, "another control VM leads")                                               \
+  X(1307, ControlLost, "no answer from a leader for a second")                                     \
+  X(1308, LogLinesDropped, "log lines were left out")                                              \
+  X(1309, TargetListApplied, "changes of the target list applied")                                 \
+  /* control */                                                                                    \
+  X(1400, ItemsChanged, "operator order carried out")                                              \
+  X(1401, OrderRefused, "operator order refused")                                                  \
+  X(1402, ListRead, "platform's list of targets changed")                                          \
+  X(1403, ListFailed, "platform's list of targets could not be read")                              \
+  X(1404, EntryJoined, "entry VM reported for the first time")                                     \
+  X(1405, EntryLost, "entry VM has not reported for too long or is stopping")                      \
+  X(1406, VoterAdmitted, "control VM is added to the group")                                       \
+  X(1407, VoterRemoved, "silent control VM is removed from the group")                             \
+  X(1408, RolloutJudged, "new version of a service was judged")                                    \
+  X(1409, SettingsReloaded, "settings were read again")
--- a/src/daemon/ControlThread.h
+++ b/src/daemon/ControlThread.h
@@ -2,8 +2,6 @@
 
 #include "core/Clock.h"
 
-#define ASIO_STANDALONE
-#include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -1,12 +1,7 @@
 #include "daemon/Settings.h"
 
 #include "absl/strings/str_cat.h"
-
-#include <valijson/adapters/nlohmann_json_adapter.hpp>
-#include <valijson/schema.hpp>
-#include <valijson/schema_parser.hpp>
-#include <valijson/validation_results.hpp>
-#include <valijson/validator.hpp>
+#include "core/SchemaCheck.h"
 
 #include <fstream>
 #include <sstream>
@@ -69,33 +64,6 @@
   }
 })json";
 
-std::string pathOf(const std::vector<std::string> &context) {
-  std::string path;
-  for (const std::string &part : context)
-    path += part;
-  return path;
-}
-
-absl::Status validate(const Json &document) {
-  valijson::Schema schema;
-  valijson::SchemaParser parser;
-  Json schemaDocument = Json::parse(Schema);
-  valijson::adapters::NlohmannJsonAdapter schemaAdapter(schemaDocument);
-  parser.populateSchema(schemaAdapter, schema);
-
-  valijson::Validator validator;
-  valijson::ValidationResults results;
-  valijson::adapters::NlohmannJsonAdapter target(document);
-  if (validator.validate(schema, target, &results))
-    return absl::OkStatus();
-  std::string problems;
-  valijson::ValidationResults::Error error;
-  while (results.popError(error))
-    absl::StrAppend(&problems, problems.empty() ? "" : "\n", pathOf(error.context), ": ",
-                    error.description);
-  return absl::InvalidArgumentError(problems);
-}
-
 template <class T> void read(const Json &j, const char *name, T &out) {
   auto it = j.find(name);
   if (it != j.end())
@@ -165,7 +133,7 @@
   Json document = Json::parse(text, nullptr, /*allow_exceptions=*/false, /*ignore_comments=*/true);
   if (document.is_discarded())
     return absl::InvalidArgumentError("the settings are not valid JSON");
-  absl::Status status = validate(document);
+  absl::Status status = core::checkSchema(document, Schema);
   if (!status.ok())
     return status;
   Settings settings = readSettings(document);
--- a/src/daemon/VoterSide.cpp
+++ b/src/daemon/VoterSide.cpp
@@ -1,6 +1,7 @@
 #include "daemon/VoterSide.h"
 
 #include "absl/strings/str_cat.h"
+#include "agreement/Admission.h"
 #include "agreement/Messages.h"
 
 #include <algorithm>
@@ -75,18 +76,7 @@
 }
 
 absl::Status VoterSide::admit(const agreement::VoterId &id, core::Time now) {
-  const agreement::Configuration &members = Log->configuration();
-  if (members.contains(id))
-    return absl::OkStatus();
-  for (const agreement::VoterId &member : members.Voters)
-    if (member.Vm == id.Vm)
-      return member.Data < id.Data ? Log->removeVoter(member, now)
-                                   : absl::FailedPreconditionError("the identity is older");
-  for (const agreement::VoterId &member : members.Learners)
-    if (member.Vm == id.Vm)
-      return member.Data < id.Data ? Log->removeVoter(member, now)
-                                   : absl::FailedPreconditionError("the identity is older");
-  return Log->addVoter(id, now);
+  return agreement::admitVoter(*Log, id, now);
 }
 
 std::optional<core::VmId> VoterSide::leaderHint() const {
--- a/src/daemon/main/Main.cpp
+++ b/src/daemon/main/Main.cpp
@@ -1,12 +1,16 @@
 // briarspard: the daemon. One process on each VM.
 
 #include "daemon/Daemon.h"
+#include "node/Node.h"
 
 #include <CLI/CLI.hpp>
 
 #include <atomic>
 #include <csignal>
+#include <fstream>
 #include <iostream>
+#include <sstream>
+#include <string>
 #include <thread>
 
 using namespace briarspar::daemon;
@@ -61,6 +65,32 @@
   std::_Exit(Ok);
 }
 
+std::string readText(const std::string &file) {
+  std::ifstream in(file);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+/// Runs a process whose settings name a role.
+int runNode(const std::string &file, const std::string &text, bool check) {
+  absl::StatusOr<briarspar::node::NodeSettings> settings =
+      briarspar::node::parseNodeSettings(text);
+  if (!settings.ok()) {
+    std::cerr << settings.status().message() << '\n';
+    return SettingsInvalid;
+  }
+  if (check) {
+    std::cout << "settings are valid\n";
+    return Ok;
+  }
+  absl::Status status = briarspar::node::Node(*settings, file).run();
+  if (status.ok())
+    return Ok;
+  std::cerr << status.message() << '\n';
+  return StartFailed;
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
@@ -74,6 +104,9 @@
                "Create a new group: for the first start of the first voters only");
   CLI11_PARSE(app, argc, argv);
 
+  std::string text = readText(file);
+  if (briarspar::node::isNodeSettings(text))
+    return runNode(file, text, check);
   absl::StatusOr<Settings> settings = loadSettings(file);
   if (!settings.ok()) {
     std::cerr << settings.status().message() << '\n';
--- /dev/null
+++ b/src/discovery/ListReader.cpp
@@ -0,0 +1,67 @@
+#include "discovery/ListReader.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarspar::discovery {
+
+ListReader::ListReader(const ListFormat &format, const ListReaderSettings &settings)
+    : Format(format), Settings(settings) {}
+
+std::optional<std::string> ListReader::next(core::Time now) {
+  if (Outstanding && now - SentAt >= Settings.PageTimeout)
+    onFailure(now);
+  if (Outstanding || now < NextAt)
+    return std::nullopt;
+  if (Token.empty()) {
+    Reading.clear();
+    ReadingStart = now;
+  }
+  Outstanding = true;
+  SentAt = now;
+  ++Pages;
+  return Format.pageTarget(Token);
+}
+
+absl::StatusOr<std::optional<std::vector<Target>>>
+ListReader::onPage(int status, std::string_view body, core::Time now) {
+  absl::StatusOr<ListPage> page =
+      status == 200 ? Format.readPage(body, now)
+                    : absl::UnavailableError(absl::StrCat("the list answered ", status));
+  if (!page.ok()) {
+    onFailure(now);
+    return page.status();
+  }
+  Outstanding = false;
+  Backoff = {0};
+  LeftOut += page->Unreadable;
+  for (Target &it : page->Targets)
+    Reading.push_back(std::move(it));
+  Token = page->NextPage;
+  if (!Token.empty()) {
+    NextAt = now;
+    return std::optional<std::vector<Target>>();
+  }
+  NextAt = ReadingStart + Settings.Interval;
+  return std::optional<std::vector<Target>>(std::exchange(Reading, {}));
+}
+
+void ListReader::onFailure(core::Time now) {
+  Outstanding = false;
+  // The token may have become stale with the failure, so that the reading starts anew.
+  Token.clear();
+  Backoff = Backoff.Ms == 0 ? Settings.FirstBackoff
+                            : std::min(Backoff * 2, Settings.LongestBackoff);
+  NextAt = now + Backoff;
+}
+
+void ListReader::restart(core::Time now) {
+  Outstanding = false;
+  Token.clear();
+  Backoff = {0};
+  NextAt = now;
+}
+
+} // namespace briarspar::discovery
--- /dev/null
+++ b/src/entry/EntryNode.cpp
@@ -0,0 +1,343 @@
+#include "entry/EntryNode.h"
+
+#include "absl/strings/str_cat.h"
+#include "core/Hash.h"
+#include "core/Text.h"
+
+#include <chrono>
+
+namespace briarspar::entry {
+
+namespace {
+
+std::chrono::milliseconds chronoMs(core::Duration d) { return std::chrono::milliseconds(d.Ms); }
+
+/// Reports whose answers may still come; older ones are forgotten.
+constexpr size_t MaxOpenReports = 16;
+
+/// Probes sent in one sweep.
+constexpr int ProbesPerSweep = 4;
+
+} // namespace
+
+/// A health check of one ejected target over a connection of its own.
+class EntryNode::Probe final : public http::AnswerListener,
+                               public std::enable_shared_from_this<Probe> {
+public:
+  Probe(EntryNode &node, Pick target) : Node(node), Target(std::move(target)) {}
+
+  void start() {
+    Connection = std::make_shared<http::ClientConnection>(Node.Io, Node.Clock, Target.Host,
+                                                          Target.Port,
+                                                          http::ClientConnectionSettings{});
+    http::Head head;
+    head.Method = "GET";
+    head.Target = Node.All.Targets.healthPath(Target.Service);
+    if (head.Target.empty())
+      head.Target = "/";
+    head.add("Host", absl::StrCat(Target.Host, ":", Target.Port));
+    Connection->start(head, "", *this);
+    Connection->finishRequest();
+  }
+
+  void onAnswerHead(http::Head head) override { Answer = std::move(head); }
+  void onAnswerBody(std::string_view) override {}
+
+  void onAnswerEnd() override {
+    // Without the header the target is not cold.
+    std::optional<double> cold =
+        core::parseNumber<double>(Answer.find(Node.All.Names.ColdRemaining).value_or("0"));
+    std::optional<std::string_view> id = Answer.find(Node.All.Names.TargetId);
+    end(Answer.Status == 200 && (!id || *id == Target.Id.Value),
+        {static_cast<int64_t>(cold.value_or(0))});
+  }
+
+  void onConnectionLost(http::ConnectionLoss) override { end(false, {0}); }
+
+private:
+  void end(bool healthy, core::Duration cold) {
+    auto self = shared_from_this();
+    Connection->close();
+    Node.All.Targets.recordProbe(Target.Id, healthy, cold, Node.Clock.now());
+    if (healthy)
+      Node.Events.emit({core::EventId::TargetReturned,
+                        {{"target", Target.Id}, {"cold_ms", cold}, {"service", Target.Service}}});
+    Node.Probes.erase(self);
+  }
+
+  EntryNode &Node;
+  const Pick Target;
+  std::shared_ptr<http::ClientConnection> Connection;
+  http::Head Answer;
+};
+
+EntryNode::EntryNode(asio::io_context &io, const core::Clock &clock, core::EventSink &events,
+                     transport::Transport &transport, const EntryNodeSettings &settings)
+    : Io(io), Clock(clock), Events(events), Peers(transport), Settings(settings),
+      All{settings.Names,
+          {},
+          nullptr,
+          {},
+          RateShares(),
+          RetryAllowance(),
+          TargetTable(settings.Own, settings.Choice),
+          balance::CrashGuard(core::hash64(settings.Own.Vm.Value,
+                                           static_cast<uint64_t>(clock.now().Ms))),
+          &events,
+          0,
+          0},
+      Pool(io, clock, settings.Names.RequestId),
+      ReadyServer(io,
+                  [this](const http::WholeRequest &, const http::SmallServer::Responder &respond) {
+                    http::WholeAnswer answer;
+                    answer.Status = isServing() && !Stopping ? 200 : 503;
+                    respond(answer);
+                  }),
+      Acceptor(io), ReportTimer(io), SweepTimer(io), Seeds(settings.Seeds) {
+  Controls.insert(Seeds.begin(), Seeds.end());
+}
+
+EntryNode::~EntryNode() = default;
+
+absl::Status EntryNode::start() {
+  if (absl::Status status =
+          http::listen(Acceptor, Settings.Callers.Host, Settings.Callers.Port);
+      !status.ok())
+    return status;
+  if (absl::Status status = ReadyServer.start(Settings.Ready.Host, Settings.Ready.Port);
+      !status.ok())
+    return status;
+  accept();
+  report();
+  sweep();
+  return absl::OkStatus();
+}
+
+void EntryNode::setSeeds(const std::vector<core::VmId> &seeds) {
+  Seeds = seeds;
+  Controls.insert(seeds.begin(), seeds.end());
+}
+
+void EntryNode::accept() {
+  Acceptor.async_accept([this](const asio::error_code &ec, asio::ip::tcp::socket socket) {
+    if (!Accepting)
+      return;
+    if (!ec) {
+      auto session = std::make_shared<CallerSession>(
+          Io, std::move(socket), Clock, All, Pool,
+          [this](const std::shared_ptr<CallerSession> &it) { Sessions.erase(it); });
+      Sessions.insert(session);
+      session->start();
+      if (Stopping)
+        session->startStopping(/*closeIdle=*/false);
+    }
+    accept();
+  });
+}
+
+void EntryNode::report() {
+  link::EntryReport brief = makeReport(/*full=*/false);
+  link::EntryReport full = makeReport(/*full=*/true);
+  std::string briefBytes = encode(brief);
+  std::string fullBytes = encode(full);
+  bool knowsLeader = !Leader.empty() && !LeaderLost;
+  for (const core::VmId &vm : Controls) {
+    Peers.setAddress(vm, {vm.Value, Settings.PeerPort});
+    bool isLeader = !knowsLeader || vm == Leader;
+    Peers.send(vm, link::kind::Report, isLeader ? fullBytes : briefBytes);
+  }
+  ReportTimer.expires_after(chronoMs(Settings.ReportInterval));
+  ReportTimer.async_wait([this](const asio::error_code &ec) {
+    if (!ec)
+      report();
+  });
+}
+
+link::EntryReport EntryNode::makeReport(bool full) {
+  core::Time now = Clock.now();
+  link::EntryReport report;
+  if (full) {
+    ++Sequence;
+    SentAt[Sequence] = now;
+    while (SentAt.size() > MaxOpenReports)
+      SentAt.erase(SentAt.begin());
+  }
+  report.Sequence = full ? Sequence : 0;
+  report.Region = Settings.Own.Region;
+  report.Domain = Settings.Own.Domain;
+  report.Address = absl::StrCat(Settings.Callers.Host, ":", Settings.Callers.Port);
+  report.Serving = isServing();
+  report.Stopping = Stopping;
+  report.Catalog = Catalog.changedAt();
+  report.ListEpoch = List.version().Epoch;
+  report.ListSequence = List.version().Sequence;
+  if (full) {
+    report.Uses = All.Rates.uses(now);
+    report.Versions = All.Targets.versionCounts();
+    balance::CrashReport crashes = All.Crashes.report(now);
+    if (!crashes.Entries.empty())
+      report.Crashes = balance::encode(crashes);
+  }
+  return report;
+}
+
+void EntryNode::sweep() {
+  core::Time now = Clock.now();
+  auto sessions = Sessions;
+  for (const std::shared_ptr<CallerSession> &it : sessions)
+    it->sweep(now);
+  Pool.sweep();
+  probe();
+  if (!LeaderLost && now - LeaderHeard > Settings.ControlTimeout) {
+    LeaderLost = true;
+    Events.emit({core::EventId::ControlLost,
+                 {{"leader", Leader}, {"silent_ms", now - LeaderHeard}}});
+  }
+  if (Stopping)
+    finishStop();
+  SweepTimer.expires_after(chronoMs(Settings.SweepInterval));
+  SweepTimer.async_wait([this](const asio::error_code &ec) {
+    if (!ec)
+      sweep();
+  });
+}
+
+void EntryNode::probe() {
+  for (int i = 0; i < ProbesPerSweep; ++i) {
+    std::optional<Pick> target = All.Targets.nextProbe(Clock.now());
+    if (!target)
+      return;
+    auto it = std::make_shared<Probe>(*this, *std::move(target));
+    Probes.insert(it);
+    it->start();
+  }
+}
+
+void EntryNode::onMessage(const transport::PeerMessage &message) {
+  if (message.Kind != link::kind::Answer)
+    return;
+  absl::StatusOr<link::ControlAnswer> answer = link::decodeControlAnswer(message.Body);
+  if (!answer.ok()) {
+    Events.emit({core::EventId::PeerMessageRejected,
+                 {{"peer", message.From}, {"reason", std::string(answer.status().message())}}});
+    return;
+  }
+  Controls.insert(answer->Members.begin(), answer->Members.end());
+  if (!answer->Leads)
+    return;
+  noteLeader(message.From);
+  onAnswer(*answer);
+}
+
+void EntryNode::noteLeader(const core::VmId &leader) {
+  LeaderHeard = Clock.now();
+  if (Leader == leader && !LeaderLost)
+    return;
+  Leader = leader;
+  LeaderLost = false;
+  Events.emit({core::EventId::LeaderChanged, {{"leader", leader}}});
+}
+
+void EntryNode::onAnswer(const link::ControlAnswer &answer) {
+  core::Time now = Clock.now();
+  if (!answer.Members.empty()) {
+    Controls.clear();
+    Controls.insert(Seeds.begin(), Seeds.end());
+    Controls.insert(answer.Members.begin(), answer.Members.end());
+  }
+  if (!answer.CatalogDelta.is_null())
+    applyCatalog(answer.CatalogDelta);
+  if (!answer.ListDelta.is_null())
+    applyList(answer.ListDelta);
+  if (!answer.Entries.empty()) {
+    All.Targets.setEntries(answer.Entries, answer.EntryRegions);
+    All.Retries.setEntries(answer.Entries.size());
+  }
+  auto sent = SentAt.find(answer.Sequence);
+  if (sent != SentAt.end()) {
+    All.Rates.setShares(answer.Shares, answer.Entries.size(), sent->second, now);
+    SentAt.erase(SentAt.begin(), std::next(sent));
+  }
+  if (!answer.Crashes.empty()) {
+    absl::StatusOr<balance::CrashReport> crashes = balance::decodeCrashReport(answer.Crashes);
+    if (crashes.ok())
+      All.Crashes.merge(*crashes, now);
+    else
+      Events.emit({core::EventId::PeerMessageRejected,
+                   {{"peer", Leader}, {"reason", std::string(crashes.status().message())}}});
+  }
+  if (isServing() && !WasServing) {
+    WasServing = true;
+    Events.emit({core::EventId::EntryServing,
+                 {{"catalog", Catalog.changedAt()}, {"targets", List.targets().size()}}});
+  }
+}
+
+void EntryNode::applyCatalog(const core::Json &delta) {
+  core::LogIndex before = Catalog.changedAt();
+  absl::Status status = Catalog.applyDelta(delta);
+  if (!status.ok()) {
+    Events.emit({core::EventId::PeerMessageRejected,
+                 {{"peer", Leader}, {"reason", std::string(status.message())}}});
+    return;
+  }
+  if (Catalog.changedAt() == before)
+    return;
+  core::Time now = Clock.now();
+  All.Routes = std::make_shared<const RouteTable>(Catalog);
+  for (const auto &[name, held] : Catalog.limits())
+    if (held.Value)
+      All.Limits = *held.Value;
+  All.Rates.setLimits(Catalog.customers(), now);
+  All.Targets.setCatalog(Catalog);
+  All.CatalogVersion = Catalog.changedAt().Value;
+  Events.emit({core::EventId::ConfigApplied, {{"from", before}, {"to", Catalog.changedAt()}}});
+}
+
+void EntryNode::applyList(const core::Json &delta) {
+  uint64_t before = List.version().Sequence;
+  absl::Status status = List.applyDelta(delta, Clock.now());
+  if (!status.ok()) {
+    Events.emit({core::EventId::PeerMessageRejected,
+                 {{"peer", Leader}, {"reason", std::string(status.message())}}});
+    return;
+  }
+  All.Targets.setTargets(List, Clock.now());
+  All.ListVersion = List.version().Sequence;
+  Events.emit({core::EventId::TargetListApplied,
+               {{"epoch", List.version().Epoch},
+                {"from", before},
+                {"to", List.version().Sequence},
+                {"targets", List.targets().size()}}});
+}
+
+bool EntryNode::isServing() const { return All.Routes != nullptr && All.Targets.hasTargets(); }
+
+void EntryNode::stop(std::function<void()> done) {
+  if (Stopping)
+    return;
+  Stopping = true;
+  StopStart = Clock.now();
+  Stopped = std::move(done);
+  report();
+  auto sessions = Sessions;
+  for (const std::shared_ptr<CallerSession> &it : sessions)
+    it->startStopping(/*closeIdle=*/false);
+}
+
+void EntryNode::finishStop() {
+  core::Duration since = Clock.now() - StopStart;
+  if (Accepting && since > Settings.StopAccept) {
+    Accepting = false;
+    asio::error_code ignored;
+    Acceptor.close(ignored);
+    auto sessions = Sessions;
+    for (const std::shared_ptr<CallerSession> &it : sessions)
+      it->startStopping(/*closeIdle=*/true);
+  }
+  bool done = !Accepting && Sessions.empty();
+  if ((done || since > Settings.StopLimit) && Stopped)
+    std::exchange(Stopped, nullptr)();
+}
+
+} // namespace briarspar::entry
--- /dev/null
+++ b/src/entry/EntryNode.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "absl/status/status.h"
+#include "entry/CallerSession.h"
+#include "entry/Exchange.h"
+#include "entry/TargetPool.h"
+#include "http/SmallServer.h"
+#include "link/Messages.h"
+#include "transport/Transport.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_set>
+
+namespace briarspar::entry {
+
+/// IP address and port of a listener.
+struct Address {
+  std::string Host;
+  uint16_t Port = 0;
+};
+
+struct EntryNodeSettings {
+  Place Own;
+  Address Callers;
+  Address Ready;
+  uint16_t PeerPort = 0;               ///< Of the message listeners of all VMs.
+  std::vector<core::VmId> Seeds;       ///< Control VMs to start from; ids are IP addresses.
+  core::Duration ReportInterval{400};  ///< Far below the validity of rate shares, 3 s.
+  core::Duration SweepInterval{200};   ///< Of idle connections, probes and logs.
+  core::Duration ControlTimeout{1000}; ///< Without a leader's answer for so long it is lost.
+  core::Duration StopAccept{2500};     ///< After a stop signal callers are served this long, while
+                                       ///< they learn of other VMs; look-ups are cached for 2 s.
+  core::Duration StopLimit{5500};      ///< The process ends at the latest then.
+  http::HeaderNames Names;
+  TargetTableSettings Choice;
+};
+
+/// The traffic side of an entry VM: serves callers by the last configuration and target list that
+/// the control group has sent, and reports to it. Runs on the thread of the io_context.
+class EntryNode {
+public:
+  EntryNode(asio::io_context &io, const core::Clock &clock, core::EventSink &events,
+            transport::Transport &transport, const EntryNodeSettings &settings);
+  ~EntryNode();
+
+  /// Opens the listeners. Returns an error when an address is not available.
+  absl::Status start();
+
+  /// Takes a message of another process.
+  void onMessage(const transport::PeerMessage &message);
+
+  /// Stops as planned; `done` is called when no request is left.
+  void stop(std::function<void()> done);
+
+  /// Takes the control VMs of changed settings.
+  void setSeeds(const std::vector<core::VmId> &seeds);
+
+  const Steering &steering() const { return All; }
+
+private:
+  void accept();
+  void report();
+  void sweep();
+  void probe();
+  void onAnswer(const link::ControlAnswer &answer);
+  void applyCatalog(const core::Json &delta);
+  void applyList(const core::Json &delta);
+  void noteLeader(const core::VmId &leader);
+  link::EntryReport makeReport(bool full);
+  bool isServing() const;
+  void finishStop();
+
+  asio::io_context &Io;
+  const core::Clock &Clock;
+  core::EventSink &Events;
+  transport::Transport &Peers;
+  const EntryNodeSettings Settings;
+  Steering All;
+  catalog::Catalog Catalog;
+  discovery::TargetList List;
+  TargetPool Pool;
+  http::SmallServer ReadyServer;
+  asio::ip::tcp::acceptor Acceptor;
+  asio::steady_timer ReportTimer;
+  asio::steady_timer SweepTimer;
+  std::unordered_set<std::shared_ptr<CallerSession>> Sessions;
+  std::set<core::VmId> Controls; ///< All control VMs that are known.
+  std::vector<core::VmId> Seeds;
+  core::VmId Leader;
+  bool LeaderLost = true;
+  core::Time LeaderHeard;
+  uint64_t Sequence = 0;
+  std::map<uint64_t, core::Time> SentAt; ///< Of reports that are not answered.
+  bool Stopping = false;
+  bool Accepting = true;
+  bool WasServing = false;
+  core::Time StopStart;
+  std::function<void()> Stopped;
+  class Probe;
+  std::set<std::shared_ptr<Probe>> Probes;
+};
+
+} // namespace briarspar::entry
--- /dev/null
+++ b/src/entry/Exchange.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "balance/CrashGuard.h"
+#include "core/Event.h"
+#include "entry/RateShares.h"
+#include "entry/RetryAllowance.h"
+#include "entry/RouteTable.h"
+#include "entry/TargetTable.h"
+#include "http/ClientConnection.h"
+#include "http/Head.h"
+#include "http/HeaderNames.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace briarspar::entry {
+
+/// Times and sizes of one exchange.
+struct ExchangeSettings {
+  size_t HeldBody = 64UL * 1024;   ///< A request up to this size is sent when it is whole, and may
+                                   ///< be sent again.
+  size_t HeldAnswer = 64UL * 1024; ///< An answer up to this size is passed on when it is whole.
+  core::Duration DefaultDeadline{10'000}; ///< For callers that name none.
+  core::Duration AnswerMargin{30};        ///< An answer is settled this long before the caller gives
+                                          ///< up, to reach it in time.
+  core::Duration TargetGrace{60}; ///< Time beyond its deadline for a target's own answer to arrive.
+  core::Duration LeastSend{20};   ///< With less time left a request is not sent any more.
+  core::Duration RetryAfterBusy{250};   ///< Shortest wait that a refusal asks for.
+  core::Duration RetryAfterSpread{400}; ///< Added at random, so that callers do not return at once.
+};
+
+/// What this VM holds and decides with, shared by all exchanges.
+struct Steering {
+  http::HeaderNames Names;
+  ExchangeSettings Settings;
+  std::shared_ptr<const RouteTable> Routes; ///< Null until a configuration has arrived.
+  catalog::CallerLimits Limits;
+  RateShares Rates;
+  RetryAllowance Retries;
+  TargetTable Targets;
+  balance::CrashGuard Crashes;
+  core::EventSink *Events = nullptr;
+  uint64_t CatalogVersion = 0; ///< For log lines.
+  uint64_t ListVersion = 0;    ///< For log lines.
+};
+
+/// What an exchange asks of its surroundings.
+class ExchangeActions {
+public:
+  virtual ~ExchangeActions() = default;
+
+  /// Opens or reuses a connection to a target and sends the head. `fresh`: the request must not be
+  /// sent twice, so the connection has to be one that is surely open.
+  virtual void sendToTarget(const Pick &target, const http::Head &head, bool fresh) = 0;
+  virtual void sendBodyToTarget(std::string_view bytes) = 0;
+  virtual void endBodyToTarget() = 0;
+
+  /// Closes the connection to the target, which stops its work.
+  virtual void dropTarget() = 0;
+
+  /// Leaves the target to finish its work; its answer is discarded.
+  virtual void abandonTarget() = 0;
+
+  virtual void answerHead(const http::Head &head) = 0;
+  virtual void answerBody(std::string_view bytes) = 0;
+  virtual void endAnswer() = 0;
+
+  /// The answer cannot be completed: the connection to the caller must be closed.
+  virtual void cutAnswer() = 0;
+};
+
+/// One request of a caller, from its head to the end of its answer, as a state machine without
+/// input and output. The embedder reports what happens and carries out the actions, on one thread.
+class Exchange {
+public:
+  Exchange(Steering &steering, ExchangeActions &actions, http::Head head, core::Time now);
+
+  /// Decides about the request; to be called once, after construction.
+  void start(core::Time now);
+
+  void onCallerBody(std::string_view bytes, core::Time now);
+  void onCallerEnd(core::Time now);
+  void onCallerGone(core::Time now);
+
+  void onTargetConnected(core::Duration time);
+  void onAnswerHead(http::Head head, core::Time now);
+  void onAnswerBody(std::string_view bytes, core::Time now);
+  void onAnswerEnd(core::Time now);
+  void onTargetLost(http::ConnectionLoss loss, core::Time now);
+
+  /// Advances time; to be called at wakeAt() or later.
+  void onTimer(core::Time now);
+  core::Time wakeAt() const { return WakeAt; }
+
+  bool isDone() const { return State == Done; }
+  bool isAnswerStarted() const { return Started; }
+
+  /// True while a target works on the request or its answer is being passed on.
+  bool isAtTarget() const { return State == AtTarget || State == Streaming; }
+
+private:
+  enum StateKind : uint8_t { Receiving, AtTarget, Streaming, Done };
+
+  /// An answer of our own. A refusal promises that the request has not run and will not.
+  struct OwnAnswer {
+    int Status = 0;
+    const char *Reason = "";
+    core::Duration RetryAfter{0};
+  };
+
+  bool admit(core::Time now);
+  bool authenticate(core::Time now);
+  void dispatch(core::Time now);
+  void send(const Pick &pick, core::Time now);
+  http::Head targetHead(const Pick &pick, core::Time now) const;
+  void settleAnswer(core::Time now);
+  void takeLoad(const http::Head &head, core::Time now);
+  bool mayTryAgain(bool arrived, core::Time now);
+  void tryAgain(const char *reason, core::Time now);
+  void refuse(const OwnAnswer &answer, core::Time now);
+  void answerOwn(const OwnAnswer &answer, core::Time now);
+  void finish(const char *result, int status, core::Time now);
+  void recordOutcome(TargetOutcome outcome, core::Time now);
+  core::Duration busyWait() const;
+  uint64_t fingerprint() const;
+  void log(core::EventId id, core::Json details) const;
+
+  Steering &All;
+  ExchangeActions &Actions;
+  http::Head Request;
+  const core::Time ArrivedAt;
+  core::Time GiveUpAt; ///< The caller must have an answer by then.
+  core::Time WakeAt;
+  StateKind State = Receiving;
+  std::string Id;
+  std::shared_ptr<const catalog::Route> Route;
+  std::shared_ptr<const catalog::Customer> Customer;
+  std::string Service;
+  std::optional<uint64_t> Object;
+
+  std::string Body; ///< The request's body while it is held.
+  bool BodyHeld = true;
+  bool BodyEnded = false;
+  uint64_t BodyBytes = 0;
+
+  std::optional<Pick> Target;
+  std::vector<core::TargetId> Tried;
+  uint32_t Sends = 0;
+  bool MayHaveRun = false;
+  bool Spent = false; ///< One request of the customer's rate has been spent.
+  core::Time SentAt;
+
+  http::Head Answer;
+  bool HasAnswer = false;
+  std::string AnswerBytes;
+  bool Started = false; ///< Parts of an answer have been passed on.
+  bool CallerGone = false;
+};
+
+} // namespace briarspar::entry
--- /dev/null
+++ b/src/entry/RateShares.cpp
@@ -0,0 +1,113 @@
+#include "entry/RateShares.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace briarspar::entry {
+
+namespace {
+
+/// Part of a VM in the reserve while the number of entry VMs is unknown.
+constexpr double UnknownFleetPart = 1.0 / 64;
+
+/// A bucket holds at least this many requests, so that a small share can be used at all.
+constexpr double LeastDepth = 1.0;
+
+/// Arrivals a second below which a customer counts as idle.
+constexpr double IdleRate = 0.05;
+
+} // namespace
+
+RateShares::RateShares(const RateSharesSettings &settings)
+    : Settings(settings), ReserveShare(settings.ReservePermille / 1000.0 * UnknownFleetPart) {}
+
+void RateShares::setLimits(const catalog::Shelf<catalog::Customer> &customers, core::Time now) {
+  std::map<std::string, Bucket> old;
+  old.swap(Buckets);
+  for (const auto &[name, held] : customers) {
+    if (!held.Value || held.Value->RatePerS <= 0)
+      continue;
+    Bucket &bucket = Buckets[name];
+    auto known = old.find(name);
+    if (known != old.end()) {
+      bucket = known->second;
+      fill(bucket, now);
+    } else {
+      bucket.FilledAt = now;
+      bucket.ArrivalsAt = now;
+    }
+    bucket.RatePerS = held.Value->RatePerS;
+    bucket.Burst = std::max(held.Value->Burst, 1.0);
+    fill(bucket, now);
+  }
+}
+
+void RateShares::setShares(absl::Span<const link::RateShare> shares, size_t entries,
+                           core::Time sentAt, core::Time now) {
+  if (entries != 0)
+    ReserveShare = Settings.ReservePermille / 1000.0 / static_cast<double>(entries);
+  for (const link::RateShare &it : shares) {
+    auto bucket = Buckets.find(it.Customer);
+    if (bucket == Buckets.end())
+      continue;
+    fill(bucket->second, now);
+    bucket->second.SharePermille = it.Permille;
+    bucket->second.ShareUntil = sentAt + Settings.Validity;
+    fill(bucket->second, now);
+  }
+}
+
+bool RateShares::spend(const std::string &customer, core::Time now) {
+  auto it = Buckets.find(customer);
+  if (it == Buckets.end())
+    return true;
+  Bucket &bucket = it->second;
+  countArrivals(bucket, 1, now);
+  fill(bucket, now);
+  if (bucket.Tokens < 1)
+    return false;
+  bucket.Tokens -= 1;
+  return true;
+}
+
+void RateShares::giveBack(const std::string &customer, core::Time now) {
+  auto it = Buckets.find(customer);
+  if (it == Buckets.end())
+    return;
+  it->second.Tokens += 1;
+  fill(it->second, now);
+}
+
+std::vector<link::CustomerUse> RateShares::uses(core::Time now) {
+  std::vector<link::CustomerUse> out;
+  for (auto &[name, bucket] : Buckets) {
+    countArrivals(bucket, 0, now);
+    uint32_t held = now < bucket.ShareUntil ? bucket.SharePermille : 0;
+    if (bucket.ArrivalsPerS > IdleRate || held != 0)
+      out.push_back({name, bucket.ArrivalsPerS, held});
+  }
+  return out;
+}
+
+double RateShares::share(const Bucket &bucket, core::Time now) const {
+  double held = now < bucket.ShareUntil ? bucket.SharePermille / 1000.0 : 0;
+  return held + ReserveShare;
+}
+
+void RateShares::fill(Bucket &bucket, core::Time now) const {
+  double part = share(bucket, now);
+  double seconds = static_cast<double>((now - bucket.FilledAt).Ms) / 1000;
+  double depth =
+      std::max(LeastDepth, part * bucket.Burst * Settings.BurstPermille / 1000.0);
+  bucket.Tokens = std::min(depth, bucket.Tokens + seconds * part * bucket.RatePerS);
+  bucket.FilledAt = now;
+}
+
+void RateShares::countArrivals(Bucket &bucket, double n, core::Time now) const {
+  double window = static_cast<double>(Settings.DemandWindow.Ms);
+  double span = static_cast<double>((now - bucket.ArrivalsAt).Ms);
+  bucket.ArrivalsPerS = bucket.ArrivalsPerS * std::exp(-span / window) + n * 1000 / window;
+  bucket.ArrivalsAt = now;
+}
+
+} // namespace briarspar::entry
--- /dev/null
+++ b/src/entry/RateShares.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "absl/types/span.h"
+#include "catalog/Catalog.h"
+#include "link/Messages.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace briarspar::entry {
+
+/// Bounds of the use of customers' rates. The shares that the leader hands out add up to the whole
+/// rate; what VMs use without a valid share adds up to ReservePermille more.
+struct RateSharesSettings {
+  core::Duration Validity{3000};   ///< A share ends this long after its report was sent.
+  uint32_t ReservePermille = 150;  ///< Of the rate, for all VMs without a valid share together.
+  uint32_t BurstPermille = 300;    ///< Depth of all buckets together, as a part of the burst.
+  core::Duration DemandWindow{1000}; ///< Time constant of the measured arrivals.
+};
+
+/// Spends this VM's shares of the customers' rates. Holds for VMs that hear from nobody too: a
+/// share that is not renewed ends, and then only this VM's part of the reserve remains.
+class RateShares {
+public:
+  explicit RateShares(const RateSharesSettings &settings = {});
+
+  /// Takes the limits of all customers. Customers without a rate are not limited.
+  void setLimits(const catalog::Shelf<catalog::Customer> &customers, core::Time now);
+
+  /// Takes the shares that answer a report sent at `sentAt`, and the number of live entry VMs.
+  void setShares(absl::Span<const link::RateShare> shares, size_t entries, core::Time sentAt,
+                 core::Time now);
+
+  /// Spends one request of a customer's rate. Returns false when nothing is left.
+  bool spend(const std::string &customer, core::Time now);
+
+  /// Gives back a request that was not run.
+  void giveBack(const std::string &customer, core::Time now);
+
+  /// Returns the arrivals and the share in use of each customer that has been active lately.
+  std::vector<link::CustomerUse> uses(core::Time now);
+
+private:
+  struct Bucket {
+    double RatePerS = 0; ///< Of the customer, over all VMs.
+    double Burst = 0;    ///< Of the customer, over all VMs.
+    uint32_t SharePermille = 0;
+    core::Time ShareUntil;
+    double Tokens = 0;
+    core::Time FilledAt;
+    double ArrivalsPerS = 0;
+    core::Time ArrivalsAt;
+  };
+
+  double share(const Bucket &bucket, core::Time now) const;
+  void fill(Bucket &bucket, core::Time now) const;
+  void countArrivals(Bucket &bucket, double n, core::Time now) const;
+
+  const RateSharesSettings Settings;
+  std::map<std::string, Bucket> Buckets;
+  double ReserveShare = 0; ///< This VM's part of the reserve, as a part of the rate.
+};
+
+} // namespace briarspar::entry
--- /dev/null
+++ b/src/entry/TargetPool.cpp
@@ -0,0 +1,109 @@
+#include "entry/TargetPool.h"
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+
+namespace briarspar::entry {
+
+/// Reads the rest of an answer that nobody waits for, then gives the connection back.
+class TargetPool::Discarder final : public http::AnswerListener {
+public:
+  Discarder(TargetPool &pool, ConnectionPtr connection)
+      : Pool(pool), Connection(std::move(connection)) {}
+
+  void onAnswerHead(http::Head) override {}
+  void onAnswerBody(std::string_view) override {}
+
+  void onAnswerEnd() override {
+    Pool.release(Connection);
+    end();
+  }
+
+  void onConnectionLost(http::ConnectionLoss) override { end(); }
+
+  void close() { Connection->close(); }
+
+private:
+  /// Removes this object once the connection's call has returned.
+  void end() {
+    asio::post(Pool.Io, [&pool = Pool, key = Connection.get()] { pool.Discarders.erase(key); });
+  }
+
+  TargetPool &Pool;
+  ConnectionPtr Connection;
+};
+
+TargetPool::TargetPool(asio::io_context &io, const core::Clock &clock, std::string idHeader,
+                       const http::ClientConnectionSettings &settings)
+    : Io(io), Clock(clock), IdHeader(std::move(idHeader)), Settings(settings) {}
+
+TargetPool::~TargetPool() {
+  for (auto &[key, discarder] : Discarders)
+    discarder->close();
+  for (auto &[key, peer] : Peers)
+    for (const ConnectionPtr &it : peer.Idle)
+      it->close();
+}
+
+std::shared_ptr<http::ClientConnection>
+TargetPool::acquire(const std::string &host, uint16_t port, size_t most, bool fresh) {
+  Peer &peer = Peers[{host, port}];
+  core::Time now = Clock.now();
+  while (!peer.Idle.empty()) {
+    ConnectionPtr connection = std::move(peer.Idle.back());
+    peer.Idle.pop_back();
+    if (connection->mayReuse(now, fresh))
+      return connection;
+    connection->close();
+  }
+  peer.All.erase(std::remove_if(peer.All.begin(), peer.All.end(),
+                                [](const auto &it) { return it.expired(); }),
+                 peer.All.end());
+  if (peer.All.size() >= most)
+    return nullptr;
+  auto connection = std::make_shared<http::ClientConnection>(Io, Clock, host, port, Settings);
+  connection->setIdHeader(IdHeader);
+  peer.All.push_back(connection);
+  ++Opened;
+  return connection;
+}
+
+void TargetPool::release(const ConnectionPtr &connection) {
+  if (connection->mayReuse(Clock.now(), false))
+    Peers[{connection->host(), connection->port()}].Idle.push_back(connection);
+  else
+    connection->close();
+}
+
+void TargetPool::discardAnswer(const ConnectionPtr &connection) {
+  auto discarder = std::make_unique<Discarder>(*this, connection);
+  connection->setListener(*discarder);
+  connection->setReading(true);
+  Discarders[connection.get()] = std::move(discarder);
+}
+
+void TargetPool::sweep() {
+  core::Time now = Clock.now();
+  for (auto it = Peers.begin(); it != Peers.end();) {
+    std::vector<ConnectionPtr> &idle = it->second.Idle;
+    for (const ConnectionPtr &connection : idle)
+      if (!connection->mayReuse(now, false))
+        connection->close();
+    idle.erase(std::remove_if(idle.begin(), idle.end(),
+                              [](const ConnectionPtr &c) { return !c->isOpen(); }),
+               idle.end());
+    bool used = std::any_of(it->second.All.begin(), it->second.All.end(),
+                            [](const auto &c) { return !c.expired(); });
+    it = used ? std::next(it) : Peers.erase(it);
+  }
+}
+
+size_t TargetPool::openConnections() const {
+  size_t n = 0;
+  for (const auto &[key, peer] : Peers)
+    n += peer.All.size();
+  return n;
+}
+
+} // namespace briarspar::entry
--- /dev/null
+++ b/src/http/ClientConnection.cpp
@@ -0,0 +1,250 @@
+#include "http/ClientConnection.h"
+
+#include "core/Text.h"
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <chrono>
+
+namespace briarspar::http {
+
+namespace {
+
+/// Bytes read at once.
+constexpr size_t ReadBytes = 16UL * 1024;
+
+/// Part of the server's idle timeout during which a connection is reused. Beyond it, a request
+/// could cross the server's close.
+constexpr int64_t ReusePermille = 700;
+
+/// A connection that was used within this span is taken to be open at the server.
+constexpr core::Duration FreshSpan{2000};
+
+core::Duration keepAliveOf(const Head &head, core::Duration fallback) {
+  std::optional<std::string_view> value = head.find("keep-alive");
+  if (!value)
+    return fallback;
+  for (std::string_view part : core::split(*value, ',')) {
+    part = core::trim(part);
+    if (!core::consumePrefix(part, "timeout="))
+      continue;
+    if (std::optional<int64_t> seconds = core::parseNumber<int64_t>(part))
+      return core::Duration::seconds(*seconds);
+  }
+  return fallback;
+}
+
+} // namespace
+
+ClientConnection::ClientConnection(asio::io_context &io, const core::Clock &clock, std::string host,
+                                   uint16_t port, const ClientConnectionSettings &settings)
+    : Clock(clock), Host(std::move(host)), Port(port), Settings(settings), Socket(io),
+      ConnectTimer(io), Parser(MessageParser::Answers, settings.MaxHeadBytes, *this),
+      KeepAlive(settings.DefaultKeepAlive) {}
+
+ClientConnection::~ClientConnection() = default;
+
+void ClientConnection::start(const Head &head, std::string id, AnswerListener &listener) {
+  Listener = &listener;
+  Id = std::move(id);
+  Skipping = false;
+  RequestDone = false;
+  if (head.Method == "HEAD")
+    Parser.expectNoBody();
+  write(writeHead(head));
+  if (Phase == Created)
+    connect();
+}
+
+void ClientConnection::write(std::string_view bytes) {
+  if (Phase == Ended || bytes.empty())
+    return;
+  Queue.emplace_back(bytes);
+  QueuedBytes += bytes.size();
+  flush();
+}
+
+void ClientConnection::close() {
+  Listener = nullptr;
+  shut();
+}
+
+void ClientConnection::setReading(bool on) {
+  ReadingOn = on;
+  if (on && Phase == Open)
+    read();
+}
+
+bool ClientConnection::mayReuse(core::Time now, bool fresh) const {
+  if (!isIdle() || !Reusable)
+    return false;
+  core::Duration idle = now - LastUse;
+  return idle.Ms < KeepAlive.Ms * ReusePermille / 1000 && (!fresh || idle < FreshSpan);
+}
+
+void ClientConnection::connect() {
+  Phase = Connecting;
+  ConnectStart = Clock.now();
+  asio::error_code ec;
+  asio::ip::address address = asio::ip::make_address(Host, ec);
+  auto self = shared_from_this();
+  if (ec) {
+    asio::post(Socket.get_executor(), [self] { self->lose(ConnectionLoss::NotConnected); });
+    return;
+  }
+  ConnectTimer.expires_after(std::chrono::milliseconds(Settings.ConnectTimeout.Ms));
+  ConnectTimer.async_wait([self](const asio::error_code &ec) {
+    if (!ec && self->Phase == Connecting)
+      self->lose(ConnectionLoss::NotConnected);
+  });
+  Socket.async_connect({address, Port}, [self](const asio::error_code &ec) { self->onConnect(ec); });
+}
+
+void ClientConnection::onConnect(const asio::error_code &ec) {
+  if (Phase != Connecting)
+    return;
+  ConnectTimer.cancel();
+  if (ec) {
+    lose(ConnectionLoss::NotConnected);
+    return;
+  }
+  Phase = Open;
+  asio::error_code ignored;
+  Socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  auto timeout = static_cast<unsigned int>(Settings.UserTimeout.Ms);
+  ::setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+  if (Listener != nullptr)
+    Listener->onConnected(Clock.now() - ConnectStart);
+  if (Phase != Open)
+    return;
+  read();
+  flush();
+}
+
+void ClientConnection::read() {
+  if (ReadPending || !ReadingOn || Phase != Open)
+    return;
+  ReadPending = true;
+  Buffer.resize(ReadBytes);
+  auto self = shared_from_this();
+  Socket.async_read_some(asio::buffer(Buffer),
+                         [self](const asio::error_code &ec, size_t n) { self->onRead(ec, n); });
+}
+
+void ClientConnection::onRead(const asio::error_code &ec, size_t n) {
+  ReadPending = false;
+  if (Phase != Open)
+    return;
+  if (ec) {
+    Reusable = false;
+    if (ec == asio::error::eof && Listener != nullptr && !Skipping && Parser.finish().ok() &&
+        Listener == nullptr) {
+      shut();
+      return;
+    }
+    lose(ConnectionLoss::Closed);
+    return;
+  }
+  std::string bytes = Buffer.substr(0, n);
+  parse(bytes);
+  read();
+}
+
+void ClientConnection::parse(std::string_view bytes) {
+  while (!bytes.empty() && Phase == Open) {
+    if (Listener == nullptr) {
+      // Bytes without a request belong to nobody.
+      lose(ConnectionLoss::Malformed);
+      return;
+    }
+    size_t used = 0;
+    if (!Parser.feed(bytes, used).ok()) {
+      lose(ConnectionLoss::Malformed);
+      return;
+    }
+    bytes.remove_prefix(used);
+  }
+}
+
+void ClientConnection::onHead(Head head) {
+  if (!IdHeader.empty()) {
+    std::optional<std::string_view> id = head.find(IdHeader);
+    if (id && *id != Id) {
+      Skipping = true;
+      return;
+    }
+  }
+  Reusable = head.KeepAlive && head.Body != Framing::UntilClose;
+  KeepAlive = keepAliveOf(head, Settings.DefaultKeepAlive);
+  if (Listener != nullptr)
+    Listener->onAnswerHead(std::move(head));
+}
+
+void ClientConnection::onBody(std::string_view bytes) {
+  if (!Skipping && Listener != nullptr)
+    Listener->onAnswerBody(bytes);
+}
+
+void ClientConnection::onEnd() {
+  if (Skipping) {
+    Skipping = false;
+    return;
+  }
+  LastUse = Clock.now();
+  if (!RequestDone || !Queue.empty())
+    Reusable = false; // The rest of the body is still due on this connection.
+  AnswerListener *listener = std::exchange(Listener, nullptr);
+  if (!Reusable)
+    shut();
+  if (listener != nullptr)
+    listener->onAnswerEnd();
+}
+
+void ClientConnection::flush() {
+  if (WritePending || Queue.empty() || Phase != Open)
+    return;
+  WritePending = true;
+  auto self = shared_from_this();
+  std::vector<asio::const_buffer> buffers;
+  for (const std::string &it : Queue)
+    buffers.emplace_back(it.data(), it.size());
+  size_t count = Queue.size();
+  asio::async_write(Socket, buffers, [self, count](const asio::error_code &ec, size_t n) {
+    self->WritePending = false;
+    if (self->Phase != Open)
+      return;
+    if (ec) {
+      // The server may have answered before it closed; reading tells.
+      self->Reusable = false;
+      return;
+    }
+    bool wasFull = !self->isWritable();
+    self->Queue.erase(self->Queue.begin(), self->Queue.begin() + static_cast<long>(count));
+    self->QueuedBytes -= n;
+    if (wasFull && self->isWritable() && self->Listener != nullptr)
+      self->Listener->onWritable();
+    self->flush();
+  });
+}
+
+void ClientConnection::lose(ConnectionLoss loss) {
+  AnswerListener *listener = std::exchange(Listener, nullptr);
+  shut();
+  if (listener != nullptr)
+    listener->onConnectionLost(loss);
+}
+
+void ClientConnection::shut() {
+  if (Phase == Ended)
+    return;
+  Phase = Ended;
+  ConnectTimer.cancel();
+  asio::error_code ignored;
+  Socket.close(ignored);
+}
+
+} // namespace briarspar::http
--- /dev/null
+++ b/src/http/SmallServer.cpp
@@ -0,0 +1,182 @@
+#include "http/SmallServer.h"
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "http/MessageParser.h"
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+
+#include <utility>
+
+namespace briarspar::http {
+
+namespace {
+
+/// Bytes read at once.
+constexpr size_t ReadBytes = 16UL * 1024;
+
+/// Connections that may wait to be accepted.
+constexpr int Backlog = 1024;
+
+} // namespace
+
+class SmallServer::Session : public std::enable_shared_from_this<Session>,
+                             private MessageListener {
+public:
+  Session(SmallServer &server, asio::ip::tcp::socket socket)
+      : Server(server), Socket(std::move(socket)),
+        Parser(MessageParser::Requests, server.Settings.MaxHeadBytes, *this) {}
+
+  void read() {
+    auto self = shared_from_this();
+    Buffer.resize(ReadBytes);
+    Socket.async_read_some(asio::buffer(Buffer), [self](const asio::error_code &ec, size_t n) {
+      if (ec) {
+        self->close();
+        return;
+      }
+      self->Received.append(self->Buffer, 0, n);
+      self->parse();
+      if (!self->Closed)
+        self->read();
+    });
+  }
+
+  void close() {
+    if (std::exchange(Closed, true))
+      return;
+    asio::error_code ignored;
+    Socket.close(ignored);
+    Server.Sessions.erase(shared_from_this());
+  }
+
+private:
+  /// Parses the next request unless one is being handled.
+  void parse() {
+    while (!Busy && !Closed && !Received.empty()) {
+      size_t used = 0;
+      if (!Parser.feed(Received, used).ok()) {
+        Current.Start.KeepAlive = false;
+        answer({400, "", "text/plain", "", {0}});
+        return;
+      }
+      Received.erase(0, used);
+    }
+  }
+
+  void onHead(Head head) override { Current = {std::move(head), ""}; }
+
+  void onBody(std::string_view bytes) override {
+    if (Current.Body.size() + bytes.size() <= Server.Settings.MaxBodyBytes)
+      Current.Body.append(bytes);
+    else
+      TooLong = true;
+  }
+
+  void onEnd() override {
+    Busy = true;
+    if (TooLong) {
+      Current.Start.KeepAlive = false;
+      answer({413, "", "text/plain", "", {0}});
+      return;
+    }
+    std::weak_ptr<Session> self = weak_from_this();
+    Server.Handle(Current, [self](WholeAnswer it) {
+      if (std::shared_ptr<Session> session = self.lock())
+        session->answer(it);
+    });
+  }
+
+  void answer(const WholeAnswer &it) {
+    if (Closed)
+      return;
+    Head head;
+    head.Status = it.Status;
+    head.Body = Framing::Length;
+    head.Length = it.Body.size();
+    head.KeepAlive = Current.Start.KeepAlive;
+    if (!it.Body.empty())
+      head.add("Content-Type", it.ContentType);
+    if (!it.Location.empty())
+      head.add("Location", it.Location);
+    if (it.RetryAfter.Ms > 0)
+      head.add("Retry-After", absl::StrFormat("%.2f", static_cast<double>(it.RetryAfter.Ms) / 1000));
+    Out = writeHead(head) + it.Body;
+    auto self = shared_from_this();
+    bool keep = head.KeepAlive;
+    asio::async_write(Socket, asio::buffer(Out), [self, keep](const asio::error_code &ec, size_t) {
+      if (ec || !keep) {
+        self->close();
+        return;
+      }
+      self->Busy = false;
+      self->parse();
+    });
+  }
+
+  SmallServer &Server;
+  asio::ip::tcp::socket Socket;
+  MessageParser Parser;
+  std::string Buffer;
+  std::string Received;
+  std::string Out;
+  WholeRequest Current;
+  bool Busy = false;
+  bool TooLong = false;
+  bool Closed = false;
+};
+
+SmallServer::SmallServer(asio::io_context &io, Handler handler, const SmallServerSettings &settings)
+    : Io(io), Handle(std::move(handler)), Settings(settings), Acceptor(io) {}
+
+SmallServer::~SmallServer() { stop(); }
+
+absl::Status listen(asio::ip::tcp::acceptor &acceptor, const std::string &host, uint16_t port) {
+  asio::error_code ec;
+  asio::ip::tcp::endpoint endpoint(asio::ip::make_address(host, ec), port);
+  if (!ec)
+    acceptor.open(endpoint.protocol(), ec);
+  if (!ec)
+    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), ec);
+  if (!ec)
+    acceptor.bind(endpoint, ec);
+  if (!ec)
+    acceptor.listen(Backlog, ec);
+  if (ec)
+    return absl::UnavailableError(absl::StrCat("listener on ", host, ":", port, ": ", ec.message()));
+  return absl::OkStatus();
+}
+
+absl::Status SmallServer::start(const std::string &host, uint16_t port) {
+  if (absl::Status status = listen(Acceptor, host, port); !status.ok())
+    return status;
+  Port = Acceptor.local_endpoint().port();
+  accept();
+  return absl::OkStatus();
+}
+
+void SmallServer::stop() {
+  asio::error_code ignored;
+  Acceptor.close(ignored);
+  auto sessions = Sessions;
+  for (const std::shared_ptr<Session> &it : sessions)
+    it->close();
+}
+
+void SmallServer::accept() {
+  Acceptor.async_accept([this](const asio::error_code &ec, asio::ip::tcp::socket socket) {
+    if (ec == asio::error::operation_aborted || !Acceptor.is_open())
+      return;
+    if (!ec && Sessions.size() < Settings.MaxConnections) {
+      asio::error_code ignored;
+      socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+      auto session = std::make_shared<Session>(*this, std::move(socket));
+      Sessions.insert(session);
+      session->read();
+    }
+    accept();
+  });
+}
+
+} // namespace briarspar::http
--- /dev/null
+++ b/src/http/SmallServer.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "absl/status/status.h"
+#include "core/Clock.h"
+#include "http/Head.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+namespace briarspar::http {
+
+/// A whole request.
+struct WholeRequest {
+  Head Start;
+  std::string Body;
+};
+
+/// A whole answer.
+struct WholeAnswer {
+  int Status = 200;
+  std::string Body;
+  std::string ContentType = "application/json";
+  std::string Location;         ///< For redirects.
+  core::Duration RetryAfter{0}; ///< 0: not named.
+};
+
+struct SmallServerSettings {
+  size_t MaxHeadBytes = 32UL * 1024;
+  size_t MaxBodyBytes = 16UL * 1024 * 1024;
+  size_t MaxConnections = 512;
+};
+
+/// An HTTP/1.1 server for short calls with whole bodies: operators, look-ups, readiness, metrics.
+/// Answers may come later, on the same thread. Runs on the thread of the io_context.
+class SmallServer {
+public:
+  using Responder = std::function<void(WholeAnswer)>;
+  using Handler = std::function<void(const WholeRequest &, Responder)>;
+
+  SmallServer(asio::io_context &io, Handler handler, const SmallServerSettings &settings = {});
+  ~SmallServer();
+
+  /// Opens the listener. Returns an error when the address is not available.
+  absl::Status start(const std::string &host, uint16_t port);
+  void stop();
+
+  uint16_t port() const { return Port; }
+
+private:
+  class Session;
+
+  void accept();
+
+  asio::io_context &Io;
+  Handler Handle;
+  const SmallServerSettings Settings;
+  asio::ip::tcp::acceptor Acceptor;
+  uint16_t Port = 0;
+  std::unordered_set<std::shared_ptr<Session>> Sessions;
+};
+
+/// Opens a listener with the address reused. Returns an error when it is not available.
+absl::Status listen(asio::ip::tcp::acceptor &acceptor, const std::string &host, uint16_t port);
+
+} // namespace briarspar::http
--- /dev/null
+++ b/src/link/Messages.cpp
@@ -0,0 +1,132 @@
+#include "link/Messages.h"
+
+namespace briarspar::link {
+
+using core::Json;
+
+namespace {
+
+/// Crash reports are CBOR and travel as byte strings.
+Json binary(const std::string &bytes) {
+  return Json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
+}
+
+std::string fromBinary(const Json &j) {
+  const auto &bytes = j.get_binary();
+  return {bytes.begin(), bytes.end()};
+}
+
+} // namespace
+
+void to_json(Json &j, const JoinRequest &it) { j = {it.Vm, it.Data}; }
+
+void from_json(const Json &j, JoinRequest &it) {
+  j.at(0).get_to(it.Vm);
+  j.at(1).get_to(it.Data);
+}
+
+void to_json(Json &j, const CustomerUse &it) {
+  j = {it.Customer, it.ArrivalsPerS, it.SharePermille};
+}
+
+void from_json(const Json &j, CustomerUse &it) {
+  j.at(0).get_to(it.Customer);
+  j.at(1).get_to(it.ArrivalsPerS);
+  j.at(2).get_to(it.SharePermille);
+}
+
+void to_json(Json &j, const VersionCounts &it) {
+  j = {it.Service,  it.Version,   it.Route,      it.Requests,
+       it.Failures, it.LatencyMs, it.SlowAnswers};
+}
+
+void from_json(const Json &j, VersionCounts &it) {
+  j.at(0).get_to(it.Service);
+  j.at(1).get_to(it.Version);
+  j.at(2).get_to(it.Route);
+  j.at(3).get_to(it.Requests);
+  j.at(4).get_to(it.Failures);
+  j.at(5).get_to(it.LatencyMs);
+  j.at(6).get_to(it.SlowAnswers);
+}
+
+void to_json(Json &j, const EntryReport &it) {
+  j = {{"n", it.Sequence},
+       {"region", it.Region},
+       {"domain", it.Domain},
+       {"address", it.Address},
+       {"serving", it.Serving},
+       {"stopping", it.Stopping},
+       {"catalog", it.Catalog},
+       {"epoch", it.ListEpoch},
+       {"list", it.ListSequence},
+       {"uses", it.Uses},
+       {"versions", it.Versions},
+       {"crashes", binary(it.Crashes)}};
+}
+
+void from_json(const Json &j, EntryReport &it) {
+  j.at("n").get_to(it.Sequence);
+  j.at("region").get_to(it.Region);
+  j.at("domain").get_to(it.Domain);
+  j.at("address").get_to(it.Address);
+  j.at("serving").get_to(it.Serving);
+  j.at("stopping").get_to(it.Stopping);
+  j.at("catalog").get_to(it.Catalog);
+  j.at("epoch").get_to(it.ListEpoch);
+  j.at("list").get_to(it.ListSequence);
+  j.at("uses").get_to(it.Uses);
+  j.at("versions").get_to(it.Versions);
+  it.Crashes = fromBinary(j.at("crashes"));
+}
+
+void to_json(Json &j, const RateShare &it) { j = {it.Customer, it.Permille}; }
+
+void from_json(const Json &j, RateShare &it) {
+  j.at(0).get_to(it.Customer);
+  j.at(1).get_to(it.Permille);
+}
+
+void to_json(Json &j, const ControlAnswer &it) {
+  j = {{"n", it.Sequence},
+       {"leads", it.Leads},
+       {"leader", it.Leader},
+       {"members", it.Members},
+       {"catalog", it.CatalogDelta},
+       {"list", it.ListDelta},
+       {"shares", it.Shares},
+       {"entries", it.Entries},
+       {"regions", it.EntryRegions},
+       {"crashes", binary(it.Crashes)}};
+}
+
+void from_json(const Json &j, ControlAnswer &it) {
+  j.at("n").get_to(it.Sequence);
+  j.at("leads").get_to(it.Leads);
+  j.at("leader").get_to(it.Leader);
+  j.at("members").get_to(it.Members);
+  it.CatalogDelta = j.at("catalog");
+  it.ListDelta = j.at("list");
+  j.at("shares").get_to(it.Shares);
+  j.at("entries").get_to(it.Entries);
+  j.at("regions").get_to(it.EntryRegions);
+  it.Crashes = fromBinary(j.at("crashes"));
+}
+
+std::string encode(const JoinRequest &it) { return core::encodeCbor(it); }
+std::string encode(const EntryReport &it) { return core::encodeCbor(it); }
+std::string encode(const ControlAnswer &it) { return core::encodeCbor(it); }
+
+absl::StatusOr<JoinRequest> decodeJoinRequest(std::string_view bytes) {
+  return core::decodeCborAs<JoinRequest>(bytes);
+}
+
+absl::StatusOr<EntryReport> decodeEntryReport(std::string_view bytes) {
+  return core::decodeCborAs<EntryReport>(bytes);
+}
+
+absl::StatusOr<ControlAnswer> decodeControlAnswer(std::string_view bytes) {
+  return core::decodeCborAs<ControlAnswer>(bytes);
+}
+
+} // namespace briarspar::link
--- /dev/null
+++ b/src/link/Messages.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "absl/status/statusor.h"
+#include "core/Clock.h"
+#include "core/Codec.h"
+#include "core/Ids.h"
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace briarspar::link {
+
+/// Kinds of messages between entry VMs and control VMs, and between control VMs.
+namespace kind {
+constexpr std::string_view Raft = "raft";     ///< agreement::Envelope, control VM to control VM.
+constexpr std::string_view Join = "join";     ///< JoinRequest, control VM to control VM.
+constexpr std::string_view Report = "report"; ///< EntryReport, entry VM to control VM.
+constexpr std::string_view Answer = "answer"; ///< ControlAnswer, control VM to entry VM.
+
+/// All kinds; the position of a kind is its number on the wire. New kinds go to the end.
+inline constexpr std::array All{Raft, Join, Report, Answer};
+} // namespace kind
+
+/// A control VM with a new data folder asks the leader to add it to the group.
+struct JoinRequest {
+  core::VmId Vm;
+  core::Incarnation Data; ///< Identity of its data folder.
+};
+
+/// What an entry VM wants and holds of one customer's rate.
+struct CustomerUse {
+  std::string Customer;
+  double ArrivalsPerS = 0;    ///< Requests of the customer here, those refused included.
+  uint32_t SharePermille = 0; ///< Part of the customer's rate that is in use here.
+};
+
+/// Outcomes of the requests to one version of a service since the process started.
+struct VersionCounts {
+  std::string Service;
+  std::string Version;
+  std::string Route;
+  uint64_t Requests = 0;
+  uint64_t Failures = 0;    ///< Answers with a status from 500 on, made by the target itself.
+  uint64_t LatencyMs = 0;   ///< Sum over the answers that are no failures, in ms.
+  uint64_t SlowAnswers = 0; ///< Answers that took over three times as long as expected.
+};
+
+/// State of one entry VM. Sent to each control VM; only the leader gets the parts that it alone
+/// uses.
+struct EntryReport {
+  uint64_t Sequence = 0; ///< Rises with each report; the answer names it.
+  core::RegionId Region;
+  core::DomainId Domain;
+  std::string Address;   ///< Where callers reach it: IP address and port.
+  bool Serving = false;  ///< Has what it needs to serve requests.
+  bool Stopping = false; ///< Is about to end.
+  core::LogIndex Catalog;
+  uint64_t ListEpoch = 0;
+  uint64_t ListSequence = 0;
+  std::vector<CustomerUse> Uses;
+  std::vector<VersionCounts> Versions;
+  std::string Crashes; ///< Encoded balance::CrashReport; empty when there are none.
+};
+
+/// Part of a customer's rate that an entry VM may use.
+struct RateShare {
+  std::string Customer;
+  uint32_t Permille = 0;
+};
+
+/// What a control VM tells an entry VM.
+struct ControlAnswer {
+  uint64_t Sequence = 0; ///< Of the report that is answered; 0 when it comes unasked.
+  bool Leads = false;    ///< The rest but Leader and Members counts only from a leader.
+  core::VmId Leader;     ///< Empty when unknown.
+  std::vector<core::VmId> Members; ///< Control VMs of the group.
+  core::Json CatalogDelta;         ///< Null when nothing changed.
+  core::Json ListDelta;            ///< Null when nothing changed.
+  std::vector<RateShare> Shares;   ///< Replace all earlier ones; for answers to reports.
+  std::vector<core::VmId> Entries; ///< Live entry VMs, in an order that all share.
+  std::vector<std::string> EntryRegions; ///< Region of each of Entries.
+  std::string Crashes;                   ///< Encoded balance::CrashReport; may be empty.
+};
+
+std::string encode(const JoinRequest &it);
+std::string encode(const EntryReport &it);
+std::string encode(const ControlAnswer &it);
+
+/// The decoders return InvalidArgument for malformed bytes.
+absl::StatusOr<JoinRequest> decodeJoinRequest(std::string_view bytes);
+absl::StatusOr<EntryReport> decodeEntryReport(std::string_view bytes);
+absl::StatusOr<ControlAnswer> decodeControlAnswer(std::string_view bytes);
+
+} // namespace briarspar::link
--- /dev/null
+++ b/src/node/Node.cpp
@@ -0,0 +1,180 @@
+#include "node/Node.h"
+
+#include "link/Messages.h"
+#include "observability/StreamLog.h"
+#include "platform/OperatorApi.h"
+#include "platform/TargetListFormat.h"
+#include "transport/Transport.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <sys/stat.h>
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+namespace briarspar::node {
+
+namespace {
+
+/// The settings file is looked at, and the log flushed, this often.
+constexpr std::chrono::milliseconds HousekeepingInterval{500};
+
+uint64_t wallClockMs() {
+  using namespace std::chrono;
+  return static_cast<uint64_t>(
+      duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count());
+}
+
+std::string readFile(const std::string &file) {
+  std::ifstream in(file);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+transport::TransportSettings transportSettings(const NodeSettings &settings) {
+  transport::TransportSettings out;
+  out.Self = settings.Vm;
+  out.Incarnation = core::Incarnation(wallClockMs());
+  out.Listen = {settings.Vm.Value, settings.PeerPort};
+  out.Secret = settings.Secret;
+  out.Kinds = {link::kind::All.begin(), link::kind::All.end()};
+  return out;
+}
+
+} // namespace
+
+class Node::Impl {
+public:
+  Impl(NodeSettings settings, std::string file)
+      : Settings(std::move(settings)), File(std::move(file)), Log(Settings.Vm, Settings.Name),
+        Peers(transport::makeWebsocketTransport(Io, Clock, Log, transportSettings(Settings))),
+        Signals(Io), Housekeeping(Io) {
+    if (Settings.What == Role::Entry)
+      Entry = std::make_unique<entry::EntryNode>(Io, Clock, Log, *Peers, entrySettings(Settings));
+    else
+      Control = std::make_unique<control::ControlNode>(Io, Clock, Log, *Peers, Operators, List,
+                                                       controlSettings(Settings));
+    SettingsText = readFile(File);
+  }
+
+  absl::Status run() {
+    std::signal(SIGPIPE, SIG_IGN);
+    Signals.add(SIGTERM);
+    Signals.add(SIGINT);
+    Signals.add(SIGHUP);
+    absl::Status status =
+        Peers->start([this](const transport::PeerMessage &message) { onMessage(message); });
+    if (status.ok())
+      status = Entry ? Entry->start() : Control->start();
+    if (!status.ok())
+      return status;
+    Log.emit({core::EventId::ProcessStarted,
+              {{"role", Entry ? "entry" : "control"},
+               {"region", Settings.Region},
+               {"domain", Settings.Domain},
+               {"bootstrap", Settings.Bootstrap}}});
+    awaitSignal();
+    keepHouse();
+    Io.run();
+    Log.emit({core::EventId::ProcessStopped, core::Json::object()});
+    Log.flush();
+    return absl::OkStatus();
+  }
+
+private:
+  void onMessage(const transport::PeerMessage &message) {
+    if (Entry)
+      Entry->onMessage(message);
+    else
+      Control->onMessage(message);
+  }
+
+  void awaitSignal() {
+    Signals.async_wait([this](const asio::error_code &ec, int signal) {
+      if (ec)
+        return;
+      if (signal == SIGHUP)
+        reload();
+      else
+        stop();
+      awaitSignal();
+    });
+  }
+
+  void stop() {
+    Log.emit({core::EventId::ProcessStopping, core::Json::object()});
+    Log.flush();
+    if (Entry) {
+      Entry->stop([this] { Io.stop(); });
+    } else {
+      Control->stop();
+      Io.stop();
+    }
+  }
+
+  void keepHouse() {
+    Log.flush();
+    struct stat info = {};
+    if (::stat(File.c_str(), &info) == 0) {
+      auto changed = std::make_pair(info.st_mtim.tv_sec, info.st_mtim.tv_nsec);
+      if (changed != FileChanged && FileChanged.first != 0)
+        reload();
+      FileChanged = changed;
+    }
+    Housekeeping.expires_after(HousekeepingInterval);
+    Housekeeping.async_wait([this](const asio::error_code &ec) {
+      if (!ec)
+        keepHouse();
+    });
+  }
+
+  /// Takes the seeds of changed settings; everything else is fixed while the process runs.
+  void reload() {
+    std::string text = readFile(File);
+    if (text == SettingsText)
+      return;
+    SettingsText = text;
+    absl::StatusOr<NodeSettings> settings = parseNodeSettings(text);
+    if (!settings.ok()) {
+      Log.emit({core::EventId::SettingsInvalid,
+                {{"reason", std::string(settings.status().message())}}});
+      return;
+    }
+    Settings.Seeds = settings->Seeds;
+    if (Entry)
+      Entry->setSeeds(settings->Seeds);
+    else
+      Control->setSeeds(settings->Seeds);
+    Log.emit({core::EventId::SettingsReloaded, {{"seeds", settings->Seeds}}});
+  }
+
+  NodeSettings Settings;
+  const std::string File;
+  std::string SettingsText;
+  std::pair<int64_t, int64_t> FileChanged{0, 0};
+  core::SteadyClock Clock;
+  asio::io_context Io{1};
+  observability::StreamLog Log;
+  platform::OperatorApi Operators;
+  platform::TargetListFormat List;
+  std::unique_ptr<transport::Transport> Peers;
+  std::unique_ptr<entry::EntryNode> Entry;
+  std::unique_ptr<control::ControlNode> Control;
+  asio::signal_set Signals;
+  asio::steady_timer Housekeeping;
+};
+
+Node::Node(NodeSettings settings, std::string file)
+    : Self(std::make_unique<Impl>(std::move(settings), std::move(file))) {}
+
+Node::~Node() = default;
+
+absl::Status Node::run() { return Self->run(); }
+
+} // namespace briarspar::node
--- a/src/transport/WebsocketTransport.cpp
+++ b/src/transport/WebsocketTransport.cpp
@@ -1,5 +1,3 @@
-#define ASIO_STANDALONE
-
 #include "transport/Transport.h"
 
 #include "absl/strings/str_cat.h"
--- a/src/transport/tests/WebsocketTransportTest.cpp
+++ b/src/transport/tests/WebsocketTransportTest.cpp
@@ -1,5 +1,3 @@
-#define ASIO_STANDALONE
-#include "core/testing/Property.h"
 #include "transport/Transport.h"
 
 #include <asio.hpp>
