Give rate shares the customer's whole burst, and refuse nothing on a guessed work time

Requests on added routes were refused because an unmeasured route was expected to take 1.5 latency goals, more than its timeout.

Ruled out: the demand reports (shares followed within 0.8 s), a lack of slots (load was under 0.5).

--- a/src/entry/RateShares.cpp
+++ b/src/entry/RateShares.cpp
@@ -97,8 +97,7 @@
 void RateShares::fill(Bucket &bucket, core::Time now) const {
   double part = share(bucket, now);
   double seconds = static_cast<double>((now - bucket.FilledAt).Ms) / 1000;
-  double depth =
-      std::max(LeastDepth, part * bucket.Burst * Settings.BurstPermille / 1000.0);
+  double depth = std::max(LeastDepth, part * bucket.Burst);
   bucket.Tokens = std::min(depth, bucket.Tokens + seconds * part * bucket.RatePerS);
   bucket.FilledAt = now;
 }
--- a/src/entry/RateShares.h
+++ b/src/entry/RateShares.h
@@ -14,8 +14,8 @@
 /// rate; what VMs use without a valid share adds up to ReservePermille more.
 struct RateSharesSettings {
   core::Duration Validity{3000};   ///< A share ends this long after its report was sent.
-  uint32_t ReservePermille = 150;  ///< Of the rate, for all VMs without a valid share together.
-  uint32_t BurstPermille = 300;    ///< Depth of all buckets together, as a part of the burst.
+  uint32_t ReservePermille = 80; ///< Of the rate and of the burst, for all VMs without a valid
+                                 ///< share together; the platform allows a tenth beyond the rate.
   core::Duration DemandWindow{1000}; ///< Time constant of the measured arrivals.
 };
 
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -332,7 +332,8 @@
                                                const std::string &service) {
   WorkTimes &times = Work[{route.Name, service}];
   if (times.Cold == 0) {
-    times.Cold = static_cast<double>(route.LatencyGoal.Ms) * Settings.ColdToGoal;
+    times.Cold = std::min(static_cast<double>(route.LatencyGoal.Ms) * Settings.ColdToGoal,
+                          static_cast<double>(route.Timeout.Ms) * Settings.ColdToTimeout);
     times.Warm = times.Cold * Settings.WarmToCold;
   }
   return times;
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -31,6 +31,8 @@
                                       ///< been measured.
   double ColdToGoal = 1.5;   ///< Expected time for an unfamiliar object, in latency goals, until
                              ///< answers have been measured.
+  double ColdToTimeout = 0.5; ///< Most that is expected before that, in timeouts of the route:
+                              ///< nothing is refused on a guess.
   double WarmToCold = 0.35;  ///< Expected time for a familiar object, in times for others.
   double SpreadToCold = 0.6; ///< Weight of the consistent order of targets for an object, in times
                              ///< for unfamiliar objects.
