Choose targets by the value of a request, with one home of an object in each region

Change: ObjectHomes picks one target of the region for each object, as many objects a target as it is measured to remember; the choice weighs the answer's worth at its expected time against the work it displaces and the bytes between places, and refuses at once what has no value anywhere.

--- /dev/null
+++ b/src/entry/ColdLimit.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "absl/types/span.h"
+#include "core/Clock.h"
+#include "core/Ids.h"
+
+#include <string>
+#include <vector>
+
+namespace briarspar::entry {
+
+struct ColdLimitSettings {
+  double Excess = 1.5; ///< Requests a second to a cold target, in its rate; the platform's bound.
+  double Slack = 5;    ///< Requests a second beyond that; the platform's bound.
+  double Use = 0.6;    ///< Part of that bound that all VMs together use, as they may briefly
+                       ///< disagree on who is there.
+};
+
+/// Shares the few requests that a cold target endures between the entry VMs, without a message:
+/// the VMs of the target's region send in turn, or where they are too many, those with the highest
+/// hashes.
+class ColdLimit {
+public:
+  ColdLimit(core::VmId own, core::RegionId region, const ColdLimitSettings &settings = {});
+
+  /// Takes the live entry VMs and their regions.
+  void setEntries(absl::Span<const core::VmId> entries, absl::Span<const std::string> regions);
+
+  /// True when this VM may send to the target while it is cold.
+  bool maySend(const core::TargetId &target, const core::RegionId &region, double ratePerS) const;
+
+  /// Returns the time between two requests of this VM to one cold target.
+  core::Duration interval(double ratePerS) const;
+
+private:
+  double most(double ratePerS) const;
+
+  const core::VmId Own;
+  const core::RegionId Region;
+  const ColdLimitSettings Settings;
+  std::vector<core::VmId> Entries; ///< Of this region.
+};
+
+} // namespace briarspar::entry
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -16,6 +16,9 @@
 constexpr uint64_t ObjectSeed = 0x6f626a;
 constexpr uint64_t FingerprintSeed = 0x66696e;
 
+/// Bytes of the heads of a request and its answer.
+constexpr double HeadBytesGuess = 600;
+
 /// Longest deadline that a caller may name.
 constexpr int64_t MaxDeadlineMs = 600'000;
 
@@ -180,6 +183,8 @@
   if (Customer)
     request.CustomerRegions = Customer->HomeRegions;
   request.Tried = Tried;
+  request.Priority = Customer && Customer->Priority ? *Customer->Priority : Route->Priority;
+  request.Waited = now - ArrivedAt;
   request.Left = GiveUpAt - now;
   std::optional<Pick> pick;
   if (request.Left > All.Settings.LeastSend)
@@ -199,6 +204,7 @@
   Tried.push_back(pick.Id);
   ++Sends;
   SentAt = now;
+  TrafficBytes = static_cast<double>(Body.size()) + HeadBytesGuess;
   State = AtTarget;
   HasAnswer = false;
   AnswerBytes.clear();
@@ -207,9 +213,14 @@
                                     {"service", Service},
                                     {"version", pick.Version},
                                     {"region", pick.Region},
+                                    {"object", Object.value_or(0)},
+                                    {"route", Route->Name},
+                                    {"customer", Customer ? Customer->Name : ""},
                                     {"familiar", pick.Familiar},
-                                    {"expected_ms", pick.Expected},
+                                    {"expected_ms", std::round(pick.Expected)},
                                     {"load", std::round(pick.Load * 10) / 10},
+                                    {"value", std::round(pick.Value * 100) / 100},
+                                    {"slowness", std::round(pick.Slowness * 10) / 10},
                                     {"send", Sends},
                                     {"left_ms", GiveUpAt - now},
                                     {"catalog", All.CatalogVersion},
@@ -290,6 +301,7 @@
   }
   if (State != AtTarget)
     return;
+  TrafficBytes += static_cast<double>(bytes.size());
   AnswerBytes.append(bytes);
   if (AnswerBytes.size() <= All.Settings.HeldAnswer)
     return;
@@ -471,7 +483,7 @@
 void Exchange::recordOutcome(TargetOutcome outcome, core::Time now) {
   if (!Target)
     return;
-  All.Targets.record(Target->Id, *Route, outcome, Target->Familiar, now - SentAt, now);
+  All.Targets.record(*Target, *Route, outcome, now - SentAt, TrafficBytes, now);
 }
 
 uint64_t Exchange::fingerprint() const {
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -152,6 +152,7 @@
   bool MayHaveRun = false;
   bool Spent = false; ///< One request of the customer's rate has been spent.
   core::Time SentAt;
+  double TrafficBytes = 0; ///< Of the request and its answer, about.
 
   http::Head Answer;
   bool HasAnswer = false;
--- /dev/null
+++ b/src/entry/ObjectHomes.cpp
@@ -0,0 +1,101 @@
+#include "entry/ObjectHomes.h"
+
+#include "core/Hash.h"
+
+#include <algorithm>
+
+namespace briarspar::entry {
+
+namespace {
+
+/// Weight of one answer in the share of familiar ones.
+constexpr double HitWeight = 0.01;
+
+/// Factor by which the estimate of remembered objects moves with one answer.
+constexpr double Growth = 1.002;
+
+constexpr core::Duration PruneInterval{1000};
+
+/// Separates the choice of a home from the choice of the objects that it keeps.
+constexpr uint64_t KeepSeed = 0x6b6565;
+
+/// Returns a number from 0 to 1 that is the same on all VMs.
+double unitHash(const core::TargetId &id, uint64_t seed) {
+  return static_cast<double>(core::hash64(id.Value, seed) >> 11) * 0x1.0p-53;
+}
+
+/// The candidate of a group with the highest hash.
+struct Best {
+  HomeCandidate *Candidate = nullptr;
+  double Order = -1;
+  size_t Members = 0;
+
+  void offer(HomeCandidate &it, double order) {
+    ++Members;
+    if (order > Order) {
+      Order = order;
+      Candidate = &it;
+    }
+  }
+};
+
+} // namespace
+
+ObjectHomes::ObjectHomes(const ObjectHomesSettings &settings) : Settings(settings) {}
+
+void ObjectHomes::note(const std::string &service, uint64_t object, core::Time now) {
+  Service &it = Services[service];
+  it.LastAsked[object] = now;
+  if (now < it.NextPrune)
+    return;
+  it.NextPrune = now + PruneInterval;
+  for (auto entry = it.LastAsked.begin(); entry != it.LastAsked.end();)
+    entry = now - entry->second > Settings.Window ? it.LastAsked.erase(entry) : std::next(entry);
+}
+
+void ObjectHomes::markHomes(const std::string &service, uint64_t object,
+                            const core::RegionId &region,
+                            absl::Span<HomeCandidate> candidates) const {
+  double inUse = static_cast<double>(std::max<size_t>(1, objects(service)));
+  double most = remembered(service);
+  Best local;
+  Best remote;
+  for (HomeCandidate &it : candidates)
+    (*it.Region == region ? local : remote).offer(it, unitHash(*it.Id, object));
+  auto keeps = [&](const Best &best) {
+    if (best.Candidate == nullptr)
+      return false;
+    double each = inUse / static_cast<double>(best.Members);
+    return each <= most || unitHash(*best.Candidate->Id, object ^ KeepSeed) < most / each;
+  };
+  if (keeps(local))
+    local.Candidate->IsHome = true;
+  else if (remote.Candidate != nullptr)
+    remote.Candidate->IsHome = true;
+  else if (local.Candidate != nullptr)
+    local.Candidate->IsHome = true;
+}
+
+void ObjectHomes::recordHit(const std::string &service, bool wasFast) {
+  Service &it = Services[service];
+  double remembered = this->remembered(service);
+  it.HitShare += HitWeight * ((wasFast ? 1.0 : 0.0) - it.HitShare);
+  if (it.HitShare > Settings.GoodHits)
+    remembered *= Growth;
+  else if (it.HitShare < Settings.PoorHits)
+    remembered /= Growth;
+  it.Remembered = std::clamp(remembered, Settings.LeastRemembered, Settings.MostRemembered);
+}
+
+size_t ObjectHomes::objects(const std::string &service) const {
+  auto it = Services.find(service);
+  return it == Services.end() ? 0 : it->second.LastAsked.size();
+}
+
+double ObjectHomes::remembered(const std::string &service) const {
+  auto it = Services.find(service);
+  return it == Services.end() || it->second.Remembered == 0 ? Settings.FirstRemembered
+                                                            : it->second.Remembered;
+}
+
+} // namespace briarspar::entry
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -1,11 +1,7 @@
 #include "entry/TargetTable.h"
 
-#include "core/Hash.h"
-
 #include <algorithm>
 #include <cmath>
-#include <cstring>
-#include <set>
 
 namespace briarspar::entry {
 
@@ -14,15 +10,17 @@
 /// Weight of a new sample in aged means.
 constexpr double SampleWeight = 0.15;
 
-/// Bounds of the measured slowness of a target.
+/// Bound of the measured slowness of a target.
 constexpr double MaxSlowness = 12;
-constexpr double MinSlowness = 0.6;
 
-/// An answer that took this many times as long as expected counts as slow.
-constexpr double SlowAnswer = 3;
+/// A time up to this factor of what was expected is explained by the spread of work.
+constexpr double ExplainedTime = 1.6;
+
+/// Spread of the time of an answer around what is expected, as a part of the latency goal.
+constexpr double GoalSpread = 0.1;
 
-/// Share of failures from which on a target is avoided in proportion.
-constexpr double ToleratedFailures = 0.02;
+/// Value that a request a slot costs among otherwise equal targets.
+constexpr double EvenLoad = 0.005;
 
 /// A probe without an answer is given up.
 constexpr core::Duration ProbeTimeout{1000};
@@ -33,11 +31,6 @@
 /// Connections to one target are shared by all entry VMs; part of the limit that they use.
 constexpr double ConnectionPart = 0.7;
 
-/// Returns a number from 0 to 1 that is the same on all VMs.
-double consistentOrder(uint64_t object, const core::TargetId &id) {
-  return static_cast<double>(core::hash64(id.Value, object) >> 11) * 0x1.0p-53;
-}
-
 bool contains(absl::Span<const std::string> list, const std::string &it) {
   return std::find(list.begin(), list.end(), it) != list.end();
 }
@@ -45,7 +38,8 @@
 } // namespace
 
 TargetTable::TargetTable(Place own, const TargetTableSettings &settings)
-    : Own(std::move(own)), Settings(settings) {}
+    : Own(std::move(own)), Settings(settings), Work(settings.Work), Homes(settings.Homes),
+      Cold(Own.Vm, Own.Region, settings.Cold), Shift(settings.Shift) {}
 
 void TargetTable::setTargets(const discovery::TargetList &list, core::Time now) {
   std::map<core::TargetId, State> old;
@@ -94,10 +88,7 @@
 void TargetTable::setEntries(absl::Span<const core::VmId> entries,
                              absl::Span<const std::string> regions) {
   EntryCount = std::max<size_t>(1, entries.size());
-  RegionEntries.clear();
-  for (size_t i = 0; i < entries.size() && i < regions.size(); ++i)
-    if (regions[i] == Own.Region.Value)
-      RegionEntries.push_back(entries[i]);
+  Cold.setEntries(entries, regions);
 }
 
 std::string TargetTable::chooseService(const catalog::Route &route) {
@@ -118,6 +109,8 @@
 }
 
 std::optional<Pick> TargetTable::pick(const PickRequest &request, core::Time now) {
+  if (request.Object)
+    Homes.note(request.Service, *request.Object, now);
   std::optional<Candidate> chosen;
   auto rollout = Rollouts.find(request.Service);
   if (rollout != Rollouts.end()) {
@@ -131,23 +124,11 @@
   State &state = *chosen->Target;
   ++state.Own;
   if (isCold(state, now))
-    state.ColdNext = now + coldInterval(state);
+    state.ColdNext = now + Cold.interval(coldRate(state));
   if (request.Object)
-    noteObject(state, *request.Object);
-  RegionShares &shares = Regions[request.Service];
-  ++shares.Current[state.Region];
-  ++shares.CurrentTotal;
-  Pick pick;
-  pick.Id = state.Info.Id;
-  pick.Host = state.Info.Host;
-  pick.Port = state.Info.Port;
-  pick.Service = request.Service;
-  pick.Version = state.Info.Version;
-  pick.Region = state.Region;
-  pick.Familiar = chosen->Familiar;
-  pick.Expected = {static_cast<int64_t>(chosen->Expected)};
-  pick.Load = chosen->Load;
-  return pick;
+    noteServed(state, *request.Object, now);
+  Shift.count(request.Service, state.Region);
+  return chosen->What;
 }
 
 std::optional<TargetTable::Candidate>
@@ -199,99 +180,111 @@
 std::optional<TargetTable::Candidate> TargetTable::best(absl::Span<State *const> targets,
                                                         const PickRequest &request,
                                                         core::Time now) {
-  const WorkTimes &times = workTimes(*request.Route, request.Service);
-  RegionShares &shares = Regions[request.Service];
-  std::map<core::RegionId, bool> mayMove;
-  std::optional<Candidate> chosen;
+  std::vector<HomeCandidate> homes;
+  std::vector<State *> usable;
   for (State *state : targets) {
-    if (!mayUse(*state, request, now))
+    if (!mayUse(*state, request))
       continue;
-    if (state->Region != Own.Region) {
-      auto known = mayMove.find(state->Region);
-      if (known == mayMove.end())
-        known = mayMove.emplace(state->Region, mayMoveTo(state->Region, shares, now)).first;
+    usable.push_back(state);
+    homes.push_back({&state->Info.Id, &state->Region});
+  }
+  if (request.Object)
+    Homes.markHomes(request.Service, *request.Object, Own.Region, absl::MakeSpan(homes));
+  const WorkTime time = Work.of(*request.Route, request.Service);
+  double meanWork = Work.mean(request.Service);
+  std::map<core::RegionId, bool> mayShift;
+  std::optional<Candidate> chosen;
+  for (size_t i = 0; i < usable.size(); ++i) {
+    State &state = *usable[i];
+    if (isCold(state, now) && !mayUseWhileCold(state, now))
+      continue;
+    Candidate it = rate(state, homes[i].IsHome, request, time, meanWork, now);
+    if (state.Region != Own.Region) {
+      auto known = mayShift.find(state.Region);
+      if (known == mayShift.end())
+        known = mayShift.emplace(state.Region, Shift.mayUse(request.Service, state.Region, now))
+                    .first;
       if (!known->second)
-        continue;
+        it.What.Value -= Settings.ShiftCost;
     }
-    Candidate it = rate(*state, request, times, now);
-    if (it.Load >= state->Info.Slots * Settings.FullQueues)
+    if (it.What.Load >= state.Info.Slots * Settings.FullQueues ||
+        it.What.Expected > static_cast<double>(request.Left.Ms))
       continue;
-    if (!chosen || it.Cost < chosen->Cost)
+    if (!chosen || it.What.Value > chosen->What.Value)
       chosen = it;
   }
-  if (chosen && chosen->Expected > static_cast<double>(request.Left.Ms))
+  if (chosen && chosen->What.Value < Settings.LeastValue)
     return std::nullopt;
   return chosen;
 }
 
-TargetTable::Candidate TargetTable::rate(State &state, const PickRequest &request,
-                                         const WorkTimes &times, core::Time now) const {
-  Candidate it;
-  it.Target = &state;
-  it.Load = load(state, now);
-  it.Familiar = request.Object && isFamiliar(state, *request.Object);
-  double work = (it.Familiar ? times.Warm : times.Cold) * state.Slowness;
+TargetTable::Candidate TargetTable::rate(State &state, bool isHome, const PickRequest &request,
+                                         const WorkTime &time, double meanWork,
+                                         core::Time now) const {
+  Pick pick;
+  pick.Id = state.Info.Id;
+  pick.Host = state.Info.Host;
+  pick.Port = state.Info.Port;
+  pick.Service = request.Service;
+  pick.Version = state.Info.Version;
+  pick.Region = state.Region;
+  pick.Load = load(state, now);
+  pick.Network = network(state);
+  pick.Slowness = slowness(state, now);
+  pick.Familiar = isHome || (request.Object && state.Served.count(*request.Object) != 0);
   double slots = state.Info.Slots;
-  double wait = it.Load < slots ? 0 : (it.Load - slots + 1) / slots * times.Warm * state.Slowness;
-  it.Expected = network(state) + wait + work;
-  it.Cost = it.Expected + std::max(0.0, state.FailureShare - ToleratedFailures) * times.Cold * 2;
-  if (request.Object)
-    it.Cost +=
-        (1 - consistentOrder(*request.Object, state.Info.Id)) * times.Cold * Settings.SpreadToCold;
-  else
-    it.Cost += it.Load / slots * times.Warm * Settings.SpreadToCold;
+  double work = (pick.Familiar ? time.Warm : time.Cold) * pick.Slowness;
   if (isCold(state, now))
-    it.Cost += times.Cold;
-  return it;
+    work += time.Cold;
+  double wait =
+      pick.Load < slots ? 0 : (pick.Load - slots + 1) / slots * meanWork * pick.Slowness;
+  pick.Expected = pick.Network + wait + work;
+
+  double goal = static_cast<double>((request.Route->LatencyGoal - request.Waited).Ms);
+  double spread = std::max(1.0, static_cast<double>(request.Route->LatencyGoal.Ms) * GoalSpread);
+  double inGoal = 1 / (1 + std::exp((pick.Expected - goal) / spread));
+  double weight = 1 + Settings.PriorityStep * (static_cast<double>(Settings.NormalPriority) -
+                                               static_cast<double>(request.Priority));
+  double answer = Settings.LateValue + (1 - Settings.LateValue) * inGoal;
+  double displaced = std::max(0.0, pick.Load / slots - Settings.FreeLoad) * Settings.LoadCost *
+                     work / std::max(1.0, meanWork);
+  pick.Value = std::max(0.1, weight) * answer * (1 - state.FailureShare) - displaced -
+               bytesCost(state, *request.Route);
+  // Among equals the less loaded one; too little to outweigh anything else.
+  pick.Value -= pick.Load / slots * EvenLoad;
+  return {&state, std::move(pick)};
+}
+
+double TargetTable::bytesCost(const State &state, const catalog::Route &route) const {
+  if (state.Info.Domain == Own.Domain)
+    return 0;
+  double perKb = state.Region == Own.Region ? Settings.DomainCostPerKb : Settings.RegionCostPerKb;
+  return Work.bytes(route) / 1000 * perKb;
 }
 
-bool TargetTable::mayUse(const State &state, const PickRequest &request, core::Time now) const {
+bool TargetTable::mayUse(const State &state, const PickRequest &request) const {
   if (state.Info.Draining || state.Leaving || state.Ejected ||
       Evacuated.count(state.Info.Domain.Value) != 0)
     return false;
-  if (!allowsRegion(state.Region, request))
-    return false;
-  if (std::find(request.Tried.begin(), request.Tried.end(), state.Info.Id) != request.Tried.end())
-    return false;
-  if (isCold(state, now) && (now < state.ColdNext || !ownsCold(state)))
-    return false;
-  return true;
-}
-
-bool TargetTable::allowsRegion(const core::RegionId &region, const PickRequest &request) const {
-  return (request.HomeRegions.empty() || contains(request.HomeRegions, region.Value)) &&
-         (request.CustomerRegions.empty() || contains(request.CustomerRegions, region.Value));
+  const std::string &region = state.Region.Value;
+  bool isAllowed =
+      (request.HomeRegions.empty() || contains(request.HomeRegions, region)) &&
+      (request.CustomerRegions.empty() || contains(request.CustomerRegions, region));
+  return isAllowed && std::find(request.Tried.begin(), request.Tried.end(), state.Info.Id) ==
+                          request.Tried.end();
 }
 
 bool TargetTable::isCold(const State &state, core::Time now) const {
   return now < state.ColdUntil || now < state.UnprovenUntil;
 }
 
-bool TargetTable::ownsCold(const State &state) const {
-  if (state.Region != Own.Region)
-    return false;
-  auto service = Services.find(state.Info.Service);
-  double rate = service == Services.end() ? 0 : service->second.ColdRatePerS;
-  double most = (rate * Settings.ColdExcess + Settings.ColdSlack) * Settings.ColdUsePermille / 1000;
-  if (static_cast<double>(RegionEntries.size()) <= most)
-    return true;
-  // The VMs with the highest hashes send; the rest leave the target alone until it is warm.
-  uint64_t mine = core::hash64(Own.Vm.Value, core::hash64(state.Info.Id.Value));
-  size_t ahead = 0;
-  for (const core::VmId &it : RegionEntries)
-    if (core::hash64(it.Value, core::hash64(state.Info.Id.Value)) > mine)
-      ++ahead;
-  return static_cast<double>(ahead + 1) <= most;
+bool TargetTable::mayUseWhileCold(const State &state, core::Time now) const {
+  return now >= state.ColdNext && Cold.maySend(state.Info.Id, state.Region, coldRate(state));
 }
 
-core::Duration TargetTable::coldInterval(const State &state) const {
+double TargetTable::coldRate(const State &state) const {
   auto service = Services.find(state.Info.Service);
-  double rate = service == Services.end() ? 0 : service->second.ColdRatePerS;
-  double most = (rate * Settings.ColdExcess + Settings.ColdSlack) * Settings.ColdUsePermille / 1000;
-  double senders = std::max(1.0, std::min<double>(RegionEntries.size(), std::floor(most)));
-  // A span of one second holds at most the whole number of intervals that fit, plus one request.
-  double each = std::max(1.0, std::floor(most / senders));
-  return {static_cast<int64_t>(1000 / each) + 20};
+  return service == Services.end() ? 0 : service->second.ColdRatePerS;
 }
 
 double TargetTable::load(const State &state, core::Time now) const {
@@ -300,69 +293,35 @@
   return state.Own + others * std::exp(-age / static_cast<double>(Settings.LoadDecay.Ms));
 }
 
+double TargetTable::slowness(const State &state, core::Time now) const {
+  double age = static_cast<double>((now - state.SlownessAt).Ms);
+  return 1 +
+         (state.Slowness - 1) * std::exp(-age / static_cast<double>(Settings.SlownessDecay.Ms));
+}
+
 double TargetTable::network(const State &state) const {
   if (state.Info.Domain == Own.Domain)
     return 0;
-  double cost = static_cast<double>(Settings.OtherDomainCost.Ms);
-  auto measured = DomainRoundTrip.find(state.Info.Domain);
-  if (measured != DomainRoundTrip.end())
-    return cost + measured->second;
-  if (state.Region != Own.Region)
-    cost += static_cast<double>(Settings.OtherRegionCost.Ms);
-  return cost;
+  auto measured = RoundTrip.find(state.Info.Domain);
+  if (measured != RoundTrip.end())
+    return measured->second;
+  return static_cast<double>(state.Region == Own.Region ? Settings.DomainRoundTrip.Ms
+                                                        : Settings.RegionRoundTrip.Ms);
 }
 
-bool TargetTable::isFamiliar(const State &state, uint64_t object) const {
-  auto it = state.Known.LastUse.find(object);
-  return it != state.Known.LastUse.end();
-}
-
-void TargetTable::noteObject(State &state, uint64_t object) const {
-  Objects &known = state.Known;
-  known.LastUse[object] = ++known.Uses;
-  if (known.LastUse.size() <= Settings.FamiliarObjects)
+void TargetTable::noteServed(State &state, uint64_t object, core::Time now) const {
+  state.Served[object] = now;
+  if (static_cast<double>(state.Served.size()) <= Homes.remembered(state.Info.Service))
     return;
   auto oldest =
-      std::min_element(known.LastUse.begin(), known.LastUse.end(),
+      std::min_element(state.Served.begin(), state.Served.end(),
                        [](const auto &a, const auto &b) { return a.second < b.second; });
-  known.LastUse.erase(oldest);
-}
-
-TargetTable::WorkTimes &TargetTable::workTimes(const catalog::Route &route,
-                                               const std::string &service) {
-  WorkTimes &times = Work[{route.Name, service}];
-  if (times.Cold == 0) {
-    times.Cold = std::min(static_cast<double>(route.LatencyGoal.Ms) * Settings.ColdToGoal,
-                          static_cast<double>(route.Timeout.Ms) * Settings.ColdToTimeout);
-    times.Warm = times.Cold * Settings.WarmToCold;
-  }
-  return times;
+  state.Served.erase(oldest);
 }
 
-bool TargetTable::mayMoveTo(const core::RegionId &region, RegionShares &shares,
-                            core::Time now) const {
-  if (now - shares.WindowStart >= Settings.RegionWindow) {
-    bool recent = now - shares.WindowStart < Settings.RegionWindow * 2;
-    shares.Previous = recent ? shares.Current : std::map<core::RegionId, uint32_t>();
-    shares.PreviousTotal = recent ? shares.CurrentTotal : 0;
-    shares.Current.clear();
-    shares.CurrentTotal = 0;
-    shares.WindowStart = now;
-  }
-  // Too few requests for a share to mean anything.
-  constexpr uint32_t LeastRequests = 10;
-  if (shares.PreviousTotal < LeastRequests)
-    return true;
-  double before = static_cast<double>(shares.Previous[region]) / shares.PreviousTotal;
-  double allowed = (before + Settings.MaxRegionShiftPermille / 1000.0) *
-                   std::max<double>(shares.PreviousTotal, shares.CurrentTotal + 1);
-  return shares.Current[region] + 1 <= allowed;
-}
-
-void TargetTable::record(const core::TargetId &id, const catalog::Route &route,
-                         TargetOutcome outcome, bool familiar, core::Duration latency,
-                         core::Time now) {
-  auto it = Targets.find(id);
+void TargetTable::record(const Pick &pick, const catalog::Route &route, TargetOutcome outcome,
+                         core::Duration latency, double bytes, core::Time now) {
+  auto it = Targets.find(pick.Id);
   if (it == Targets.end())
     return;
   State &state = it->second;
@@ -382,31 +341,19 @@
     state.FailureShare += SampleWeight * ((good ? 0.0 : 1.0) - state.FailureShare);
   if (good) {
     state.FailuresInRow = 0;
-    WorkTimes &times = workTimes(route, state.Info.Service);
-    double own = std::max(1.0, static_cast<double>(latency.Ms) - network(state));
-    double expected = familiar ? times.Warm : times.Cold;
-    double load = this->load(state, now);
-    if (load <= state.Info.Slots) {
-      double ratio = own / std::max(1.0, expected);
-      if (ratio > SlowAnswer)
-        ++Counts[{state.Info.Service, state.Info.Version.Value, route.Name}].SlowAnswers;
-      state.Slowness += SampleWeight * (ratio - state.Slowness);
-      state.Slowness = std::clamp(state.Slowness, MinSlowness, MaxSlowness);
-      bool &measured = familiar ? times.WarmMeasured : times.ColdMeasured;
-      double &mean = familiar ? times.Warm : times.Cold;
-      mean = measured ? mean + SampleWeight / 2 * (std::min(own, mean * 2) - mean) : own;
-      measured = true;
-      times.Warm = std::min(times.Warm, times.Cold);
-    }
+    Work.recordBytes(route, bytes);
+    learnTime(state, pick, route, latency, now);
     return;
   }
   if (outcome == TargetOutcome::WrongTarget) {
     state.Leaving = true;
     return;
   }
+  if (outcome == TargetOutcome::TimedOut)
+    learnTime(state, pick, route, latency, now);
   if (outcome == TargetOutcome::NotReached || outcome == TargetOutcome::Broken) {
     // The process may have ended: what it remembered is gone, and it may come back cold.
-    state.Known = {};
+    state.Served.clear();
     if (outcome == TargetOutcome::NotReached || ++state.FailuresInRow >= Settings.FailuresToEject)
       eject(state, now);
     return;
@@ -415,6 +362,23 @@
     eject(state, now);
 }
 
+void TargetTable::learnTime(State &state, const Pick &pick, const catalog::Route &route,
+                            core::Duration latency, core::Time now) {
+  double own = std::max(1.0, static_cast<double>(latency.Ms) - pick.Network);
+  double expected = std::max(1.0, (pick.Expected - pick.Network) / pick.Slowness);
+  const WorkTime time = Work.of(route, state.Info.Service);
+  // What an unfamiliar object explains is no slowness of the target.
+  double ratio = own <= std::max(expected, time.Cold) * ExplainedTime ? 1 : own / expected;
+  state.Slowness = slowness(state, now);
+  state.Slowness += SampleWeight * (std::min(ratio, MaxSlowness) - state.Slowness);
+  state.SlownessAt = now;
+  if (pick.Load > state.Info.Slots - 1 || ratio > 1)
+    return;
+  Work.record(route, state.Info.Service, own);
+  if (route.Sticky && pick.Familiar)
+    Homes.recordHit(state.Info.Service, time.isWarm(own));
+}
+
 void TargetTable::eject(State &state, core::Time now) const {
   if (state.Ejected)
     return;
@@ -439,17 +403,11 @@
     state.Info.Slots = load.Slots;
 }
 
-void TargetTable::recordLeaving(const core::TargetId &id) {
-  auto it = Targets.find(id);
-  if (it != Targets.end())
-    it->second.Leaving = true;
-}
-
 void TargetTable::recordRoundTrip(const core::TargetId &id, core::Duration time) {
   auto it = Targets.find(id);
   if (it == Targets.end())
     return;
-  auto &mean = DomainRoundTrip[it->second.Info.Domain];
+  auto &mean = RoundTrip[it->second.Info.Domain];
   mean = mean == 0 ? static_cast<double>(time.Ms)
                    : mean + SampleWeight * (static_cast<double>(time.Ms) - mean);
 }
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -3,6 +3,10 @@
 #include "absl/types/span.h"
 #include "catalog/Catalog.h"
 #include "discovery/TargetList.h"
+#include "entry/ColdLimit.h"
+#include "entry/ObjectHomes.h"
+#include "entry/RegionShift.h"
+#include "entry/WorkTimes.h"
 #include "link/Messages.h"
 
 #include <cstdint>
@@ -23,43 +27,45 @@
   std::map<core::DomainId, core::RegionId> Regions; ///< Of all failure domains.
 };
 
-/// Weights and times of the choice of targets.
+/// Weights and times of the choice of targets. Values are in answers within the latency goal: such
+/// an answer of a route of normal priority is worth 1.
 struct TargetTableSettings {
-  core::Duration OtherDomainCost{4};  ///< Added for a target in another failure domain: bytes that
-                                      ///< cross domains are paid for.
-  core::Duration OtherRegionCost{60}; ///< The same for another region, until its round trip has
-                                      ///< been measured.
-  double ColdToGoal = 1.5;   ///< Expected time for an unfamiliar object, in latency goals, until
-                             ///< answers have been measured.
-  double ColdToTimeout = 0.5; ///< Most that is expected before that, in timeouts of the route:
-                              ///< nothing is refused on a guess.
-  double WarmToCold = 0.35;  ///< Expected time for a familiar object, in times for others.
-  double SpreadToCold = 0.6; ///< Weight of the consistent order of targets for an object, in times
-                             ///< for unfamiliar objects.
-  size_t FamiliarObjects = 24; ///< Objects that a target is taken to remember.
+  double LateValue = 0.2; ///< Worth of an answer that comes after the goal; callers' own figure.
+  double PriorityStep = 0.25; ///< Added for each rank of priority above NormalPriority.
+  uint32_t NormalPriority = 2;
+  double LeastValue = 0.03; ///< A request worth less at every target is refused.
+  double FreeLoad = 0.7;    ///< Requests a slot up to which a request displaces no other.
+  double LoadCost = 1.0;    ///< Value displaced by a request of mean work for each request a slot
+                            ///< beyond that.
+  double DomainCostPerKb = 0.04; ///< Value of 1,000 bytes between failure domains, which are paid
+                                 ///< for.
+  double RegionCostPerKb = 0.04; ///< The same between regions.
+  double ShiftCost = 0.4; ///< Value lost when requests of a service move between regions too fast.
+  core::Duration DomainRoundTrip{2};  ///< To another failure domain, until it has been measured.
+  core::Duration RegionRoundTrip{60}; ///< To another region, until it has been measured.
   core::Duration LoadDecay{1000};     ///< Time constant with which a load report loses its weight.
+  core::Duration SlownessDecay{8000}; ///< The same of the measured slowness of a target.
   double FullQueues = 2.5;            ///< A target with this many requests a slot gets no more.
   uint32_t FailuresToEject = 3;       ///< Failures in a row that eject a target.
   core::Duration FirstEjection{1000}; ///< Doubles with every further ejection.
   core::Duration LongestEjection{8000};
-  core::Duration RegionWindow{2000};   ///< Span in which the shares of regions are compared.
-  uint32_t MaxRegionShiftPermille = 100; ///< Requests that may change their region from one window
-                                         ///< to the next.
-  double ColdExcess = 1.5; ///< Requests a second to a cold target, in its rate; the platform's
-                           ///< bound.
-  double ColdSlack = 5;    ///< Requests a second to a cold target beyond that; the platform's bound.
-  uint32_t ColdUsePermille = 600; ///< Part of that bound that all VMs together use.
+  ColdLimitSettings Cold;
+  RegionShiftSettings Shift;
+  WorkTimesSettings Work;
+  ObjectHomesSettings Homes;
 };
 
 /// What is to be sent.
 struct PickRequest {
   const catalog::Route *Route = nullptr;
+  uint32_t Priority = 0; ///< 0 is the most urgent.
   std::string Service;
-  std::optional<uint64_t> Object; ///< Hash of the object asked for, on sticky routes.
-  absl::Span<const std::string> HomeRegions;      ///< Of the route.
-  absl::Span<const std::string> CustomerRegions;  ///< Of the customer.
+  std::optional<uint64_t> Object;                ///< Hash of the object asked for.
+  absl::Span<const std::string> HomeRegions;     ///< Of the route.
+  absl::Span<const std::string> CustomerRegions; ///< Of the customer.
   absl::Span<const core::TargetId> Tried;
-  core::Duration Left; ///< Until the request is given up.
+  core::Duration Waited; ///< Since the request arrived.
+  core::Duration Left;   ///< Until the request is given up.
 };
 
 struct Pick {
@@ -69,19 +75,22 @@
   std::string Service;
   core::VersionId Version;
   core::RegionId Region;
-  bool Familiar = false;   ///< The target has recently served the object.
-  core::Duration Expected; ///< Until its answer.
+  bool Familiar = false;   ///< The target is taken to have recently served the object.
+  double Expected = 0;     ///< Time until its answer, in ms.
+  double Network = 0;      ///< The part of it that is not at the target.
+  double Slowness = 1;     ///< Factor in the rest of it for this target.
   double Load = 0;         ///< Estimated requests at the target before this one.
+  double Value = 0;
 };
 
 /// How a request at a target ended.
 enum class TargetOutcome : uint8_t {
-  Good,       ///< Any answer that does not blame the target.
-  Failed,     ///< A failure made by the target.
-  NotRun,     ///< The target refused it.
+  Good,        ///< Any answer that does not blame the target.
+  Failed,      ///< A failure made by the target.
+  NotRun,      ///< The target refused it.
   WrongTarget, ///< Another process has the address.
-  NotReached, ///< The connection could not be opened.
-  Broken,     ///< The connection ended, or the answer was malformed.
+  NotReached,  ///< The connection could not be opened.
+  Broken,      ///< The connection ended, or the answer was malformed.
   TimedOut,
   Cancelled,
 };
@@ -94,12 +103,14 @@
 };
 
 /// Everything that this VM knows about targets, and the choice among them. The load it answers:
-/// more work than slots in some regions, objects of unequal popularity that a target serves faster
-/// when it has recently served them, targets that are cold, slow, failing or leaving.
+/// more work than slots in some regions, objects of unequal popularity that a target serves several
+/// times faster when it has recently served them, targets that are cold, slow, failing or leaving.
 ///
-/// A request goes to the target with the least expected time: network, wait in the target's queue,
-/// and work, which is less for a familiar object. Among equal targets, a consistent order for each
-/// object decides, so that all VMs send an object to the same few targets. Not thread-safe.
+/// A request goes to the target where it has the highest value: what its answer is worth at the
+/// time at which it can be expected, less the value of the requests that its work displaces there,
+/// less the bytes between places. A request without value anywhere is better refused at once: in an
+/// overload, work for objects that a target does not remember takes the slots of several requests.
+/// Not thread-safe.
 class TargetTable {
 public:
   TargetTable(Place own, const TargetTableSettings &settings = {});
@@ -110,25 +121,22 @@
   /// Takes services, rollouts and evacuations.
   void setCatalog(const catalog::Catalog &catalog);
 
-  /// Takes the live entry VMs and their regions, which share the requests to cold targets.
+  /// Takes the live entry VMs and their regions.
   void setEntries(absl::Span<const core::VmId> entries, absl::Span<const std::string> regions);
 
   /// Chooses the service of a request so that each gets its weight's part.
   std::string chooseService(const catalog::Route &route);
 
-  /// Chooses a target and counts the request as sent to it; nothing when no target can be expected
-  /// to answer in time.
+  /// Chooses a target and counts the request as sent to it; nothing when it has no value at any.
   std::optional<Pick> pick(const PickRequest &request, core::Time now);
 
-  /// Takes the end of a request. `latency` counts for good answers.
-  void record(const core::TargetId &id, const catalog::Route &route, TargetOutcome outcome,
-              bool familiar, core::Duration latency, core::Time now);
+  /// Takes the end of a request that was sent to a pick. `latency` and `bytes` count for good
+  /// answers.
+  void record(const Pick &pick, const catalog::Route &route, TargetOutcome outcome,
+              core::Duration latency, double bytes, core::Time now);
 
   void recordLoad(const core::TargetId &id, const LoadReport &load, core::Time now);
 
-  /// A target announced that it is leaving.
-  void recordLeaving(const core::TargetId &id);
-
   /// Takes the measured time to open a connection to a target.
   void recordRoundTrip(const core::TargetId &id, core::Duration time);
 
@@ -147,18 +155,10 @@
   /// True when the list names at least one target.
   bool hasTargets() const { return !Targets.empty(); }
 
-  /// True when a target of this id may still be sent requests.
-  bool knows(const core::TargetId &id) const { return Targets.count(id) != 0; }
-
   /// Connections to one target that this VM may keep open.
   size_t maxConnections(const std::string &service) const;
 
 private:
-  struct Objects {
-    std::unordered_map<uint64_t, uint64_t> LastUse;
-    uint64_t Uses = 0;
-  };
-
   struct State {
     discovery::Target Info;
     core::RegionId Region;
@@ -168,6 +168,7 @@
     core::Time ReportedAt;
     double FailureShare = 0; ///< Exponentially aged.
     double Slowness = 1;     ///< Measured to expected time, exponentially aged.
+    core::Time SlownessAt;
     uint32_t FailuresInRow = 0;
     uint32_t Ejections = 0;
     bool Ejected = false;
@@ -176,51 +177,31 @@
     core::Time ProbedAt;
     bool Leaving = false;
     core::Time ColdUntil;
-    core::Time ColdNext; ///< Earliest next request while it is cold.
+    core::Time ColdNext;      ///< Earliest next request while it is cold.
     core::Time UnprovenUntil; ///< It came back, and the list cannot know yet whether it is cold.
-    Objects Known;
-  };
-
-  /// Expected times of a route at a service, in ms.
-  struct WorkTimes {
-    double Cold = 0;
-    double Warm = 0;
-    bool ColdMeasured = false;
-    bool WarmMeasured = false;
-  };
-
-  /// Requests by region in the current and the previous window.
-  struct RegionShares {
-    core::Time WindowStart;
-    std::map<core::RegionId, uint32_t> Current;
-    std::map<core::RegionId, uint32_t> Previous;
-    uint32_t CurrentTotal = 0;
-    uint32_t PreviousTotal = 0;
+    std::unordered_map<uint64_t, core::Time> Served; ///< Objects that this VM has sent there.
   };
 
   struct Candidate {
     State *Target = nullptr;
-    double Cost = 0;
-    double Expected = 0;
-    double Load = 0;
-    bool Familiar = false;
+    Pick What;
   };
 
-  bool mayUse(const State &state, const PickRequest &request, core::Time now) const;
-  bool allowsRegion(const core::RegionId &region, const PickRequest &request) const;
+  bool mayUse(const State &state, const PickRequest &request) const;
+  bool mayUseWhileCold(const State &state, core::Time now) const;
   bool isCold(const State &state, core::Time now) const;
-  bool ownsCold(const State &state) const;
-  core::Duration coldInterval(const State &state) const;
+  double coldRate(const State &state) const;
   std::optional<Candidate> best(absl::Span<State *const> targets, const PickRequest &request,
                                 core::Time now);
-  Candidate rate(State &state, const PickRequest &request, const WorkTimes &times,
-                 core::Time now) const;
+  Candidate rate(State &state, bool isHome, const PickRequest &request, const WorkTime &time,
+                 double meanWork, core::Time now) const;
   double load(const State &state, core::Time now) const;
+  double slowness(const State &state, core::Time now) const;
   double network(const State &state) const;
-  bool isFamiliar(const State &state, uint64_t object) const;
-  void noteObject(State &state, uint64_t object) const;
-  WorkTimes &workTimes(const catalog::Route &route, const std::string &service);
-  bool mayMoveTo(const core::RegionId &region, RegionShares &shares, core::Time now) const;
+  double bytesCost(const State &state, const catalog::Route &route) const;
+  void noteServed(State &state, uint64_t object, core::Time now) const;
+  void learnTime(State &state, const Pick &pick, const catalog::Route &route,
+                 core::Duration latency, core::Time now);
   void eject(State &state, core::Time now) const;
   std::vector<State *> ofVersion(const std::string &service, const core::VersionId *wanted,
                                  const core::VersionId *unwanted);
@@ -235,13 +216,14 @@
   std::map<std::string, catalog::Service> Services;
   std::map<std::string, catalog::Rollout> Rollouts;
   std::map<std::string, bool> Evacuated;
-  std::map<std::pair<std::string, std::string>, WorkTimes> Work; ///< By route and service.
-  std::map<std::string, RegionShares> Regions;                   ///< By service.
-  std::map<core::DomainId, double> DomainRoundTrip;
+  WorkTimes Work;
+  ObjectHomes Homes;
+  ColdLimit Cold;
+  RegionShift Shift;
+  std::map<core::DomainId, double> RoundTrip; ///< Measured, in ms.
   std::map<std::string, double> RolloutCredit;
   std::map<std::string, std::map<std::string, double>> SplitCredit; ///< By route and service.
   std::map<std::tuple<std::string, std::string, std::string>, link::VersionCounts> Counts;
-  std::vector<core::VmId> RegionEntries; ///< Entry VMs of this region.
   size_t EntryCount = 1;
 };
 
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -121,8 +121,8 @@
   out.Seeds = settings.Seeds;
   out.Names = platform::headerNames();
   platform::AgreedBounds bounds = platform::readBounds(settings.Bounds);
-  out.Choice.ColdExcess = bounds.ColdExcess;
-  out.Choice.ColdSlack = bounds.ColdSlack;
+  out.Choice.Cold.Excess = bounds.ColdExcess;
+  out.Choice.Cold.Slack = bounds.ColdSlack;
   return out;
 }
 
