Bound region shifts over all services, settle shares early, elect within a second

Cause: SHIFT broke because each service was bounded by itself and only softly.

Change: RegionShift bounds the share of each region over all services, hard unless targets have just failed. The group lists the entry VMs that may hold shares, reports name the leader's term that they have heard, and a leader divides as soon as every listed VM has answered it. Elections 450 to 900 ms.

Ruled out: giving shares before the old ones have ended (7.98 rates in a window that may have 6.6).

--- a/src/control/ControlMachine.cpp
+++ b/src/control/ControlMachine.cpp
@@ -23,6 +23,8 @@
 
 Json toJson(const SetEvacuation &it) { return {"evacuation", it.Domain, it.Active}; }
 
+Json toJson(const SetEntry &it) { return {"entry", it.Vm, it.Present}; }
+
 } // namespace
 
 std::string encode(const Order &order) {
@@ -46,6 +48,8 @@
                                j->at(4).get<uint32_t>(), j->at(5).get<core::Duration>()});
     if (kind == "evacuation")
       return Order(SetEvacuation{j->at(1).get<core::DomainId>(), j->at(2).get<bool>()});
+    if (kind == "entry")
+      return Order(SetEntry{j->at(1).get<core::VmId>(), j->at(2).get<bool>()});
     return absl::InvalidArgumentError("the order is of an unknown kind");
   } catch (const nlohmann::json::exception &e) {
     return absl::InvalidArgumentError(e.what());
@@ -83,24 +87,38 @@
                         index);
     return absl::OkStatus();
   }
+  if (const auto *it = std::get_if<SetEntry>(&order)) {
+    if (it->Present)
+      Entries.insert(it->Vm);
+    else
+      Entries.erase(it->Vm);
+    return absl::OkStatus();
+  }
   const auto &it = std::get<SetEvacuation>(order);
   Catalog.setEvacuation(it.Domain.Value, it.Active, index);
   return absl::OkStatus();
 }
 
 std::string ControlMachine::snapshot() const {
-  return core::encodeCbor(Catalog.deltaSince(core::LogIndex()));
+  return core::encodeCbor(
+      {{"catalog", Catalog.deltaSince(core::LogIndex())}, {"entries", Entries}});
 }
 
 absl::Status ControlMachine::restore(std::string_view snapshot) {
   absl::StatusOr<Json> j = core::decodeCbor(snapshot, {SIZE_MAX, 32});
   if (!j.ok())
     return j.status();
-  catalog::Catalog fresh;
-  if (absl::Status status = fresh.applyDelta(*j); !status.ok())
-    return status;
-  Catalog = std::move(fresh);
-  return absl::OkStatus();
+  try {
+    auto entries = j->at("entries").get<std::set<core::VmId>>();
+    catalog::Catalog fresh;
+    if (absl::Status status = fresh.applyDelta(j->at("catalog")); !status.ok())
+      return status;
+    Catalog = std::move(fresh);
+    Entries = std::move(entries);
+    return absl::OkStatus();
+  } catch (const nlohmann::json::exception &e) {
+    return absl::InvalidArgumentError(e.what());
+  }
 }
 
 } // namespace briarspar::control
--- a/src/control/ControlMachine.h
+++ b/src/control/ControlMachine.h
@@ -5,6 +5,7 @@
 #include "agreement/StateMachine.h"
 #include "catalog/Catalog.h"
 
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -33,7 +34,13 @@
   bool Active = false;
 };
 
-using Order = std::variant<ChangeItems, StartRollout, StepRollout, SetEvacuation>;
+/// Lists an entry VM as one that may hold a part of the customers' rates, or ends that.
+struct SetEntry {
+  core::VmId Vm;
+  bool Present = false;
+};
+
+using Order = std::variant<ChangeItems, StartRollout, StepRollout, SetEvacuation, SetEntry>;
 
 std::string encode(const Order &order);
 absl::StatusOr<Order> decodeOrder(std::string_view bytes);
@@ -51,10 +58,14 @@
 
   const catalog::Catalog &catalog() const { return Catalog; }
 
+  /// Entry VMs that leaders may have given a part of the customers' rates.
+  const std::set<core::VmId> &entries() const { return Entries; }
+
 private:
   absl::Status applyOrder(core::LogIndex index, const Order &order);
 
   catalog::Catalog Catalog;
+  std::set<core::VmId> Entries;
 };
 
 } // namespace briarspar::control
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -147,7 +147,7 @@
     return storage.status();
   Storage = *std::move(storage);
   absl::StatusOr<std::unique_ptr<agreement::Replica>> log =
-      agreement::Replica::open({}, *Storage, Machine, *Randomness, Clock.now());
+      agreement::Replica::open(Settings.Replica, *Storage, Machine, *Randomness, Clock.now());
   if (!log.ok())
     return log.status();
   Log = *std::move(log);
@@ -189,7 +189,7 @@
 void ControlNode::lead(core::Time now) {
   if (!Leading) {
     Leading = true;
-    Rates.becomeLeader(now);
+    Rates.becomeLeader(Log->term(), Machine.entries(), now);
     Judge.becomeLeader();
     RolloutPending.clear();
     Targets.startEpoch(Log->term().Value);
@@ -199,6 +199,7 @@
       at = now;
   }
   checkVoters(now);
+  forgetEntries(now);
   readList(now);
   judgeRollouts(now);
 }
@@ -309,8 +310,11 @@
   answer.Sequence = report->Sequence;
   if (answer.Leads && report->Sequence != 0) {
     std::vector<core::VmId> live = Entries.live(now);
-    answer.Shares =
-        Rates.divide(message.From, message.FromIncarnation, report->Uses, live.size(), now);
+    if (Machine.entries().count(message.From) != 0)
+      answer.Shares = Rates.divide(message.From, message.FromIncarnation, report->LeaderTerm,
+                                   report->Uses, live.size(), now);
+    else
+      listEntry(message.From, true);
     Judge.report(message.From, message.FromIncarnation, report->Versions);
     for (const core::VmId &it : live) {
       answer.Entries.push_back(it);
@@ -335,6 +339,7 @@
                                             core::Time now) const {
   link::ControlAnswer answer;
   answer.Leads = isLeading(now);
+  answer.LeaderTerm = Log->term();
   if (std::optional<agreement::VoterId> leader = Log->leaderHint())
     answer.Leader = leader->Vm;
   std::set<core::VmId> vms = members();
@@ -349,6 +354,29 @@
   return answer;
 }
 
+void ControlNode::listEntry(const core::VmId &vm, bool present) {
+  if (!EntryOrders.insert(vm).second)
+    return;
+  absl::StatusOr<core::LogIndex> index =
+      Log->propose(encode(Order(SetEntry{vm, present})), Clock.now());
+  if (!index.ok()) {
+    EntryOrders.erase(vm);
+    return;
+  }
+  Pending[*index] = [this, vm](const absl::StatusOr<std::string> &) { EntryOrders.erase(vm); };
+  flush();
+}
+
+void ControlNode::forgetEntries(core::Time now) {
+  if (!Rates.isSettled(now))
+    return;
+  for (const core::VmId &vm : Machine.entries())
+    if (Entries.records().count(vm) == 0) {
+      listEntry(vm, false);
+      return; // The set may have changed under the loop.
+    }
+}
+
 void ControlNode::pushToEntries() {
   core::Time now = Clock.now();
   if (!isLeading(now))
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -49,6 +49,16 @@
   core::Duration LookupTtl{2000};      ///< Callers cache a look-up for this long.
   core::Duration RetryAfterNoLeader{300}; ///< About half an election.
   discovery::ListReaderSettings List;
+  agreement::ReplicaSettings Replica = quickElections();
+
+  /// Elections within a second: a round trip between regions takes 70 ms at most, and a lost packet
+  /// is sent again after 200 ms.
+  static agreement::ReplicaSettings quickElections() {
+    agreement::ReplicaSettings settings;
+    settings.MinElectionTimeout = {450};
+    settings.MaxElectionTimeout = {900};
+    return settings;
+  }
 };
 
 /// A control VM: a voter of the agreement group that holds the configuration, and while it leads,
@@ -88,6 +98,8 @@
   void onReport(const transport::PeerMessage &message);
   link::ControlAnswer makeAnswer(const EntryRecord &record, core::LogIndex catalog,
                                  const discovery::ListVersion &list, core::Time now) const;
+  void listEntry(const core::VmId &vm, bool present);
+  void forgetEntries(core::Time now);
   void pushToEntries();
   void onHttp(const http::WholeRequest &request, const Responder &respond);
   void answerLookup(const LookupCall &call, const Responder &respond);
@@ -127,6 +139,7 @@
   core::Time LastJoin;
   core::Time LastVoterCheck;
   std::map<core::VmId, core::Time> HeardFrom; ///< Control VMs.
+  std::set<core::VmId> EntryOrders; ///< A change of their listing is on its way through the log.
   std::map<std::string, bool> RolloutPending; ///< A step is on its way through the log.
 };
 
--- a/src/control/RateDivision.cpp
+++ b/src/control/RateDivision.cpp
@@ -12,15 +12,22 @@
 
 RateDivision::RateDivision(const RateDivisionSettings &settings) : Settings(settings) {}
 
-void RateDivision::becomeLeader(core::Time now) {
+void RateDivision::becomeLeader(core::Term term, const std::set<core::VmId> &entries,
+                                core::Time now) {
   Customers.clear();
+  Term = term;
+  Unheard = entries;
   SettledAt = now + Settings.Validity + Settings.Margin;
 }
 
 std::vector<link::RateShare> RateDivision::divide(const core::VmId &vm, core::Incarnation run,
+                                                  core::Term heardTerm,
                                                   absl::Span<const link::CustomerUse> uses,
                                                   size_t entries, core::Time now) {
   std::vector<link::RateShare> shares;
+  if (heardTerm == Term)
+    Unheard.erase(vm);
+  bool settled = isSettled(now);
   for (const link::CustomerUse &use : uses) {
     Customer &customer = Customers[use.Customer];
     Holding &mine = customer[vm];
@@ -36,8 +43,8 @@
     mine.Run = run;
     mine.Demand = use.ArrivalsPerS;
     uint32_t free = others >= Whole ? 0 : Whole - others;
-    uint32_t share = now < SettledAt ? use.SharePermille
-                                     : std::min(free, wanted(customer, mine, entries));
+    uint32_t share =
+        settled ? std::min(free, wanted(customer, mine, entries)) : use.SharePermille;
     mine.Granted = share;
     mine.Outstanding = std::max(before, share);
     mine.Until = now + Settings.Validity + Settings.Margin;
--- a/src/control/RateDivision.h
+++ b/src/control/RateDivision.h
@@ -6,6 +6,7 @@
 #include "link/Messages.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,16 +26,21 @@
 public:
   explicit RateDivision(const RateDivisionSettings &settings = {});
 
-  /// Starts without knowledge of the shares that an earlier leader gave. For one validity, VMs keep
-  /// what they report and get no more.
-  void becomeLeader(core::Time now);
+  /// Starts without knowledge of the shares that earlier leaders gave to `entries`. VMs keep what
+  /// they report and get no more until all of them have reported what they hold after they heard
+  /// from this leader, or until every earlier share has ended.
+  void becomeLeader(core::Term term, const std::set<core::VmId> &entries, core::Time now);
 
   /// Takes what a VM wants and holds, and returns its new shares. `entries` is the number of live
-  /// VMs.
+  /// VMs, `heardTerm` the newest leader's term that the VM has accepted.
   std::vector<link::RateShare> divide(const core::VmId &vm, core::Incarnation run,
+                                      core::Term heardTerm,
                                       absl::Span<const link::CustomerUse> uses, size_t entries,
                                       core::Time now);
 
+  /// True when the shares of earlier leaders are known or have ended.
+  bool isSettled(core::Time now) const { return Unheard.empty() || now >= SettledAt; }
+
 private:
   struct Holding {
     core::Incarnation Run;
@@ -49,7 +55,9 @@
   uint32_t wanted(const Customer &customer, const Holding &holding, size_t entries) const;
 
   const RateDivisionSettings Settings;
-  core::Time SettledAt; ///< Shares of earlier leaders have ended.
+  core::Term Term;
+  std::set<core::VmId> Unheard; ///< What these VMs hold is not known.
+  core::Time SettledAt;         ///< Shares of earlier leaders have ended.
   std::map<std::string, Customer> Customers;
 };
 
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -146,7 +146,8 @@
     bool isLeader = !knowsLeader || vm == Leader;
     Peers.send(vm, link::kind::Report, isLeader ? fullBytes : briefBytes);
   }
-  ReportTimer.expires_after(chronoMs(Settings.ReportInterval));
+  ReportTimer.expires_after(
+      chronoMs(isServing() ? Settings.ReportInterval : Settings.FirstReportInterval));
   ReportTimer.async_wait([this](const asio::error_code &ec) {
     if (!ec)
       report();
@@ -168,6 +169,7 @@
   report.Address = absl::StrCat(Settings.Callers.Host, ":", Settings.Callers.Port);
   report.Serving = isServing();
   report.Stopping = Stopping;
+  report.LeaderTerm = LeaderTerm;
   report.Catalog = Catalog.changedAt();
   report.ListEpoch = List.version().Epoch;
   report.ListSequence = List.version().Sequence;
@@ -223,8 +225,10 @@
     return;
   }
   Controls.insert(answer->Members.begin(), answer->Members.end());
-  if (!answer->Leads)
+  // An answer of a deposed leader may still be on its way.
+  if (!answer->Leads || answer->LeaderTerm < LeaderTerm)
     return;
+  LeaderTerm = answer->LeaderTerm;
   noteLeader(message.From);
   onAnswer(*answer);
 }
@@ -289,7 +293,7 @@
     if (held.Value)
       All.Limits = *held.Value;
   All.Rates.setLimits(Catalog.customers(), now);
-  All.Targets.setCatalog(Catalog);
+  All.Targets.setCatalog(Catalog, now);
   All.CatalogVersion = Catalog.changedAt().Value;
   Events.emit({core::EventId::ConfigApplied, {{"from", before}, {"to", Catalog.changedAt()}}});
 }
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -34,6 +34,7 @@
   uint16_t PeerPort = 0;               ///< Of the message listeners of all VMs.
   std::vector<core::VmId> Seeds;       ///< Control VMs to start from; ids are IP addresses.
   core::Duration ReportInterval{400};  ///< Far below the validity of rate shares, 3 s.
+  core::Duration FirstReportInterval{100}; ///< While there is no configuration to serve from.
   core::Duration SweepInterval{200};   ///< Of idle connections, probes and logs.
   core::Duration ControlTimeout{1000}; ///< Without a leader's answer for so long it is lost.
   core::Duration StopAccept{2500};     ///< After a stop signal callers are served this long, while
@@ -95,6 +96,7 @@
   std::set<core::VmId> Controls; ///< All control VMs that are known.
   std::vector<core::VmId> Seeds;
   core::VmId Leader;
+  core::Term LeaderTerm; ///< Newest term of a leader that was heard.
   bool LeaderLost = true;
   core::Time LeaderHeard;
   uint64_t Sequence = 0;
--- a/src/entry/RegionShift.h
+++ b/src/entry/RegionShift.h
@@ -3,43 +3,50 @@
 #include "core/Clock.h"
 #include "core/Ids.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
-#include <string>
 
 namespace briarspar::entry {
 
 struct RegionShiftSettings {
-  core::Duration Window{2000};       ///< Span in which the shares of regions are compared.
-  uint32_t MaxShiftPermille = 100;   ///< Requests that may change their region from one window to
-                                     ///< the next; the platform allows 150.
-  uint32_t LeastRequests = 10;       ///< With fewer in a window, shares mean nothing.
+  core::Duration Recent{1000};  ///< Span of the share that is bounded.
+  core::Duration Before{2000};  ///< Span before it, of the share that it is compared with.
+  double MaxGrowth = 0.06;      ///< Growth of a region's share between the two. The platform allows
+                                ///< 0.15 from one window of 2 s to the next.
+  uint32_t LeastRequests = 20;  ///< With fewer before, shares mean nothing.
 };
 
-/// Bounds how fast the requests of a service move between regions. Not thread-safe.
+/// Bounds how fast the requests of this VM move between regions, in either direction. Not
+/// thread-safe.
 class RegionShift {
 public:
   explicit RegionShift(const RegionShiftSettings &settings = {});
 
-  /// True when one more request of the service may run in the region.
-  bool mayUse(const std::string &service, const core::RegionId &region, core::Time now);
+  /// True when one more request may run in the region.
+  bool mayUse(const core::RegionId &region, core::Time now);
 
   /// Counts a request that was sent to a region.
-  void count(const std::string &service, const core::RegionId &region);
+  void count(const core::RegionId &region, core::Time now);
 
 private:
-  struct Shares {
-    core::Time WindowStart;
-    std::map<core::RegionId, uint32_t> Current;
-    std::map<core::RegionId, uint32_t> Previous;
-    uint32_t CurrentTotal = 0;
-    uint32_t PreviousTotal = 0;
+  struct Bucket {
+    int64_t At = -1;
+    uint32_t Total = 0;
+    std::map<core::RegionId, uint32_t> ByRegion;
   };
+  struct Sum {
+    double Region = 0;
+    double Total = 0;
+  };
+
+  Bucket &bucket(core::Time now);
+  Sum sum(const core::RegionId &region, int64_t from, int64_t to) const;
 
-  Shares &roll(const std::string &service, core::Time now);
+  static constexpr int64_t BucketMs = 250;
 
   const RegionShiftSettings Settings;
-  std::map<std::string, Shares> Services;
+  std::array<Bucket, 16> Buckets;
 };
 
 } // namespace briarspar::entry
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -16,6 +16,9 @@
 /// A time up to this factor of what was expected is explained by the spread of work.
 constexpr double ExplainedTime = 1.6;
 
+/// A target that is so slow has failed as far as its region's room goes.
+constexpr double DisturbingSlowness = 2;
+
 /// Spread of the time of an answer around what is expected, as a part of the latency goal.
 constexpr double GoalSpread = 0.1;
 
@@ -42,6 +45,11 @@
       Cold(Own.Vm, Own.Region, settings.Cold), Shift(settings.Shift) {}
 
 void TargetTable::setTargets(const discovery::TargetList &list, core::Time now) {
+  for (const auto &[id, state] : Targets) {
+    auto it = list.targets().find(id);
+    if (it == list.targets().end() || (it->second.Draining && !state.Info.Draining))
+      DisturbedAt[state.Info.Service] = now;
+  }
   std::map<core::TargetId, State> old;
   old.swap(Targets);
   ByService.clear();
@@ -73,7 +81,8 @@
   }
 }
 
-void TargetTable::setCatalog(const catalog::Catalog &catalog) {
+void TargetTable::setCatalog(const catalog::Catalog &catalog, core::Time now) {
+  std::map<std::string, bool> before = Evacuated;
   Services.clear();
   for (const auto &[name, held] : catalog.services())
     if (held.Value)
@@ -83,6 +92,9 @@
   for (const auto &[domain, it] : catalog.evacuations())
     if (it.Active)
       Evacuated[domain] = true;
+  if (Evacuated != before)
+    for (const auto &[service, ids] : ByService)
+      DisturbedAt[service] = now;
 }
 
 void TargetTable::setEntries(absl::Span<const core::VmId> entries,
@@ -127,7 +139,7 @@
     state.ColdNext = now + Cold.interval(coldRate(state));
   if (request.Object)
     noteServed(state, *request.Object, now);
-  Shift.count(request.Service, state.Region);
+  Shift.count(state.Region, now);
   return chosen->What;
 }
 
@@ -193,19 +205,21 @@
   const WorkTime time = Work.of(*request.Route, request.Service);
   double meanWork = Work.mean(request.Service);
   std::map<core::RegionId, bool> mayShift;
+  bool disturbed = isDisturbed(request.Service, now);
   std::optional<Candidate> chosen;
   for (size_t i = 0; i < usable.size(); ++i) {
     State &state = *usable[i];
     if (isCold(state, now) && !mayUseWhileCold(state, now))
       continue;
     Candidate it = rate(state, homes[i].IsHome, request, time, meanWork, now);
-    if (state.Region != Own.Region) {
-      auto known = mayShift.find(state.Region);
-      if (known == mayShift.end())
-        known = mayShift.emplace(state.Region, Shift.mayUse(request.Service, state.Region, now))
-                    .first;
-      if (!known->second)
-        it.What.Value -= Settings.ShiftCost;
+    auto known = mayShift.find(state.Region);
+    if (known == mayShift.end())
+      known = mayShift.emplace(state.Region, Shift.mayUse(state.Region, now)).first;
+    if (!known->second) {
+      // Requests whose targets have failed move at once.
+      if (!disturbed)
+        continue;
+      it.What.Value -= Settings.ShiftCost;
     }
     if (it.What.Load >= state.Info.Slots * Settings.FullQueues ||
         it.What.Expected > static_cast<double>(request.Left.Ms))
@@ -282,6 +296,11 @@
   return now >= state.ColdNext && Cold.maySend(state.Info.Id, state.Region, coldRate(state));
 }
 
+bool TargetTable::isDisturbed(const std::string &service, core::Time now) const {
+  auto it = DisturbedAt.find(service);
+  return it != DisturbedAt.end() && now - it->second < Settings.DisturbedSpan;
+}
+
 double TargetTable::coldRate(const State &state) const {
   auto service = Services.find(state.Info.Service);
   return service == Services.end() ? 0 : service->second.ColdRatePerS;
@@ -372,6 +391,8 @@
   state.Slowness = slowness(state, now);
   state.Slowness += SampleWeight * (std::min(ratio, MaxSlowness) - state.Slowness);
   state.SlownessAt = now;
+  if (state.Slowness > DisturbingSlowness)
+    DisturbedAt[state.Info.Service] = now;
   if (pick.Load > state.Info.Slots - 1 || ratio > 1)
     return;
   Work.record(route, state.Info.Service, own);
@@ -379,9 +400,10 @@
     Homes.recordHit(state.Info.Service, time.isWarm(own));
 }
 
-void TargetTable::eject(State &state, core::Time now) const {
+void TargetTable::eject(State &state, core::Time now) {
   if (state.Ejected)
     return;
+  DisturbedAt[state.Info.Service] = now;
   state.Ejected = true;
   state.EjectedUntil =
       now + std::min(Settings.FirstEjection * (int64_t{1} << std::min(state.Ejections, 5U)),
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -40,7 +40,10 @@
   double DomainCostPerKb = 0.04; ///< Value of 1,000 bytes between failure domains, which are paid
                                  ///< for.
   double RegionCostPerKb = 0.04; ///< The same between regions.
-  double ShiftCost = 0.4; ///< Value lost when requests of a service move between regions too fast.
+  double ShiftCost = 0.2; ///< Value lost by a move between regions beyond the bound on it, while
+                          ///< targets fail.
+  core::Duration DisturbedSpan{6000}; ///< After a target has failed or left, requests may move
+                                      ///< beyond that bound; a release takes some seconds.
   core::Duration DomainRoundTrip{2};  ///< To another failure domain, until it has been measured.
   core::Duration RegionRoundTrip{60}; ///< To another region, until it has been measured.
   core::Duration LoadDecay{1000};     ///< Time constant with which a load report loses its weight.
@@ -119,7 +122,7 @@
   void setTargets(const discovery::TargetList &list, core::Time now);
 
   /// Takes services, rollouts and evacuations.
-  void setCatalog(const catalog::Catalog &catalog);
+  void setCatalog(const catalog::Catalog &catalog, core::Time now);
 
   /// Takes the live entry VMs and their regions.
   void setEntries(absl::Span<const core::VmId> entries, absl::Span<const std::string> regions);
@@ -202,7 +205,8 @@
   void noteServed(State &state, uint64_t object, core::Time now) const;
   void learnTime(State &state, const Pick &pick, const catalog::Route &route,
                  core::Duration latency, core::Time now);
-  void eject(State &state, core::Time now) const;
+  void eject(State &state, core::Time now);
+  bool isDisturbed(const std::string &service, core::Time now) const;
   std::vector<State *> ofVersion(const std::string &service, const core::VersionId *wanted,
                                  const core::VersionId *unwanted);
   std::optional<Candidate> pickForRollout(const catalog::Rollout &rollout,
@@ -216,6 +220,7 @@
   std::map<std::string, catalog::Service> Services;
   std::map<std::string, catalog::Rollout> Rollouts;
   std::map<std::string, bool> Evacuated;
+  std::map<std::string, core::Time> DisturbedAt; ///< Targets of a service failed or left.
   WorkTimes Work;
   ObjectHomes Homes;
   ColdLimit Cold;
--- a/src/link/Messages.cpp
+++ b/src/link/Messages.cpp
@@ -57,6 +57,7 @@
        {"address", it.Address},
        {"serving", it.Serving},
        {"stopping", it.Stopping},
+       {"term", it.LeaderTerm},
        {"catalog", it.Catalog},
        {"epoch", it.ListEpoch},
        {"list", it.ListSequence},
@@ -72,6 +73,7 @@
   j.at("address").get_to(it.Address);
   j.at("serving").get_to(it.Serving);
   j.at("stopping").get_to(it.Stopping);
+  j.at("term").get_to(it.LeaderTerm);
   j.at("catalog").get_to(it.Catalog);
   j.at("epoch").get_to(it.ListEpoch);
   j.at("list").get_to(it.ListSequence);
@@ -89,6 +91,7 @@
 
 void to_json(Json &j, const ControlAnswer &it) {
   j = {{"n", it.Sequence},
+       {"term", it.LeaderTerm},
        {"leads", it.Leads},
        {"leader", it.Leader},
        {"members", it.Members},
@@ -102,6 +105,7 @@
 
 void from_json(const Json &j, ControlAnswer &it) {
   j.at("n").get_to(it.Sequence);
+  j.at("term").get_to(it.LeaderTerm);
   j.at("leads").get_to(it.Leads);
   j.at("leader").get_to(it.Leader);
   j.at("members").get_to(it.Members);
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -56,6 +56,7 @@
   std::string Address;   ///< Where callers reach it: IP address and port.
   bool Serving = false;  ///< Has what it needs to serve requests.
   bool Stopping = false; ///< Is about to end.
+  core::Term LeaderTerm; ///< Newest term of a leader whose answers are taken here.
   core::LogIndex Catalog;
   uint64_t ListEpoch = 0;
   uint64_t ListSequence = 0;
@@ -73,6 +74,7 @@
 /// What a control VM tells an entry VM.
 struct ControlAnswer {
   uint64_t Sequence = 0; ///< Of the report that is answered; 0 when it comes unasked.
+  core::Term LeaderTerm; ///< Of the leader that answers.
   bool Leads = false;    ///< The rest but Leader and Members counts only from a leader.
   core::VmId Leader;     ///< Empty when unknown.
   std::vector<core::VmId> Members; ///< Control VMs of the group.
