Plan the shares of regions, keep load reports for 4 s, give objects spare targets

In overload, load reports came late and lost their weight in 1 s, so that queues were underestimated and requests timed out at targets; spill scattered objects over all targets.

Change: RegionShift plans a share that follows the wishes at 4.5% a second. LoadDecay 4 s. Spare targets of an object take the spill. A leader keeps the part of a rate that nobody asks for. Unit and property tests of catalogue, parser, list, limits, rollouts and registry.

Ruled out: slowness as a sign of failed targets (a cold start looked like one and released the bound).

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -190,6 +190,7 @@
   if (!Leading) {
     Leading = true;
     Rates.becomeLeader(Log->term(), Machine.entries(), now);
+    Rates.setRates(Machine.catalog().customers());
     Judge.becomeLeader();
     RolloutPending.clear();
     Targets.startEpoch(Log->term().Value);
@@ -220,8 +221,10 @@
     Pending.erase(it);
     done(result.Answer);
   }
-  if (Leading && Pushed < Machine.catalog().changedAt())
+  if (Leading && Pushed < Machine.catalog().changedAt()) {
+    Rates.setRates(Machine.catalog().customers());
     pushToEntries();
+  }
 }
 
 void ControlNode::join(core::Time now) {
--- a/src/control/RateDivision.cpp
+++ b/src/control/RateDivision.cpp
@@ -44,7 +44,7 @@
     mine.Demand = use.ArrivalsPerS;
     uint32_t free = others >= Whole ? 0 : Whole - others;
     uint32_t share =
-        settled ? std::min(free, wanted(customer, mine, entries)) : use.SharePermille;
+        settled ? std::min(free, wanted(use.Customer, customer, mine, entries)) : use.SharePermille;
     mine.Granted = share;
     mine.Outstanding = std::max(before, share);
     mine.Until = now + Settings.Validity + Settings.Margin;
@@ -53,8 +53,18 @@
   return shares;
 }
 
-uint32_t RateDivision::wanted(const Customer &customer, const Holding &holding,
-                              size_t entries) const {
+void RateDivision::setRates(const catalog::Shelf<catalog::Customer> &customers) {
+  RatePerS.clear();
+  for (const auto &[name, held] : customers)
+    if (held.Value && held.Value->RatePerS > 0)
+      RatePerS[name] = held.Value->RatePerS;
+}
+
+uint32_t RateDivision::wanted(const std::string &name, const Customer &customer,
+                              const Holding &holding, size_t entries) const {
+  auto rate = RatePerS.find(name);
+  if (rate == RatePerS.end())
+    return 0;
   double demand = 0;
   for (const auto &[vm, it] : customer)
     demand += it.Demand;
@@ -63,8 +73,9 @@
   if (demand <= 0)
     return static_cast<uint32_t>(static_cast<double>(Whole) /
                                  static_cast<double>(std::max<size_t>(1, entries)));
-  return static_cast<uint32_t>(equal +
-                               (Whole - Settings.EqualPermille) * holding.Demand / demand);
+  double room = std::min(Settings.DemandRoom / rate->second * Whole,
+                         (Whole - Settings.EqualPermille) / demand);
+  return static_cast<uint32_t>(equal + room * holding.Demand);
 }
 
 } // namespace briarspar::control
--- a/src/control/RateDivision.h
+++ b/src/control/RateDivision.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "absl/types/span.h"
+#include "catalog/Catalog.h"
 #include "core/Clock.h"
 #include "core/Ids.h"
 #include "link/Messages.h"
@@ -17,6 +18,8 @@
   core::Duration Margin{100};     ///< Added for the difference in rate of two clocks.
   uint32_t EqualPermille = 250;   ///< Part of each rate that is divided evenly; the rest follows
                                   ///< the demand.
+  double DemandRoom = 1.4;        ///< Share for each part of the rate that is asked for. What nobody
+                                  ///< asks for stays with the leader, who can grant it at once.
 };
 
 /// Divides the customers' rates between the entry VMs by their demand. At no time do the shares
@@ -31,6 +34,9 @@
   /// from this leader, or until every earlier share has ended.
   void becomeLeader(core::Term term, const std::set<core::VmId> &entries, core::Time now);
 
+  /// Takes the rates of the customers.
+  void setRates(const catalog::Shelf<catalog::Customer> &customers);
+
   /// Takes what a VM wants and holds, and returns its new shares. `entries` is the number of live
   /// VMs, `heardTerm` the newest leader's term that the VM has accepted.
   std::vector<link::RateShare> divide(const core::VmId &vm, core::Incarnation run,
@@ -52,13 +58,15 @@
 
   using Customer = std::map<core::VmId, Holding>;
 
-  uint32_t wanted(const Customer &customer, const Holding &holding, size_t entries) const;
+  uint32_t wanted(const std::string &name, const Customer &customer, const Holding &holding,
+                  size_t entries) const;
 
   const RateDivisionSettings Settings;
   core::Term Term;
   std::set<core::VmId> Unheard; ///< What these VMs hold is not known.
   core::Time SettledAt;         ///< Shares of earlier leaders have ended.
   std::map<std::string, Customer> Customers;
+  std::map<std::string, double> RatePerS;
 };
 
 } // namespace briarspar::control
--- /dev/null
+++ b/src/control/tests/ControlTest.cpp
@@ -0,0 +1,168 @@
+#include "control/ControlMachine.h"
+#include "control/EntryRegistry.h"
+#include "control/RolloutJudge.h"
+#include "core/testing/Property.h"
+
+#include <algorithm>
+
+using namespace briarspar;
+using namespace briarspar::control;
+using namespace briarspar::core;
+
+namespace {
+
+catalog::Rollout rollout() {
+  catalog::Rollout it;
+  it.Service = "s";
+  it.From = "v1";
+  it.Target = "v2";
+  it.Period = Duration{16'000};
+  it.OrderedAt = LogIndex(5);
+  return it;
+}
+
+/// Plays a rollout at 160 requests a second of the service: `isBad` tells whether the new version
+/// fails at a share and a time.
+struct Played {
+  catalog::RolloutState State = catalog::RolloutState::Running;
+  int64_t EndMs = 0;
+  uint64_t NewRequests = 0;
+  uint64_t BadAnswers = 0;
+  uint64_t AllRequests = 0;
+};
+
+Played play(const std::function<double(uint32_t share, int64_t ms)> &failureRate, double slow = 1) {
+  RolloutJudge judge;
+  catalog::Rollout current = rollout();
+  Played out;
+  link::VersionCounts news{"s", "v2", "r", 0, 0, 0, 0};
+  link::VersionCounts olds{"s", "v1", "r", 0, 0, 0, 0};
+  double credit = 0;
+  double bad = 0;
+  uint32_t share = 0;
+  std::vector<std::pair<int64_t, RolloutJudge::Step>> onTheWay;
+  for (int64_t ms = 0; ms < 20'000; ms += 100) {
+    for (int k = 0; k < 16 && out.State == catalog::RolloutState::Running; ++k) {
+      ++out.AllRequests;
+      credit += share / 1000.0;
+      if (credit < 1) {
+        ++olds.Requests;
+        olds.LatencyMs += 300;
+        continue;
+      }
+      credit -= 1;
+      ++news.Requests;
+      ++out.NewRequests;
+      bad += failureRate(share, ms);
+      if (bad >= 1) {
+        bad -= 1;
+        ++news.Failures;
+        ++out.BadAnswers;
+      } else {
+        news.LatencyMs += static_cast<uint64_t>(300 * slow);
+      }
+    }
+    // Reports come every 400 ms, and a step takes 300 ms to reach the entry VMs.
+    if (ms % 400 == 0)
+      judge.report(VmId("vm"), Incarnation(1), std::vector<link::VersionCounts>{news, olds});
+    if (auto step = judge.next(current, true, Time{ms})) {
+      onTheWay.emplace_back(ms + 300, *step);
+      current.State = step->State;
+      current.SharePermille = step->SharePermille;
+    }
+    while (!onTheWay.empty() && onTheWay.front().first <= ms) {
+      share = onTheWay.front().second.SharePermille;
+      out.State = onTheWay.front().second.State;
+      out.EndMs = ms;
+      onTheWay.erase(onTheWay.begin());
+    }
+  }
+  return out;
+}
+
+} // namespace
+
+/// Guards against a bad version that gets more than a tenth of the requests, or that stays after it
+/// has shown itself bad, when it fails from the start, later or only under load.
+Test(RolloutJudge, aBadVersionIsRolledBack) {
+  for (int kind = 0; kind < 3; ++kind) {
+    Played it = play([kind](uint32_t share, int64_t ms) {
+      return kind == 0 ? 0.5 : kind == 1 ? (ms > 4000 ? 0.5 : 0.0) : (share > 200 ? 0.5 : 0.0);
+    });
+    cr_assert(it.State == catalog::RolloutState::RolledBack, "kind %d", kind);
+    cr_assert_leq(it.BadAnswers, 60, "kind %d", kind);
+    cr_assert_leq(it.NewRequests, it.AllRequests / 10 + 50, "kind %d", kind);
+  }
+  cr_assert(play([](uint32_t, int64_t) { return 0.0; }, 8).State ==
+            catalog::RolloutState::RolledBack);
+}
+
+/// Guards against a good version that is not done in time, or is taken back because it starts cold.
+Test(RolloutJudge, aGoodVersionCompletesInTime) {
+  Played it = play([](uint32_t, int64_t) { return 0.004; }, 1.8);
+  cr_assert(it.State == catalog::RolloutState::Completed);
+  cr_assert_leq(it.EndMs, 16'000);
+}
+
+/// Guards against a look-up that names VMs which have stopped or fallen silent.
+Test(EntryRegistry, onlyLiveVmsAreNamed) {
+  EntryRegistry registry;
+  auto report = [&](const char *vm, const char *domain, uint64_t run, bool stopping, int64_t ms) {
+    link::EntryReport it;
+    it.Region = RegionId("r");
+    it.Domain = DomainId(domain);
+    it.Address = vm;
+    it.Serving = true;
+    it.Stopping = stopping;
+    registry.report(VmId(vm), Incarnation(run), it, Time{ms});
+  };
+  report("a", "z1", 1, false, 0);
+  report("b", "z1", 1, false, 0);
+  report("c", "z2", 1, false, 0);
+  auto isNamed = [&](int64_t ms, const char *vm) {
+    auto all = registry.lookup(RegionId("r"), DomainId("z1"), Time{ms});
+    return std::count(all.begin(), all.end(), vm) != 0;
+  };
+  auto names = [&](int64_t ms) { return registry.lookup(RegionId("r"), DomainId("z1"), Time{ms}); };
+  cr_assert_eq(names(100).size(), 2);
+  report("a", "z1", 1, true, 200);
+  cr_assert_eq(names(300).size(), 2, "one VM of the domain is too few: its region is named");
+  cr_assert_not(isNamed(300, "a"));
+  // A late message of the run that stops does not bring it back; a new run does.
+  report("a", "z1", 1, false, 400);
+  cr_assert_not(isNamed(500, "a"));
+  report("a", "z1", 2, false, 600);
+  cr_assert_eq(names(700).size(), 2);
+  report("c", "z2", 1, false, 4000);
+  cr_assert_eq(names(4100).size(), 1);
+  cr_assert(isNamed(4100, "c"));
+  cr_assert_eq(registry.takeLost(Time{4100}).size(), 2);
+}
+
+/// Guards against state that differs between voters after a snapshot.
+Test(ControlMachine, snapshotsKeepEverything) {
+  ControlMachine machine;
+  catalog::Change change;
+  catalog::Service service;
+  service.Name = "s";
+  change.Services.push_back({catalog::ItemVersion(1), service, "{}"});
+  cr_assert(decodeOutcome(machine.apply(LogIndex(1), encode(Order(ChangeItems{change})))).ok());
+  (void)machine.apply(LogIndex(2), encode(Order(StartRollout{"s", "v1", "v2", Duration{9000}})));
+  (void)machine.apply(LogIndex(3), encode(Order(SetEvacuation{DomainId("z"), true})));
+  (void)machine.apply(LogIndex(4), encode(Order(SetEntry{VmId("a"), true})));
+  ControlMachine copy;
+  cr_assert(copy.restore(machine.snapshot()).ok());
+  cr_assert_eq(copy.snapshot(), machine.snapshot());
+  cr_assert(copy.catalog().isEvacuated("z"));
+  cr_assert_eq(copy.entries().size(), 1);
+  cr_assert(copy.catalog().rollouts().at("s").Target == "v2");
+}
+
+/// Guards against a malformed order in the log that ends a voter.
+Test(ControlMachine, malformedOrdersAreRefused) {
+  testing::checkProperty("orders return an outcome", [](const std::vector<uint8_t> &bytes) {
+    ControlMachine machine;
+    std::string buf(bytes.begin(), bytes.end());
+    RC_ASSERT_FALSE(decodeOutcome(machine.apply(LogIndex(1), buf)).ok());
+  });
+}
--- /dev/null
+++ b/src/discovery/tests/DiscoveryTest.cpp
@@ -0,0 +1,114 @@
+#include "core/testing/Property.h"
+#include "discovery/ListReader.h"
+#include "discovery/TargetList.h"
+
+using namespace briarspar::core;
+using namespace briarspar::discovery;
+
+namespace {
+
+Target target(const std::string &id, bool draining = false, Time coldUntil = {}) {
+  Target it;
+  it.Id = TargetId(id);
+  it.Service = "s";
+  it.Host = "10.0.0.1";
+  it.Port = 80;
+  it.Draining = draining;
+  it.ColdUntil = coldUntil;
+  return it;
+}
+
+/// Pages are "token:id" texts: the next token, then the ids of the targets.
+struct FakeFormat final : ListFormat {
+  std::string pageTarget(std::string_view token) const override {
+    return "/list?" + std::string(token);
+  }
+  absl::StatusOr<ListPage> readPage(std::string_view body, Time) const override {
+    size_t colon = body.find(':');
+    if (colon == std::string_view::npos)
+      return absl::InvalidArgumentError("no page");
+    ListPage page;
+    page.NextPage = std::string(body.substr(0, colon));
+    page.Targets.push_back(target(std::string(body.substr(colon + 1))));
+    return page;
+  }
+};
+
+} // namespace
+
+/// Guards against a copy that keeps a target which has gone, or misses one that drains.
+Test(TargetList, copiesFollowByDeltas) {
+  testing::checkProperty("a copy equals the list", [] {
+    TargetList list;
+    TargetList copy;
+    list.startEpoch(3);
+    for (int i = 0; i < *rc::gen::inRange(1, 20); ++i) {
+      std::vector<Target> reading;
+      for (int id = 0; id < 6; ++id)
+        if (*rc::gen::inRange(0, 3) != 0)
+          reading.push_back(target("t" + std::to_string(id), *rc::gen::inRange(0, 2) == 0));
+      list.update(reading, Time{1000 * i});
+      if (*rc::gen::inRange(0, 4) == 0)
+        list.startEpoch(list.version().Epoch + 1);
+      if (list.version().Sequence != 0 && *rc::gen::inRange(0, 2) == 0)
+        RC_ASSERT(copy.applyDelta(list.deltaSince(copy.version(), Time{}), Time{}).ok());
+    }
+    list.update({target("last")}, Time{99'000});
+    RC_ASSERT(copy.applyDelta(list.deltaSince(copy.version(), Time{}), Time{}).ok());
+    RC_ASSERT(copy.targets().size() == 1);
+    RC_ASSERT(copy.targets().count(TargetId("last")) == 1);
+  });
+}
+
+/// Guards against a deposed leader whose list displaces that of its successor.
+Test(TargetList, anOlderEpochIsIgnored) {
+  TargetList older;
+  older.startEpoch(1);
+  older.update({target("old")}, Time{});
+  TargetList newer;
+  newer.startEpoch(2);
+  newer.update({target("new")}, Time{});
+  TargetList copy;
+  cr_assert(copy.applyDelta(newer.deltaSince({}, Time{}), Time{}).ok());
+  cr_assert(copy.applyDelta(older.deltaSince({}, Time{}), Time{}).ok());
+  cr_assert_eq(copy.targets().count(TargetId("new")), 1);
+}
+
+/// Guards against a cold span that starts again at each reading, because clocks and delays differ.
+Test(TargetList, theSameColdSpanIsNoChange) {
+  TargetList list;
+  list.startEpoch(1);
+  cr_assert(list.update({target("t", false, Time{5000})}, Time{2000}));
+  cr_assert_not(list.update({target("t", false, Time{5300})}, Time{2700}));
+  cr_assert(list.update({target("t", false, Time{9000})}, Time{6000}));
+}
+
+/// Guards against a reading that mixes pages of two listings after a failure.
+Test(ListReader, aFailedPageStartsTheReadingAnew) {
+  FakeFormat format;
+  ListReader reader(format);
+  cr_assert(reader.next(Time{0}) == std::optional<std::string>("/list?"));
+  cr_assert(reader.onPage(200, "p2:a", Time{10})->has_value() == false);
+  cr_assert(reader.next(Time{10}) == std::optional<std::string>("/list?p2"));
+  cr_assert_not(reader.onPage(429, "", Time{20}).ok());
+  cr_assert_not(reader.next(Time{21}).has_value());
+  cr_assert(reader.next(Time{2000}) == std::optional<std::string>("/list?"));
+  absl::StatusOr<std::optional<std::vector<Target>>> whole = reader.onPage(200, ":b", Time{2010});
+  cr_assert_eq((*whole)->size(), 1);
+}
+
+/// Guards against a lost answer that stops the reading for good, and against calls beyond the pace
+/// while the list answers 429.
+Test(ListReader, callsAreRareWhileTheListFails) {
+  FakeFormat format;
+  ListReader reader(format);
+  int calls = 0;
+  for (int64_t ms = 0; ms < 20'000; ms += 25)
+    if (reader.next(Time{ms})) {
+      ++calls;
+      if (calls % 2 == 0)
+        (void)reader.onPage(429, "", Time{ms});
+    }
+  cr_assert_geq(calls, 4);
+  cr_assert_leq(calls, 20);
+}
--- a/src/entry/ObjectHomes.cpp
+++ b/src/entry/ObjectHomes.cpp
@@ -3,6 +3,7 @@
 #include "core/Hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace briarspar::entry {
 
@@ -24,17 +25,22 @@
   return static_cast<double>(core::hash64(id.Value, seed) >> 11) * 0x1.0p-53;
 }
 
-/// The candidate of a group with the highest hash.
+/// The two candidates of a group with the highest hashes.
 struct Best {
-  HomeCandidate *Candidate = nullptr;
-  double Order = -1;
+  HomeCandidate *First = nullptr;
+  HomeCandidate *Second = nullptr;
+  double FirstOrder = -1;
+  double SecondOrder = -1;
   size_t Members = 0;
 
   void offer(HomeCandidate &it, double order) {
     ++Members;
-    if (order > Order) {
-      Order = order;
-      Candidate = &it;
+    if (order > FirstOrder) {
+      Second = std::exchange(First, &it);
+      SecondOrder = std::exchange(FirstOrder, order);
+    } else if (order > SecondOrder) {
+      Second = &it;
+      SecondOrder = order;
     }
   }
 };
@@ -63,17 +69,25 @@
   for (HomeCandidate &it : candidates)
     (*it.Region == region ? local : remote).offer(it, unitHash(*it.Id, object));
   auto keeps = [&](const Best &best) {
-    if (best.Candidate == nullptr)
+    if (best.First == nullptr)
       return false;
     double each = inUse / static_cast<double>(best.Members);
-    return each <= most || unitHash(*best.Candidate->Id, object ^ KeepSeed) < most / each;
+    return each <= most || unitHash(*best.First->Id, object ^ KeepSeed) < most / each;
   };
-  if (keeps(local))
-    local.Candidate->IsHome = true;
-  else if (remote.Candidate != nullptr)
-    remote.Candidate->IsHome = true;
-  else if (local.Candidate != nullptr)
-    local.Candidate->IsHome = true;
+  if (keeps(local) || remote.First == nullptr) {
+    if (local.First != nullptr)
+      local.First->IsHome = true;
+    if (local.Second != nullptr)
+      local.Second->IsSpare = true;
+    if (remote.First != nullptr)
+      remote.First->IsSpare = true;
+  } else {
+    remote.First->IsHome = true;
+    if (remote.Second != nullptr)
+      remote.Second->IsSpare = true;
+    if (local.First != nullptr)
+      local.First->IsSpare = true;
+  }
 }
 
 void ObjectHomes::recordHit(const std::string &service, bool wasFast) {
--- a/src/entry/ObjectHomes.h
+++ b/src/entry/ObjectHomes.h
@@ -25,12 +25,14 @@
 struct HomeCandidate {
   const core::TargetId *Id = nullptr;
   const core::RegionId *Region = nullptr;
-  bool IsHome = false; ///< Set by markHomes().
+  bool IsHome = false;  ///< Set by markHomes().
+  bool IsSpare = false; ///< Set by markHomes(): serves the object when its home is full.
 };
 
 /// Decides which target serves an object, alike on all entry VMs of a region without a message
 /// between them, so that a target keeps meeting the objects that it remembers. Rendezvous hashing
-/// picks one target of the region. Of the objects that fall to a target beyond what it remembers, a
+/// picks one target of the region, and two spare ones for times when it is full: the next target of
+/// the region and one of the other regions. Of the objects that fall to a target beyond what it remembers, a
 /// fixed part has its home in another region instead. One home a failure domain was measured too:
 /// each further home costs one slow answer an object, more than the bytes it saves.
 class ObjectHomes {
@@ -40,7 +42,7 @@
   /// Counts a request for an object of a service.
   void note(const std::string &service, uint64_t object, core::Time now);
 
-  /// Marks the candidate that is the home of the object for callers of a region.
+  /// Marks the candidates that are home and spares of the object for callers of a region.
   void markHomes(const std::string &service, uint64_t object, const core::RegionId &region,
                  absl::Span<HomeCandidate> candidates) const;
 
--- a/src/entry/RateShares.cpp
+++ b/src/entry/RateShares.cpp
@@ -7,11 +7,15 @@
 
 namespace {
 
-/// Part of a VM in the reserve while the number of entry VMs is unknown.
-constexpr double UnknownFleetPart = 1.0 / 64;
+/// Entry VMs that are assumed while their number is unknown.
+constexpr double UnknownFleet = 64;
 
-/// A bucket holds at least this many requests, so that a small share can be used at all.
-constexpr double LeastDepth = 1.0;
+/// A bucket holds at least one request, so that a small share can be used at all, and up to
+/// MostLeastDepth where the platform's bound on a window leaves room for that on all VMs: beyond 5.4
+/// rates from shares and reserve it has room for another 1.2 rates and 20 requests.
+constexpr double MostLeastDepth = 3;
+constexpr double WindowRoomRates = 1.2;
+constexpr double WindowRoomRequests = 15;
 
 /// Arrivals a second below which a customer counts as idle.
 constexpr double IdleRate = 0.05;
@@ -19,7 +23,7 @@
 } // namespace
 
 RateShares::RateShares(const RateSharesSettings &settings)
-    : Settings(settings), ReserveShare(settings.ReservePermille / 1000.0 * UnknownFleetPart) {}
+    : Settings(settings), ReserveShare(settings.ReservePermille / 1000.0 / UnknownFleet), Entries(UnknownFleet) {}
 
 void RateShares::setLimits(const catalog::Shelf<catalog::Customer> &customers, core::Time now) {
   std::map<std::string, Bucket> old;
@@ -44,6 +48,7 @@
 
 void RateShares::setShares(absl::Span<const link::RateShare> shares, size_t entries,
                            core::Time sentAt, core::Time now) {
+  Entries = static_cast<double>(std::max<size_t>(1, entries));
   if (entries != 0)
     ReserveShare = Settings.ReservePermille / 1000.0 / static_cast<double>(entries);
   for (const link::RateShare &it : shares) {
@@ -97,7 +102,8 @@
 void RateShares::fill(Bucket &bucket, core::Time now) const {
   double part = share(bucket, now);
   double seconds = static_cast<double>((now - bucket.FilledAt).Ms) / 1000;
-  double depth = std::max(LeastDepth, part * bucket.Burst);
+  double room = (WindowRoomRates * bucket.RatePerS + WindowRoomRequests) / Entries;
+  double depth = std::max(part * bucket.Burst, std::clamp(room, 1.0, MostLeastDepth));
   bucket.Tokens = std::min(depth, bucket.Tokens + seconds * part * bucket.RatePerS);
   bucket.FilledAt = now;
 }
--- a/src/entry/RateShares.h
+++ b/src/entry/RateShares.h
@@ -16,7 +16,7 @@
   core::Duration Validity{3000};   ///< A share ends this long after its report was sent.
   uint32_t ReservePermille = 80; ///< Of the rate and of the burst, for all VMs without a valid
                                  ///< share together; the platform allows a tenth beyond the rate.
-  core::Duration DemandWindow{1000}; ///< Time constant of the measured arrivals.
+  core::Duration DemandWindow{1500}; ///< Time constant of the measured arrivals.
 };
 
 /// Spends this VM's shares of the customers' rates. Holds for VMs that hear from nobody too: a
@@ -59,7 +59,8 @@
 
   const RateSharesSettings Settings;
   std::map<std::string, Bucket> Buckets;
-  double ReserveShare = 0; ///< This VM's part of the reserve, as a part of the rate.
+  double ReserveShare; ///< This VM's part of the reserve, as a part of the rate.
+  double Entries;      ///< Live entry VMs.
 };
 
 } // namespace briarspar::entry
--- a/src/entry/RegionShift.cpp
+++ b/src/entry/RegionShift.cpp
@@ -1,46 +1,58 @@
 #include "entry/RegionShift.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace briarspar::entry {
 
 RegionShift::RegionShift(const RegionShiftSettings &settings) : Settings(settings) {}
 
-bool RegionShift::mayUse(const core::RegionId &region, core::Time now) {
-  int64_t at = now.Ms / BucketMs;
-  int64_t recent = Settings.Recent.Ms / BucketMs;
-  int64_t before = Settings.Before.Ms / BucketMs;
-  Sum earlier = sum(region, at - recent - before, at - recent);
-  if (earlier.Total < Settings.LeastRequests)
-    return true;
-  Sum current = sum(region, at - recent, at + 1);
-  double allowed = earlier.Region / earlier.Total + Settings.MaxGrowth;
-  // One request more is always possible, as a share of few requests moves in steps.
-  return current.Region <= allowed * (current.Total + 1);
+void RegionShift::wish(const core::RegionId &region, core::Time now) {
+  core::Duration span = now - LastWish;
+  if (!Started || span > Settings.Idle)
+    start(region);
+  LastWish = now;
+  Shares[region];
+  double seconds = static_cast<double>(span.Ms) / 1000;
+  double keep = std::exp(-static_cast<double>(span.Ms) / static_cast<double>(Settings.WishWindow.Ms));
+  // Requests at the same moment still move the wishes a little.
+  keep = std::min(keep, 0.98);
+  double planned = 0;
+  for (auto &[id, share] : Shares) {
+    share.Wished = share.Wished * keep + (id == region ? 1 - keep : 0);
+    double most = Settings.MaxMovePerS * seconds;
+    share.Planned += std::clamp(share.Wished - share.Planned, -most, most);
+    planned += share.Planned;
+  }
+  for (auto &[id, share] : Shares)
+    share.Planned /= planned;
 }
 
-void RegionShift::count(const core::RegionId &region, core::Time now) {
-  Bucket &it = bucket(now);
-  ++it.Total;
-  ++it.ByRegion[region];
+bool RegionShift::mayUse(const core::RegionId &region) const {
+  auto it = Shares.find(region);
+  double credit = it == Shares.end() ? 0 : it->second.Credit + it->second.Planned;
+  return credit - 1 >= -Settings.MaxOverdraft;
 }
 
-RegionShift::Bucket &RegionShift::bucket(core::Time now) {
-  int64_t at = now.Ms / BucketMs;
-  Bucket &it = Buckets[static_cast<size_t>(at) % Buckets.size()];
-  if (it.At != at)
-    it = {at, 0, {}};
-  return it;
+void RegionShift::count(const core::RegionId &region) {
+  for (auto &[id, share] : Shares) {
+    share.Credit += share.Planned - (id == region ? 1 : 0);
+    share.Credit = std::clamp(share.Credit, -Settings.MaxOverdraft, Settings.MaxOverdraft);
+  }
 }
 
-RegionShift::Sum RegionShift::sum(const core::RegionId &region, int64_t from, int64_t to) const {
-  Sum out;
-  for (const Bucket &it : Buckets) {
-    if (it.At < from || it.At >= to)
-      continue;
-    out.Total += it.Total;
-    auto known = it.ByRegion.find(region);
-    out.Region += known == it.ByRegion.end() ? 0 : known->second;
+void RegionShift::release() {
+  for (auto &[id, share] : Shares) {
+    share.Planned = share.Wished;
+    share.Credit = 0;
   }
-  return out;
+}
+
+/// The first wishes after a pause decide alone, as there is nothing to move from.
+void RegionShift::start(const core::RegionId &region) {
+  Started = true;
+  Shares.clear();
+  Shares[region] = {1, 1, 0};
 }
 
 } // namespace briarspar::entry
--- a/src/entry/RegionShift.h
+++ b/src/entry/RegionShift.h
@@ -3,50 +3,51 @@
 #include "core/Clock.h"
 #include "core/Ids.h"
 
-#include <array>
-#include <cstdint>
 #include <map>
 
 namespace briarspar::entry {
 
 struct RegionShiftSettings {
-  core::Duration Recent{1000};  ///< Span of the share that is bounded.
-  core::Duration Before{2000};  ///< Span before it, of the share that it is compared with.
-  double MaxGrowth = 0.06;      ///< Growth of a region's share between the two. The platform allows
-                                ///< 0.15 from one window of 2 s to the next.
-  uint32_t LeastRequests = 20;  ///< With fewer before, shares mean nothing.
+  double MaxMovePerS = 0.045;  ///< Part of the requests that may change their region in a second.
+                               ///< The platform allows 0.15 from one window of 2 s to the next.
+  double MaxOverdraft = 2;     ///< Requests by which a region may be ahead of its share.
+  core::Duration WishWindow{700}; ///< Time constant of the wished shares.
+  core::Duration Idle{2000};   ///< After so long without a request, shares start anew.
 };
 
-/// Bounds how fast the requests of this VM move between regions, in either direction. Not
-/// thread-safe.
+/// Bounds how fast the requests of this VM move between regions, in either direction: each region
+/// has a planned share that follows what the requests wish at a bounded speed, and requests keep to
+/// the plan. A bound on the share of the last second alone swings: the requests held back arrive
+/// together. Not thread-safe.
 class RegionShift {
 public:
   explicit RegionShift(const RegionShiftSettings &settings = {});
 
-  /// True when one more request may run in the region.
-  bool mayUse(const core::RegionId &region, core::Time now);
+  /// Counts the region that suits a request best.
+  void wish(const core::RegionId &region, core::Time now);
 
-  /// Counts a request that was sent to a region.
-  void count(const core::RegionId &region, core::Time now);
+  /// True when a request may run in the region.
+  bool mayUse(const core::RegionId &region) const;
+
+  /// Counts the region where a request is run.
+  void count(const core::RegionId &region);
+
+  /// Lets the plan follow the wishes at once, because targets have failed.
+  void release();
 
 private:
-  struct Bucket {
-    int64_t At = -1;
-    uint32_t Total = 0;
-    std::map<core::RegionId, uint32_t> ByRegion;
+  struct Share {
+    double Wished = 0;
+    double Planned = 0;
+    double Credit = 0; ///< Requests that the region is behind its plan.
   };
-  struct Sum {
-    double Region = 0;
-    double Total = 0;
-  };
-
-  Bucket &bucket(core::Time now);
-  Sum sum(const core::RegionId &region, int64_t from, int64_t to) const;
 
-  static constexpr int64_t BucketMs = 250;
+  void start(const core::RegionId &region);
 
   const RegionShiftSettings Settings;
-  std::array<Bucket, 16> Buckets;
+  std::map<core::RegionId, Share> Shares;
+  core::Time LastWish;
+  bool Started = false;
 };
 
 } // namespace briarspar::entry
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -16,9 +16,6 @@
 /// A time up to this factor of what was expected is explained by the spread of work.
 constexpr double ExplainedTime = 1.6;
 
-/// A target that is so slow has failed as far as its region's room goes.
-constexpr double DisturbingSlowness = 2;
-
 /// Spread of the time of an answer around what is expected, as a part of the latency goal.
 constexpr double GoalSpread = 0.1;
 
@@ -46,8 +43,7 @@
 
 void TargetTable::setTargets(const discovery::TargetList &list, core::Time now) {
   for (const auto &[id, state] : Targets) {
-    auto it = list.targets().find(id);
-    if (it == list.targets().end() || (it->second.Draining && !state.Info.Draining))
+    if (list.targets().count(id) == 0 && !state.Info.Draining)
       DisturbedAt[state.Info.Service] = now;
   }
   std::map<core::TargetId, State> old;
@@ -139,7 +135,7 @@
     state.ColdNext = now + Cold.interval(coldRate(state));
   if (request.Object)
     noteServed(state, *request.Object, now);
-  Shift.count(state.Region, now);
+  Shift.count(state.Region);
   return chosen->What;
 }
 
@@ -204,35 +200,50 @@
     Homes.markHomes(request.Service, *request.Object, Own.Region, absl::MakeSpan(homes));
   const WorkTime time = Work.of(*request.Route, request.Service);
   double meanWork = Work.mean(request.Service);
-  std::map<core::RegionId, bool> mayShift;
-  bool disturbed = isDisturbed(request.Service, now);
-  std::optional<Candidate> chosen;
+  std::map<core::RegionId, Candidate> bestOf;
   for (size_t i = 0; i < usable.size(); ++i) {
     State &state = *usable[i];
     if (isCold(state, now) && !mayUseWhileCold(state, now))
       continue;
-    Candidate it = rate(state, homes[i].IsHome, request, time, meanWork, now);
-    auto known = mayShift.find(state.Region);
-    if (known == mayShift.end())
-      known = mayShift.emplace(state.Region, Shift.mayUse(state.Region, now)).first;
-    if (!known->second) {
-      // Requests whose targets have failed move at once.
-      if (!disturbed)
-        continue;
-      it.What.Value -= Settings.ShiftCost;
-    }
+    Candidate it = rate(state, homes[i], request, time, meanWork, now);
     if (it.What.Load >= state.Info.Slots * Settings.FullQueues ||
         it.What.Expected > static_cast<double>(request.Left.Ms))
       continue;
-    if (!chosen || it.What.Value > chosen->What.Value)
-      chosen = it;
+    auto known = bestOf.find(state.Region);
+    if (known == bestOf.end() || it.What.Value > known->second.What.Value)
+      bestOf[state.Region] = std::move(it);
   }
-  if (chosen && chosen->What.Value < Settings.LeastValue)
+  return chooseRegion(bestOf, request.Service, now);
+}
+
+std::optional<TargetTable::Candidate>
+TargetTable::chooseRegion(const std::map<core::RegionId, Candidate> &bestOf,
+                          const std::string &service, core::Time now) {
+  const Candidate *wished = nullptr;
+  for (const auto &[region, it] : bestOf)
+    if (it.What.Value >= Settings.LeastValue &&
+        (wished == nullptr || it.What.Value > wished->What.Value))
+      wished = &it;
+  if (wished == nullptr)
+    return std::nullopt;
+  Shift.wish(wished->What.Region, now);
+  // Requests whose targets have failed move at once.
+  if (isDisturbed(service, now)) {
+    Shift.release();
+    return *wished;
+  }
+  const Candidate *chosen = nullptr;
+  for (const auto &[region, it] : bestOf)
+    if (it.What.Value >= Settings.LeastValue && Shift.mayUse(region) &&
+        (chosen == nullptr || it.What.Value > chosen->What.Value))
+      chosen = &it;
+  if (chosen == nullptr)
     return std::nullopt;
-  return chosen;
+  return *chosen;
 }
 
-TargetTable::Candidate TargetTable::rate(State &state, bool isHome, const PickRequest &request,
+TargetTable::Candidate TargetTable::rate(State &state, const HomeCandidate &home,
+                                         const PickRequest &request,
                                          const WorkTime &time, double meanWork,
                                          core::Time now) const {
   Pick pick;
@@ -245,7 +256,7 @@
   pick.Load = load(state, now);
   pick.Network = network(state);
   pick.Slowness = slowness(state, now);
-  pick.Familiar = isHome || (request.Object && state.Served.count(*request.Object) != 0);
+  pick.Familiar = home.IsHome || (request.Object && state.Served.count(*request.Object) != 0);
   double slots = state.Info.Slots;
   double work = (pick.Familiar ? time.Warm : time.Cold) * pick.Slowness;
   if (isCold(state, now))
@@ -260,10 +271,13 @@
   double weight = 1 + Settings.PriorityStep * (static_cast<double>(Settings.NormalPriority) -
                                                static_cast<double>(request.Priority));
   double answer = Settings.LateValue + (1 - Settings.LateValue) * inGoal;
+  bool learns = home.IsSpare && !pick.Familiar;
   double displaced = std::max(0.0, pick.Load / slots - Settings.FreeLoad) * Settings.LoadCost *
-                     work / std::max(1.0, meanWork);
+                     (learns ? time.Warm : work) / std::max(1.0, meanWork);
   pick.Value = std::max(0.1, weight) * answer * (1 - state.FailureShare) - displaced -
                bytesCost(state, *request.Route);
+  if (learns)
+    pick.Value += Settings.SpareValue;
   // Among equals the less loaded one; too little to outweigh anything else.
   pick.Value -= pick.Load / slots * EvenLoad;
   return {&state, std::move(pick)};
@@ -391,8 +405,6 @@
   state.Slowness = slowness(state, now);
   state.Slowness += SampleWeight * (std::min(ratio, MaxSlowness) - state.Slowness);
   state.SlownessAt = now;
-  if (state.Slowness > DisturbingSlowness)
-    DisturbedAt[state.Info.Service] = now;
   if (pick.Load > state.Info.Slots - 1 || ratio > 1)
     return;
   Work.record(route, state.Info.Service, own);
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -34,19 +34,20 @@
   double PriorityStep = 0.25; ///< Added for each rank of priority above NormalPriority.
   uint32_t NormalPriority = 2;
   double LeastValue = 0.03; ///< A request worth less at every target is refused.
+  double SpareValue = 0.25; ///< Added for the spare targets of an object that do not know it yet:
+                            ///< the requests that follow will find it known.
   double FreeLoad = 0.7;    ///< Requests a slot up to which a request displaces no other.
   double LoadCost = 1.0;    ///< Value displaced by a request of mean work for each request a slot
                             ///< beyond that.
   double DomainCostPerKb = 0.04; ///< Value of 1,000 bytes between failure domains, which are paid
                                  ///< for.
   double RegionCostPerKb = 0.04; ///< The same between regions.
-  double ShiftCost = 0.2; ///< Value lost by a move between regions beyond the bound on it, while
-                          ///< targets fail.
-  core::Duration DisturbedSpan{6000}; ///< After a target has failed or left, requests may move
-                                      ///< beyond that bound; a release takes some seconds.
+  core::Duration DisturbedSpan{6000}; ///< After a target has failed, requests may move between
+                                      ///< regions at once; most failures last about as long.
   core::Duration DomainRoundTrip{2};  ///< To another failure domain, until it has been measured.
   core::Duration RegionRoundTrip{60}; ///< To another region, until it has been measured.
-  core::Duration LoadDecay{1000};     ///< Time constant with which a load report loses its weight.
+  core::Duration LoadDecay{4000};     ///< Time constant with which a load report loses its weight;
+                                      ///< reports come with answers, late in an overload.
   core::Duration SlownessDecay{8000}; ///< The same of the measured slowness of a target.
   double FullQueues = 2.5;            ///< A target with this many requests a slot gets no more.
   uint32_t FailuresToEject = 3;       ///< Failures in a row that eject a target.
@@ -196,7 +197,9 @@
   double coldRate(const State &state) const;
   std::optional<Candidate> best(absl::Span<State *const> targets, const PickRequest &request,
                                 core::Time now);
-  Candidate rate(State &state, bool isHome, const PickRequest &request, const WorkTime &time,
+  std::optional<Candidate> chooseRegion(const std::map<core::RegionId, Candidate> &bestOf,
+                                        const std::string &service, core::Time now);
+  Candidate rate(State &state, const HomeCandidate &home, const PickRequest &request, const WorkTime &time,
                  double meanWork, core::Time now) const;
   double load(const State &state, core::Time now) const;
   double slowness(const State &state, core::Time now) const;
@@ -220,7 +223,7 @@
   std::map<std::string, catalog::Service> Services;
   std::map<std::string, catalog::Rollout> Rollouts;
   std::map<std::string, bool> Evacuated;
-  std::map<std::string, core::Time> DisturbedAt; ///< Targets of a service failed or left.
+  std::map<std::string, core::Time> DisturbedAt; ///< A target of the service failed.
   WorkTimes Work;
   ObjectHomes Homes;
   ColdLimit Cold;
--- /dev/null
+++ b/src/entry/tests/LimitsTest.cpp
@@ -0,0 +1,251 @@
+#include "core/testing/Property.h"
+#include "entry/ColdLimit.h"
+#include "entry/RateShares.h"
+#include "entry/RegionShift.h"
+#include "entry/RetryAllowance.h"
+
+#include "control/RateDivision.h"
+
+#include <cmath>
+#include <functional>
+#include <memory>
+
+using namespace briarspar;
+using namespace briarspar::core;
+using namespace briarspar::entry;
+
+namespace {
+
+catalog::Shelf<catalog::Customer> oneCustomer(double rate, double burst) {
+  catalog::Customer it;
+  it.Name = "c";
+  it.RatePerS = rate;
+  it.Burst = burst;
+  catalog::Shelf<catalog::Customer> shelf;
+  shelf["c"] = {catalog::ItemVersion(1), LogIndex(1), it, ""};
+  return shelf;
+}
+
+/// Entry VMs that divide one customer's rate through a leader; answers are lost, VMs restart and
+/// leaders change at random.
+class Fleet {
+public:
+  Fleet(size_t n, double rate) : Rate(rate) {
+    for (size_t i = 0; i < n; ++i) {
+      Vms.push_back(std::make_unique<Vm>());
+      Vms[i]->Shares.setLimits(oneCustomer(Rate, Rate), Now);
+    }
+    Leader->becomeLeader(Term(1), roster(), Now);
+    Leader->setRates(oneCustomer(Rate, Rate));
+  }
+
+  /// Runs 100 ms: each VM gets `demand` requests, the one with the most callers `hotDemand`; every
+  /// fourth step reports.
+  void step(uint64_t demand, uint64_t hotDemand, uint64_t lossPermille,
+            const std::function<uint64_t()> &random) {
+    Now = Now + Duration{100};
+    for (size_t i = 0; i < Vms.size(); ++i) {
+      Vm &it = *Vms[i];
+      uint64_t mine = i == Hot ? hotDemand : demand;
+      for (uint64_t k = 0; k < mine; ++k)
+        if (it.Shares.spend("c", Now))
+          Admitted.push_back(Now);
+      if ((Now.Ms / 100 + static_cast<int64_t>(i)) % 4 != 0 || random() % 1000 < lossPermille)
+        continue;
+      auto answer = Leader->divide(id(i), Incarnation(it.Run), it.Heard, it.Shares.uses(Now),
+                                  Vms.size(), Now);
+      if (random() % 1000 < lossPermille)
+        continue;
+      it.Heard = LeaderTerm;
+      it.Shares.setShares(answer, Vms.size(), Now, Now);
+    }
+  }
+
+  void changeLeader() {
+    LeaderTerm = LeaderTerm.next();
+    Leader = std::make_unique<control::RateDivision>();
+    Leader->becomeLeader(LeaderTerm, roster(), Now);
+    Leader->setRates(oneCustomer(Rate, Rate));
+  }
+
+  void restart(size_t i) {
+    auto fresh = std::make_unique<Vm>();
+    fresh->Run = Vms[i]->Run + 1;
+    fresh->Shares.setLimits(oneCustomer(Rate, Rate), Now);
+    Vms[i] = std::move(fresh);
+  }
+
+  /// Most requests admitted in any window of the platform, as a part of what it allows.
+  double worstWindow() const {
+    double most = 0;
+    size_t from = 0;
+    for (size_t to = 0; to < Admitted.size(); ++to) {
+      while (Admitted[to] - Admitted[from] >= Duration{5000})
+        ++from;
+      most = std::max(most, static_cast<double>(to - from + 1));
+    }
+    return most / ((5 * Rate + Rate) * 1.1 + 20);
+  }
+
+  size_t Hot = 0;
+  size_t admitted() const { return Admitted.size(); }
+
+private:
+  struct Vm {
+    RateShares Shares;
+    uint64_t Run = 1;
+    Term Heard;
+  };
+
+  static VmId id(size_t i) { return VmId("vm" + std::to_string(i)); }
+  std::set<VmId> roster() const {
+    std::set<VmId> out;
+    for (size_t i = 0; i < Vms.size(); ++i)
+      out.insert(id(i));
+    return out;
+  }
+
+  double Rate;
+  Time Now{1'000'000};
+  std::vector<std::unique_ptr<Vm>> Vms;
+  std::unique_ptr<control::RateDivision> Leader = std::make_unique<control::RateDivision>();
+  Term LeaderTerm{1};
+  std::vector<Time> Admitted;
+};
+
+} // namespace
+
+/// Guards against a customer beyond its rate over all VMs, whatever is lost, restarted or deposed.
+Test(RateShares, theRateHoldsOverAllVms) {
+  testing::checkProperty("no window exceeds the allowed requests", [] {
+    size_t n = *rc::gen::inRange<size_t>(2, 16);
+    double rate = *rc::gen::inRange(10, 400);
+    uint64_t seed = *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>());
+    auto random = [&seed] {
+      seed = seed * 6364136223846793005ULL + 1442695040888963407ULL;
+      return seed >> 33;
+    };
+    Fleet fleet(n, rate);
+    auto demand = static_cast<uint64_t>(rate * 0.8 / static_cast<double>(n)) + 1;
+    uint64_t loss = random() % 3 * 200;
+    for (int i = 0; i < 200; ++i) {
+      if (random() % 40 == 0)
+        fleet.changeLeader();
+      if (random() % 30 == 0)
+        fleet.restart(random() % n);
+      if (random() % 25 == 0)
+        fleet.Hot = random() % n;
+      fleet.step(demand, demand * n, loss, random);
+    }
+    RC_ASSERT(fleet.worstWindow() <= 1);
+  });
+}
+
+/// Guards against callers within their rate that are refused because shares do not follow demand.
+/// The load: a customer at half of its rate, of which one of 12 VMs suddenly gets a third.
+Test(RateShares, demandWithinTheRateIsServed) {
+  Fleet fleet(12, 120);
+  auto random = [] { return uint64_t{999}; };
+  for (int i = 0; i < 40; ++i)
+    fleet.step(0, 0, 0, random);
+  size_t before = fleet.admitted();
+  for (int i = 0; i < 100; ++i)
+    fleet.step(i % 3 == 0 ? 1 : 0, 2, 0, random);
+  size_t asked = 34 * 11 + 200;
+  cr_assert_geq(fleet.admitted() - before, asked * 97 / 100, "%zu of %zu",
+                fleet.admitted() - before, asked);
+}
+
+/// Guards against a VM that goes on with its share after it has lost the leader.
+Test(RateShares, aShareEndsWithoutRenewal) {
+  RateShares shares;
+  shares.setLimits(oneCustomer(100, 100), Time{0});
+  shares.setShares(std::vector<link::RateShare>{{"c", 1000}}, 10, Time{0}, Time{10});
+  size_t n = 0;
+  for (int64_t ms = 3100; ms < 13'100; ms += 5)
+    n += shares.spend("c", Time{ms}) ? 1 : 0;
+  // What accrued until the end, and a tenth of the reserve of 8% afterwards.
+  cr_assert_leq(n, 120);
+}
+
+/// Guards against retries that multiply an overload of a service.
+Test(RetryAllowance, retriesKeepTheirRatio) {
+  testing::checkProperty("retries of all VMs keep the platform's ratio", [] {
+    size_t n = *rc::gen::inRange<size_t>(1, 20);
+    std::vector<RetryAllowance> vms(n);
+    for (RetryAllowance &it : vms)
+      it.setEntries(n);
+    std::vector<std::pair<int64_t, bool>> all;
+    uint64_t seed = *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>());
+    for (int64_t ms = 0; ms < 30'000; ms += 10) {
+      seed = seed * 6364136223846793005ULL + 1442695040888963407ULL;
+      RetryAllowance &it = vms[(seed >> 40) % n];
+      it.countRequest("s", Time{ms});
+      all.emplace_back(ms, false);
+      while (it.take("s", Time{ms}))
+        all.emplace_back(ms, true);
+    }
+    for (int64_t from = 0; from < 20'000; from += 500) {
+      double requests = 0;
+      double retries = 0;
+      for (const auto &[ms, isRetry] : all)
+        if (ms >= from && ms < from + 10'000)
+          (isRetry ? retries : requests) += 1;
+      RC_ASSERT(retries <= requests * 0.2 + 64);
+    }
+  });
+}
+
+/// Guards against a cold target that gets more than it endures from all VMs together, also where
+/// there are more VMs than requests.
+Test(ColdLimit, allVmsTogetherKeepTheBound) {
+  for (size_t n : {1UL, 4UL, 12UL, 30UL, 90UL}) {
+    std::vector<VmId> vms;
+    std::vector<std::string> regions;
+    for (size_t i = 0; i < n; ++i) {
+      vms.emplace_back("vm" + std::to_string(i));
+      regions.push_back("r");
+    }
+    double total = 0;
+    for (const VmId &vm : vms) {
+      ColdLimit limit(vm, RegionId("r"));
+      limit.setEntries(vms, regions);
+      if (limit.maySend(TargetId("t"), RegionId("r"), 6))
+        total += std::floor(1000.0 / static_cast<double>(limit.interval(6).Ms)) + 1;
+      cr_assert_not(limit.maySend(TargetId("t"), RegionId("other"), 6));
+    }
+    cr_assert_leq(total, 6 * 1.5 + 5, "%zu VMs", n);
+    cr_assert_geq(total, 1);
+  }
+}
+
+/// Guards against requests that leap between regions when load changes at once, either way.
+Test(RegionShift, sharesMoveSlowly) {
+  RegionShift shift;
+  std::vector<std::pair<int64_t, bool>> sent;
+  for (int64_t ms = 0; ms < 20'000; ms += 20) {
+    bool wantsRemote = ms > 4000 && ms < 12'000;
+    Time now{ms};
+    RegionId wanted(wantsRemote ? "remote" : "own");
+    RegionId other(wantsRemote ? "own" : "remote");
+    shift.wish(wanted, now);
+    RegionId used = shift.mayUse(wanted) ? wanted : other;
+    shift.count(used);
+    sent.emplace_back(ms, used.Value == "remote");
+  }
+  auto share = [&](int64_t from) {
+    double remote = 0;
+    double all = 0;
+    for (const auto &[ms, isRemote] : sent)
+      if (ms >= from && ms < from + 2000) {
+        all += 1;
+        remote += isRemote ? 1 : 0;
+      }
+    return remote / all;
+  };
+  double most = 0;
+  for (int64_t from = 0; from + 4000 <= 20'000; from += 100)
+    most = std::max(most, std::abs(share(from + 2000) - share(from)));
+  cr_assert_leq(most, 0.15, "%f", most);
+  cr_assert_geq(share(10'000), 0.2);
+}
--- /dev/null
+++ b/src/http/tests/MessageParserTest.cpp
@@ -0,0 +1,123 @@
+#include "core/testing/Property.h"
+#include "http/MessageParser.h"
+
+using namespace briarspar::core;
+using namespace briarspar::http;
+
+namespace {
+
+/// Collects what a parser reports.
+struct Collector final : MessageListener {
+  void onHead(Head head) override { Heads.push_back(std::move(head)); }
+  void onBody(std::string_view bytes) override { Body += bytes; }
+  void onEnd() override { ++Ends; }
+
+  std::vector<Head> Heads;
+  std::string Body;
+  int Ends = 0;
+};
+
+/// Feeds all bytes in pieces of `step`.
+absl::Status feedAll(MessageParser &parser, std::string_view bytes, size_t step) {
+  while (!bytes.empty()) {
+    size_t used = 0;
+    absl::Status status = parser.feed(bytes.substr(0, step), used);
+    if (!status.ok())
+      return status;
+    bytes.remove_prefix(used);
+  }
+  return absl::OkStatus();
+}
+
+} // namespace
+
+/// Guards against a request that is read differently when it arrives in other pieces.
+Test(MessageParser, piecesDoNotMatter) {
+  const std::string text = "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nCookie: x=1; object=17\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+                           "GET /next HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (size_t step = 1; step <= text.size(); ++step) {
+    Collector out;
+    MessageParser parser(MessageParser::Requests, 1000, out);
+    cr_assert(feedAll(parser, text, step).ok());
+    cr_assert_eq(out.Ends, 2);
+    cr_assert_eq(out.Body, "hello");
+    cr_assert_eq(out.Heads[0].Target, "/a/b?c=d");
+    cr_assert(out.Heads[0].Body == Framing::Chunked);
+    cr_assert(cookie(out.Heads[0], "object") == std::optional<std::string_view>("17"));
+    cr_assert(out.Heads[1].Body == Framing::NoBody);
+  }
+}
+
+/// Guards against requests hidden in other requests, whose end two parsers see at different places.
+Test(MessageParser, ambiguousFramingIsRefused) {
+  for (const char *headers :
+       {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length : 5\r\n", "Transfer-Encoding: gzip\r\n", "Content-Length: -1\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n"}) {
+    Collector out;
+    MessageParser parser(MessageParser::Requests, 1000, out);
+    std::string text = std::string("POST / HTTP/1.1\r\nHost: h\r\n") + headers + "\r\nhello";
+    cr_assert_not(feedAll(parser, text, text.size()).ok(), "accepted: %s", headers);
+  }
+}
+
+/// Guards against a head that fills the memory.
+Test(MessageParser, longHeadIsRefused) {
+  for (size_t step : {1UL, 100UL, 5000UL}) {
+    Collector out;
+    MessageParser parser(MessageParser::Requests, 1000, out);
+    std::string text = "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(2000, 'x') + "\r\n\r\n";
+    cr_assert_not(feedAll(parser, text, step).ok());
+    cr_assert(out.Heads.empty());
+  }
+}
+
+/// Guards against an answer cut by its connection that looks complete.
+Test(MessageParser, onlyAnswersWithoutLengthEndWithTheConnection) {
+  struct Case {
+    const char *Text;
+    bool Complete;
+  };
+  for (const Case &it : {Case{"HTTP/1.1 200 OK\r\n\r\nabc", true},
+                         Case{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", false},
+                         Case{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false},
+                         Case{"HTTP/1.1 200 OK\r\nX: y", false}}) {
+    Collector out;
+    MessageParser parser(MessageParser::Answers, 1000, out);
+    cr_assert(feedAll(parser, it.Text, 7).ok());
+    cr_assert_eq(parser.finish().ok(), it.Complete, "%s", it.Text);
+    cr_assert_eq(out.Ends, it.Complete ? 1 : 0);
+  }
+}
+
+/// Guards against an interim answer that is taken for the answer.
+Test(MessageParser, interimAnswersAreSkipped) {
+  Collector out;
+  MessageParser parser(MessageParser::Answers, 1000, out);
+  std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  cr_assert(feedAll(parser, text, text.size()).ok());
+  cr_assert_eq(out.Heads.size(), 1);
+  cr_assert_eq(out.Heads[0].Status, 200);
+  cr_assert_eq(out.Body, "ok");
+}
+
+/// Guards against bytes of a caller or a faulty target that end the process.
+Test(MessageParser, arbitraryBytesNeverThrow) {
+  testing::checkProperty("parsing returns a status", [](const std::vector<uint8_t> &bytes) {
+    std::string buf = "HTTP/1.1 200 OK\r\n" + std::string(bytes.begin(), bytes.end());
+    Collector out;
+    MessageParser parser(MessageParser::Answers, 100, out);
+    (void)feedAll(parser, buf, 3);
+    (void)parser.finish();
+  });
+}
+
+/// Guards against headers of one connection that are passed on to another.
+Test(Head, hopByHopHeadersAreRecognised) {
+  Head head;
+  head.add("Connection", "close, X-Private");
+  for (const char *it : {"connection", "Keep-Alive", "x-private", "Content-Length", "upgrade"})
+    cr_assert(isHopByHop(head, it), "%s", it);
+  cr_assert_not(isHopByHop(head, "X-Public"));
+}
