--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -189,6 +189,14 @@
   for (const std::shared_ptr<CallerSession> &it : sessions)
     it->sweep(now);
   Pool.sweep();
+  for (const TargetTable::Ejection &it : All.Targets.takeEjections())
+    Events.emit({core::EventId::TargetUnhealthy,
+                 {{"target", it.Target},
+                  {"service", it.Service},
+                  {"for_ms", it.Span},
+                  {"load", it.Load},
+                  {"failure_share", it.FailureShare},
+                  {"list", All.ListVersion}}});
   probe();
   if (!LeaderLost && now - LeaderHeard > Settings.ControlTimeout) {
     LeaderLost = true;
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -338,7 +338,10 @@
     return;
   }
   bool failed = Answer.Status >= 500;
-  recordOutcome(failed ? TargetOutcome::Failed : TargetOutcome::Good, now);
+  recordOutcome(Answer.Status == 504 ? TargetOutcome::TooLate
+                : failed             ? TargetOutcome::Failed
+                                     : TargetOutcome::Good,
+                now);
   All.Crashes.recordGood(fingerprint());
   if (failed && Route->Idempotent) {
     MayHaveRun = true;
--- a/src/entry/RegionShift.cpp
+++ b/src/entry/RegionShift.cpp
@@ -7,10 +7,11 @@
 
 RegionShift::RegionShift(const RegionShiftSettings &settings) : Settings(settings) {}
 
-void RegionShift::wish(const core::RegionId &region, core::Time now) {
+void RegionShift::wish(const core::RegionId &region, const std::map<core::RegionId, double> &room,
+                       core::Time now) {
   core::Duration span = now - LastWish;
   if (!Started || span > Settings.Idle)
-    start(region);
+    start(room);
   LastWish = now;
   Shares[region];
   double seconds = static_cast<double>(span.Ms) / 1000;
@@ -48,11 +49,11 @@
   }
 }
 
-/// The first wishes after a pause decide alone, as there is nothing to move from.
-void RegionShift::start(const core::RegionId &region) {
+void RegionShift::start(const std::map<core::RegionId, double> &room) {
   Started = true;
   Shares.clear();
-  Shares[region] = {1, 1, 0};
+  for (const auto &[region, part] : room)
+    Shares[region] = {part, part, 0};
 }
 
 } // namespace briarspar::entry
--- a/src/entry/RegionShift.h
+++ b/src/entry/RegionShift.h
@@ -8,7 +8,7 @@
 namespace briarspar::entry {
 
 struct RegionShiftSettings {
-  double MaxMovePerS = 0.045;  ///< Part of the requests that may change their region in a second.
+  double MaxMovePerS = 0.055;  ///< Part of the requests that may change their region in a second.
                                ///< The platform allows 0.15 from one window of 2 s to the next.
   double MaxOverdraft = 2;     ///< Requests by which a region may be ahead of its share.
   core::Duration WishWindow{700}; ///< Time constant of the wished shares.
@@ -23,8 +23,10 @@
 public:
   explicit RegionShift(const RegionShiftSettings &settings = {});
 
-  /// Counts the region that suits a request best.
-  void wish(const core::RegionId &region, core::Time now);
+  /// Counts the region that suits a request best. `room` gives the shares to start from after a
+  /// pause: the part of the requests for which each region has room.
+  void wish(const core::RegionId &region, const std::map<core::RegionId, double> &room,
+            core::Time now);
 
   /// True when a request may run in the region.
   bool mayUse(const core::RegionId &region) const;
@@ -42,7 +44,7 @@
     double Credit = 0; ///< Requests that the region is behind its plan.
   };
 
-  void start(const core::RegionId &region);
+  void start(const std::map<core::RegionId, double> &room);
 
   const RegionShiftSettings Settings;
   std::map<core::RegionId, Share> Shares;
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace briarspar::entry {
 
@@ -16,6 +17,9 @@
 /// A time up to this factor of what was expected is explained by the spread of work.
 constexpr double ExplainedTime = 1.6;
 
+/// Utilization of the targets from which the shares of regions start.
+constexpr double StartUtilization = 0.8;
+
 /// Spread of the time of an answer around what is expected, as a part of the latency goal.
 constexpr double GoalSpread = 0.1;
 
@@ -64,6 +68,7 @@
       state.ColdUntil = info.ColdUntil;
     ByService[info.Service].push_back(id);
   }
+  updateRoom();
   for (const auto &[service, ids] : ByService) {
     if (Baseline.count(service) != 0)
       continue;
@@ -77,6 +82,30 @@
   }
 }
 
+/// Each region has the same number of callers as far as this VM knows, so that its targets have
+/// room for more or less than its own requests.
+void TargetTable::updateRoom() {
+  std::map<core::RegionId, double> slots;
+  double all = 0;
+  for (const auto &[id, state] : Targets) {
+    slots[state.Region] += state.Info.Slots;
+    all += state.Info.Slots;
+  }
+  Room.clear();
+  if (all == 0)
+    return;
+  std::set<core::RegionId> regions;
+  for (const auto &[domain, region] : Own.Regions)
+    regions.insert(region);
+  double local = std::min(1.0, slots[Own.Region] / all * static_cast<double>(regions.size()) /
+                                   StartUtilization);
+  double others = all - slots[Own.Region];
+  for (const auto &[region, n] : slots)
+    if (region != Own.Region)
+      Room[region] = others == 0 ? 0 : (1 - local) * n / others;
+  Room[Own.Region] = others == 0 ? 1 : local;
+}
+
 void TargetTable::setCatalog(const catalog::Catalog &catalog, core::Time now) {
   std::map<std::string, bool> before = Evacuated;
   Services.clear();
@@ -226,7 +255,7 @@
       wished = &it;
   if (wished == nullptr)
     return std::nullopt;
-  Shift.wish(wished->What.Region, now);
+  Shift.wish(wished->What.Region, Room, now);
   // Requests whose targets have failed move at once.
   if (isDisturbed(service, now)) {
     Shift.release();
@@ -362,11 +391,12 @@
   bool good = outcome == TargetOutcome::Good;
   bool failed = outcome == TargetOutcome::Failed || outcome == TargetOutcome::Broken ||
                 outcome == TargetOutcome::TimedOut || outcome == TargetOutcome::NotReached;
-  if (good || failed) {
+  if (good || failed || outcome == TargetOutcome::TooLate) {
     link::VersionCounts &counts =
         Counts[{state.Info.Service, state.Info.Version.Value, route.Name}];
     ++counts.Requests;
-    if (outcome == TargetOutcome::Failed || outcome == TargetOutcome::TimedOut)
+    if (outcome == TargetOutcome::Failed || outcome == TargetOutcome::TimedOut ||
+        outcome == TargetOutcome::TooLate)
       ++counts.Failures;
     counts.LatencyMs += good ? static_cast<uint64_t>(latency.Ms) : 0;
   }
@@ -382,7 +412,7 @@
     state.Leaving = true;
     return;
   }
-  if (outcome == TargetOutcome::TimedOut)
+  if (outcome == TargetOutcome::TimedOut || outcome == TargetOutcome::TooLate)
     learnTime(state, pick, route, latency, now);
   if (outcome == TargetOutcome::NotReached || outcome == TargetOutcome::Broken) {
     // The process may have ended: what it remembered is gone, and it may come back cold.
@@ -422,6 +452,12 @@
                      Settings.LongestEjection);
   ++state.Ejections;
   state.FailuresInRow = 0;
+  JustEjected.push_back({state.Info.Id, state.Info.Service, state.EjectedUntil - now,
+                         state.Reported + state.Own, state.FailureShare});
+}
+
+std::vector<TargetTable::Ejection> TargetTable::takeEjections() {
+  return std::exchange(JustEjected, {});
 }
 
 void TargetTable::recordLoad(const core::TargetId &id, const LoadReport &load, core::Time now) {
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -95,7 +95,8 @@
   WrongTarget, ///< Another process has the address.
   NotReached,  ///< The connection could not be opened.
   Broken,      ///< The connection ended, or the answer was malformed.
-  TimedOut,
+  TimedOut,    ///< No answer at all in time: the process may be silent.
+  TooLate,     ///< It said itself that its time was over, which tells of load, not of a fault.
   Cancelled,
 };
 
@@ -147,6 +148,18 @@
   /// Returns an ejected target that is due for a probe; at most one probe a target is outstanding.
   std::optional<Pick> nextProbe(core::Time now);
 
+  /// A target that gets no requests for a while, and what led to it.
+  struct Ejection {
+    core::TargetId Target;
+    std::string Service;
+    core::Duration Span;
+    double Load = 0;
+    double FailureShare = 0;
+  };
+
+  /// Returns the ejections since the last call.
+  std::vector<Ejection> takeEjections();
+
   /// Takes the answer to a probe.
   void recordProbe(const core::TargetId &id, bool healthy, core::Duration cold, core::Time now);
 
@@ -209,6 +222,7 @@
   void learnTime(State &state, const Pick &pick, const catalog::Route &route,
                  core::Duration latency, core::Time now);
   void eject(State &state, core::Time now);
+  void updateRoom();
   bool isDisturbed(const std::string &service, core::Time now) const;
   std::vector<State *> ofVersion(const std::string &service, const core::VersionId *wanted,
                                  const core::VersionId *unwanted);
@@ -228,6 +242,8 @@
   ObjectHomes Homes;
   ColdLimit Cold;
   RegionShift Shift;
+  std::map<core::RegionId, double> Room; ///< Part of the requests that each region has room for.
+  std::vector<Ejection> JustEjected;
   std::map<core::DomainId, double> RoundTrip; ///< Measured, in ms.
   std::map<std::string, double> RolloutCredit;
   std::map<std::string, std::map<std::string, double>> SplitCredit; ///< By route and service.
