--- a/src/entry/ObjectHomes.h
+++ b/src/entry/ObjectHomes.h
@@ -14,7 +14,7 @@
 
 struct ObjectHomesSettings {
   core::Duration Window{15'000};   ///< An object asked for within it is in use.
-  double FirstRemembered = 40;     ///< Objects that a target is taken to remember at first.
+  double FirstRemembered = 30;     ///< Objects that a target is taken to remember at first.
   double LeastRemembered = 8;
   double MostRemembered = 400;
   double GoodHits = 0.85; ///< With more familiar answers than this, the estimate grows.
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -285,7 +285,7 @@
   pick.Load = load(state, now);
   pick.Network = network(state);
   pick.Slowness = slowness(state, now);
-  pick.Familiar = home.IsHome || (request.Object && state.Served.count(*request.Object) != 0);
+  pick.Familiar = home.IsHome || (request.Object && remembers(state, *request.Object, now));
   double slots = state.Info.Slots;
   double work = (pick.Familiar ? time.Warm : time.Cold) * pick.Slowness;
   if (isCold(state, now))
@@ -305,8 +305,8 @@
                      (learns ? time.Warm : work) / std::max(1.0, meanWork);
   pick.Value = std::max(0.1, weight) * answer * (1 - state.FailureShare) - displaced -
                bytesCost(state, *request.Route);
-  if (learns)
-    pick.Value += Settings.SpareValue;
+  if (request.Object && !pick.Familiar)
+    pick.Value -= home.IsSpare ? Settings.SpareCost : Settings.ForgetCost;
   // Among equals the less loaded one; too little to outweigh anything else.
   pick.Value -= pick.Load / slots * EvenLoad;
   return {&state, std::move(pick)};
@@ -371,6 +371,11 @@
                                                         : Settings.RegionRoundTrip.Ms);
 }
 
+bool TargetTable::remembers(const State &state, uint64_t object, core::Time now) const {
+  auto it = state.Served.find(object);
+  return it != state.Served.end() && now - it->second < Settings.SpareMemory;
+}
+
 void TargetTable::noteServed(State &state, uint64_t object, core::Time now) const {
   state.Served[object] = now;
   if (static_cast<double>(state.Served.size()) <= Homes.remembered(state.Info.Service))
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -34,8 +34,12 @@
   double PriorityStep = 0.25; ///< Added for each rank of priority above NormalPriority.
   uint32_t NormalPriority = 2;
   double LeastValue = 0.03; ///< A request worth less at every target is refused.
-  double SpareValue = 0.25; ///< Added for the spare targets of an object that do not know it yet:
-                            ///< the requests that follow will find it known.
+  double ForgetCost = 0.35;  ///< Value lost when a target that is no home of an object learns it:
+                             ///< it forgets another one, which comes back.
+  double SpareCost = 0.05;   ///< The same for the spare targets of an object, where the requests
+                             ///< that follow will find it known.
+  core::Duration SpareMemory{6000}; ///< A target that is no home is taken to remember an object for
+                                    ///< this long.
   double FreeLoad = 0.7;    ///< Requests a slot up to which a request displaces no other.
   double LoadCost = 1.0;    ///< Value displaced by a request of mean work for each request a slot
                             ///< beyond that.
@@ -218,6 +222,7 @@
   double slowness(const State &state, core::Time now) const;
   double network(const State &state) const;
   double bytesCost(const State &state, const catalog::Route &route) const;
+  bool remembers(const State &state, uint64_t object, core::Time now) const;
   void noteServed(State &state, uint64_t object, core::Time now) const;
   void learnTime(State &state, const Pick &pick, const catalog::Route &route,
                  core::Duration latency, core::Time now);
