--- a/src/entry/RegionShift.cpp
+++ b/src/entry/RegionShift.cpp
@@ -21,7 +21,7 @@
   double planned = 0;
   for (auto &[id, share] : Shares) {
     share.Wished = share.Wished * keep + (id == region ? 1 - keep : 0);
-    double most = Settings.MaxMovePerS * seconds;
+    double most = std::min(Settings.MaxMovePerS * seconds, Settings.MaxMovePerRequest);
     share.Planned += std::clamp(share.Wished - share.Planned, -most, most);
     planned += share.Planned;
   }
--- a/src/entry/tests/LimitsTest.cpp
+++ b/src/entry/tests/LimitsTest.cpp
@@ -219,6 +219,22 @@
   }
 }
 
+/// Guards against the few requests before the traffic starts, which all fit into the own region,
+/// moving the shares away from what each region has room for.
+Test(RegionShift, aQuietTimeMovesLittle) {
+  RegionShift shift;
+  std::map<RegionId, double> room{{RegionId("own"), 0.5}, {RegionId("remote"), 0.5}};
+  for (int64_t ms = 0; ms < 6000; ms += 1000)
+    shift.wish(RegionId("own"), room, Time{ms});
+  int own = 0;
+  for (int64_t ms = 6000; ms < 8000; ms += 20) {
+    bool usesOwn = shift.mayUse(RegionId("own"));
+    shift.count(RegionId(usesOwn ? "own" : "remote"));
+    own += usesOwn ? 1 : 0;
+  }
+  cr_assert_leq(own, 65);
+}
+
 /// Guards against requests that leap between regions when load changes at once, either way.
 Test(RegionShift, sharesMoveSlowly) {
   RegionShift shift;
