--- a/src/catalog/Catalog.cpp
+++ b/src/catalog/Catalog.cpp
@@ -230,14 +230,13 @@
   bool routing = false;
   bool callers = false;
   bool bounds = false;
-  for (const absl::Status &status :
-       {setItems(services, change.Services, at, routing),
-        removeItems(services, change.RemovedServices, at, routing),
-        setItems(routes, change.Routes, at, routing),
-        removeItems(routes, change.RemovedRoutes, at, routing),
-        setItems(customers, change.Customers, at, callers),
-        removeItems(customers, change.RemovedCustomers, at, callers),
-        setItems(limits, change.Limits, at, bounds)})
+  for (const absl::Status &status : {setItems(services, change.Services, at, routing),
+                                     removeItems(services, change.RemovedServices, at, routing),
+                                     setItems(routes, change.Routes, at, routing),
+                                     removeItems(routes, change.RemovedRoutes, at, routing),
+                                     setItems(customers, change.Customers, at, callers),
+                                     removeItems(customers, change.RemovedCustomers, at, callers),
+                                     setItems(limits, change.Limits, at, bounds)})
     if (!status.ok())
       return status;
   if (absl::Status status = checkRoutes(routes, services); routing && !status.ok())
--- a/src/catalog/tests/CatalogTest.cpp
+++ b/src/catalog/tests/CatalogTest.cpp
@@ -138,6 +138,6 @@
   cr_assert(catalog.startRollout("a", "v1", "v3", Duration{9000}, LogIndex(5)).ok());
   catalog.stepRollout("a", LogIndex(2), RolloutState::Completed, 1000, Duration{1}, LogIndex(6));
   cr_assert(catalog.rollouts().at("a").State == RolloutState::Running);
-  cr_assert(absl::IsInvalidArgument(
-      catalog.startRollout("unknown", "", "v2", Duration{1}, LogIndex(7))));
+  cr_assert(
+      absl::IsInvalidArgument(catalog.startRollout("unknown", "", "v2", Duration{1}, LogIndex(7))));
 }
--- a/src/control/ControlMachine.cpp
+++ b/src/control/ControlMachine.cpp
@@ -12,13 +12,11 @@
 
 Json toJson(const ChangeItems &it) { return {"change", it.What}; }
 
-Json toJson(const StartRollout &it) {
-  return {"start", it.Service, it.From, it.Target, it.Period};
-}
+Json toJson(const StartRollout &it) { return {"start", it.Service, it.From, it.Target, it.Period}; }
 
 Json toJson(const StepRollout &it) {
-  return {"step", it.Service, it.OrderedAt, static_cast<int>(it.State), it.SharePermille,
-          it.Elapsed};
+  return {"step",           it.Service, it.OrderedAt, static_cast<int>(it.State),
+          it.SharePermille, it.Elapsed};
 }
 
 Json toJson(const SetEvacuation &it) { return {"evacuation", it.Domain, it.Active}; }
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -17,6 +17,9 @@
 /// Identity of the data folders of the first voters, which all of them know without a message.
 constexpr core::Incarnation FirstData{1};
 
+/// Voters are checked this often; far below the silence that counts.
+constexpr core::Duration VoterCheckInterval{500};
+
 uint64_t wallClockMs() {
   using namespace std::chrono;
   return static_cast<uint64_t>(
@@ -128,11 +131,10 @@
 absl::Status ControlNode::openReplica() {
   auto storage = agreement::FileLogStorage::open(Files, Settings.DataFolder);
   if (absl::IsNotFound(storage.status())) {
-    bool isSeed =
-        std::find(Settings.Seeds.begin(), Settings.Seeds.end(), Settings.Vm) != Settings.Seeds.end();
+    bool isSeed = std::find(Settings.Seeds.begin(), Settings.Seeds.end(), Settings.Vm) !=
+                  Settings.Seeds.end();
     bool isFirst = Settings.Bootstrap && isSeed;
-    agreement::VoterId self{Settings.Vm,
-                            isFirst ? FirstData : core::Incarnation(wallClockMs())};
+    agreement::VoterId self{Settings.Vm, isFirst ? FirstData : core::Incarnation(wallClockMs())};
     std::set<agreement::VoterId> voters;
     for (const core::VmId &it : Settings.Seeds)
       voters.insert({it, FirstData});
@@ -241,8 +243,7 @@
 }
 
 void ControlNode::checkVoters(core::Time now) {
-  constexpr core::Duration CheckInterval{500};
-  if (now - LastVoterCheck < CheckInterval)
+  if (now - LastVoterCheck < VoterCheckInterval)
     return;
   LastVoterCheck = now;
   const agreement::Configuration &group = Log->configuration();
@@ -274,9 +275,8 @@
   if (message.Kind == link::kind::Raft) {
     absl::StatusOr<agreement::Envelope> envelope = agreement::decodeEnvelope(message.Body);
     if (!envelope.ok()) {
-      Events.emit(
-          {core::EventId::PeerMessageRejected,
-           {{"peer", message.From}, {"reason", std::string(envelope.status().message())}}});
+      Events.emit({core::EventId::PeerMessageRejected,
+                   {{"peer", message.From}, {"reason", std::string(envelope.status().message())}}});
       return;
     }
     Log->receive(*envelope, now);
@@ -304,8 +304,9 @@
     return;
   }
   if (Entries.report(message.From, message.FromIncarnation, *report, now))
-    Events.emit({core::EventId::EntryJoined,
-                 {{"vm", message.From}, {"address", report->Address}, {"run", message.FromIncarnation}}});
+    Events.emit(
+        {core::EventId::EntryJoined,
+         {{"vm", message.From}, {"address", report->Address}, {"run", message.FromIncarnation}}});
   discovery::ListVersion list{report->ListEpoch, report->ListSequence};
   EntryVersions[message.From] = {report->Catalog, list};
   const EntryRecord &record = Entries.records().at(message.From);
@@ -472,9 +473,8 @@
   for (const auto &[id, target] : Targets.targets())
     if (target.Service == service && target.Version.Value != except)
       ++counts[target.Version.Value];
-  auto most = std::max_element(counts.begin(), counts.end(), [](const auto &a, const auto &b) {
-    return a.second < b.second;
-  });
+  auto most = std::max_element(counts.begin(), counts.end(),
+                               [](const auto &a, const auto &b) { return a.second < b.second; });
   return most == counts.end() ? "" : most->first;
 }
 
@@ -512,10 +512,10 @@
                          it->Period},
             absl::StrCat("rollout of ", it->Service, " to ", it->Version), respond);
   } else if (const auto *it = std::get_if<EvacuationCall>(&call)) {
-    propose(SetEvacuation{it->Domain, it->Active},
-            absl::StrCat(it->Active ? "evacuation of " : "end of the evacuation of ",
-                         it->Domain.Value),
-            respond);
+    propose(
+        SetEvacuation{it->Domain, it->Active},
+        absl::StrCat(it->Active ? "evacuation of " : "end of the evacuation of ", it->Domain.Value),
+        respond);
   }
 }
 
@@ -552,14 +552,16 @@
 void ControlNode::redirect(const http::WholeRequest &request, const Responder &respond) {
   std::optional<agreement::VoterId> leader = Log->leaderHint();
   if (!leader || leader->Vm == Settings.Vm) {
-    respond({503, Format.writeError("no leader"), "application/json", "",
-             Settings.RetryAfterNoLeader});
+    respond(
+        {503, Format.writeError("no leader"), "application/json", "", Settings.RetryAfterNoLeader});
     return;
   }
-  respond({307, "", "application/json",
-           absl::StrCat("http://", leader->Vm.Value, ":", Settings.OperatorPort,
-                        request.Start.Target),
-           {0}});
+  respond(
+      {307,
+       "",
+       "application/json",
+       absl::StrCat("http://", leader->Vm.Value, ":", Settings.OperatorPort, request.Start.Target),
+       {0}});
 }
 
 } // namespace briarspar::control
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -42,11 +42,11 @@
   std::string ListHost;   ///< The platform's list of targets.
   uint16_t ListPort = 0;
   agreement::GroupId Group{"main"};
-  core::Duration Tick{25};             ///< Of the agreement group; elections take 600 ms or more.
-  core::Duration JoinInterval{500};    ///< Between two requests to be added to the group.
-  core::Duration VoterSilence{6000};   ///< A voter that is silent for so long may be replaced; a
-                                       ///< restart takes a second, a cut mostly less than this.
-  core::Duration LookupTtl{2000};      ///< Callers cache a look-up for this long.
+  core::Duration Tick{25};           ///< Of the agreement group; elections take 600 ms or more.
+  core::Duration JoinInterval{500};  ///< Between two requests to be added to the group.
+  core::Duration VoterSilence{6000}; ///< A voter that is silent for so long may be replaced; a
+                                     ///< restart takes a second, a cut mostly less than this.
+  core::Duration LookupTtl{2000};    ///< Callers cache a look-up for this long.
   core::Duration RetryAfterNoLeader{300}; ///< About half an election.
   discovery::ListReaderSettings List;
   agreement::ReplicaSettings Replica = quickElections();
--- a/src/control/EntryRegistry.cpp
+++ b/src/control/EntryRegistry.cpp
@@ -12,8 +12,7 @@
   if (run < record.Run)
     return false;
   bool stopping = report.Stopping || (record.Run == run && record.Stopping);
-  record = {run,      report.Region, report.Domain, report.Address, report.Serving,
-            stopping, now};
+  record = {run, report.Region, report.Domain, report.Address, report.Serving, stopping, now};
   bool &wasLive = WasLive[vm];
   return !std::exchange(wasLive, isLive(record, now)) && wasLive;
 }
--- a/src/control/EntryRegistry.h
+++ b/src/control/EntryRegistry.h
@@ -14,7 +14,7 @@
   core::Duration Silence{1500}; ///< A VM that has not reported for so long is not named any more;
                                 ///< reports come every 400 ms.
   core::Duration Forget{30'000};
-  size_t MaxNamed = 16; ///< VMs in the answer to one look-up.
+  size_t MaxNamed = 16;  ///< VMs in the answer to one look-up.
   size_t LeastNamed = 2; ///< With fewer VMs in the caller's failure domain, its region is named.
 };
 
--- a/src/control/OperatorCall.h
+++ b/src/control/OperatorCall.h
@@ -38,9 +38,8 @@
 };
 struct UnknownCall {};
 
-using OperatorCall =
-    std::variant<LookupCall, ReadItemsCall, ChangeItemsCall, StartRolloutCall, ReadRolloutCall,
-                 EvacuationCall, InvalidCall, UnknownCall>;
+using OperatorCall = std::variant<LookupCall, ReadItemsCall, ChangeItemsCall, StartRolloutCall,
+                                  ReadRolloutCall, EvacuationCall, InvalidCall, UnknownCall>;
 
 /// How calls and their answers look on the wire. Implemented by the platform's adapter.
 class OperatorFormat {
--- a/src/control/RateDivision.h
+++ b/src/control/RateDivision.h
@@ -14,12 +14,12 @@
 namespace briarspar::control {
 
 struct RateDivisionSettings {
-  core::Duration Validity{3000};  ///< For so long after its report a VM may use a share.
-  core::Duration Margin{100};     ///< Added for the difference in rate of two clocks.
-  uint32_t EqualPermille = 250;   ///< Part of each rate that is divided evenly; the rest follows
-                                  ///< the demand.
-  double DemandRoom = 1.4;        ///< Share for each part of the rate that is asked for. What nobody
-                                  ///< asks for stays with the leader, who can grant it at once.
+  core::Duration Validity{3000}; ///< For so long after its report a VM may use a share.
+  core::Duration Margin{100};    ///< Added for the difference in rate of two clocks.
+  uint32_t EqualPermille = 250;  ///< Part of each rate that is divided evenly; the rest follows
+                                 ///< the demand.
+  double DemandRoom = 1.4;       ///< Share for each part of the rate that is asked for. What nobody
+                                 ///< asks for stays with the leader, who can grant it at once.
 };
 
 /// Divides the customers' rates between the entry VMs by their demand. At no time do the shares
--- a/src/control/RolloutJudge.cpp
+++ b/src/control/RolloutJudge.cpp
@@ -80,8 +80,7 @@
   auto failsMore = [&](const Sums &mine, const Sums &other) {
     if (mine.Failures < Settings.LeastFailures)
       return false;
-    double before =
-        other.Requests == 0 ? 0 : static_cast<double>(other.Failures) / other.Requests;
+    double before = other.Requests == 0 ? 0 : static_cast<double>(other.Failures) / other.Requests;
     double tolerated = before * Settings.FailureRatio + Settings.FailureExcess;
     return static_cast<double>(mine.Failures) > tolerated * mine.Requests;
   };
--- a/src/control/RolloutJudge.h
+++ b/src/control/RolloutJudge.h
@@ -12,11 +12,11 @@
 namespace briarspar::control {
 
 struct RolloutJudgeSettings {
-  uint32_t TrialPermille = 70;  ///< Share of the new version while it is watched. A bad version may
-                                ///< get a tenth of all requests.
-  uint32_t RampPermille = 350;  ///< Share of the first step towards the whole.
+  uint32_t TrialPermille = 70; ///< Share of the new version while it is watched. A bad version may
+                               ///< get a tenth of all requests.
+  uint32_t RampPermille = 350; ///< Share of the first step towards the whole.
   uint32_t TrialUntilPermille = 650; ///< Part of the period for which the new version is watched.
-  core::Duration RampStep{1200}; ///< Time at the first step; reports come every 400 ms.
+  core::Duration RampStep{1200};     ///< Time at the first step; reports come every 400 ms.
   core::Duration FullStep{1800}; ///< Time with all requests on the new version before the rollout
                                  ///< completes and the old targets end at once; longer than most
                                  ///< requests last.
@@ -25,9 +25,9 @@
   double FailureRatio = 3;       ///< Tolerated ratio of failures, new to old.
   double FailureExcess = 0.04;   ///< Tolerated share of failures beyond that.
   uint32_t LeastTimed = 8;       ///< Answers of one route from which on its mean time counts.
-  double SlowRatio = 2.6;        ///< Tolerated ratio of the mean times of a route, new to old. A new
-                                 ///< version starts cold and knows no objects, which alone makes it
-                                 ///< up to two times slower.
+  double SlowRatio = 2.6; ///< Tolerated ratio of the mean times of a route, new to old. A new
+                          ///< version starts cold and knows no objects, which alone makes it
+                          ///< up to two times slower.
 };
 
 /// Judges new versions of services by the outcomes that entry VMs report, and decides about the
@@ -68,8 +68,8 @@
 
   struct Progress {
     core::LogIndex OrderedAt;
-    core::Time Start;      ///< The order, by this leader's clock.
-    core::Time StepSince;  ///< Of the current share.
+    core::Time Start;     ///< The order, by this leader's clock.
+    core::Time StepSince; ///< Of the current share.
     uint32_t Share = 0;
     core::Time NextNote;
   };
--- a/src/core/Text.cpp
+++ b/src/core/Text.cpp
@@ -13,11 +13,11 @@
 }
 
 std::string_view trim(std::string_view text) {
-  constexpr std::string_view Blank = " \t";
-  size_t first = text.find_first_not_of(Blank);
+  constexpr std::string_view blank = " \t";
+  size_t first = text.find_first_not_of(blank);
   if (first == std::string_view::npos)
     return {};
-  return text.substr(first, text.find_last_not_of(Blank) - first + 1);
+  return text.substr(first, text.find_last_not_of(blank) - first + 1);
 }
 
 std::vector<std::string_view> split(std::string_view text, char separator) {
@@ -45,5 +45,4 @@
   return true;
 }
 
-
 } // namespace briarspar::core
--- a/src/core/Text.h
+++ b/src/core/Text.h
@@ -41,5 +41,4 @@
   return value;
 }
 
-
 } // namespace briarspar::core
--- a/src/daemon/main/Main.cpp
+++ b/src/daemon/main/Main.cpp
@@ -74,8 +74,7 @@
 
 /// Runs a process whose settings name a role.
 int runNode(const std::string &file, const std::string &text, bool check) {
-  absl::StatusOr<briarspar::node::NodeSettings> settings =
-      briarspar::node::parseNodeSettings(text);
+  absl::StatusOr<briarspar::node::NodeSettings> settings = briarspar::node::parseNodeSettings(text);
   if (!settings.ok()) {
     std::cerr << settings.status().message() << '\n';
     return SettingsInvalid;
--- a/src/discovery/ListReader.cpp
+++ b/src/discovery/ListReader.cpp
@@ -52,8 +52,8 @@
   Outstanding = false;
   // The token may have become stale with the failure, so that the reading starts anew.
   Token.clear();
-  Backoff = Backoff.Ms == 0 ? Settings.FirstBackoff
-                            : std::min(Backoff * 2, Settings.LongestBackoff);
+  Backoff =
+      Backoff.Ms == 0 ? Settings.FirstBackoff : std::min(Backoff * 2, Settings.LongestBackoff);
   NextAt = now + Backoff;
 }
 
--- a/src/discovery/ListReader.h
+++ b/src/discovery/ListReader.h
@@ -11,9 +11,9 @@
 
 /// Pace of the readings of the platform's list.
 struct ListReaderSettings {
-  core::Duration Interval{700}; ///< From the start of a reading to the next; the list itself lags by
-                                ///< about as much, and a drain must be noticed within 3 s.
-  core::Duration FirstBackoff{250};  ///< After a failed page; doubles with each further failure.
+  core::Duration Interval{700}; ///< From the start of a reading to the next; the list itself lags
+                                ///< by about as much, and a drain must be noticed within 3 s.
+  core::Duration FirstBackoff{250}; ///< After a failed page; doubles with each further failure.
   core::Duration LongestBackoff{2000};
   core::Duration PageTimeout{1500}; ///< A page that has not come by then counts as failed.
 };
--- a/src/discovery/Target.h
+++ b/src/discovery/Target.h
@@ -27,7 +27,7 @@
 /// One page of the list.
 struct ListPage {
   std::vector<Target> Targets;
-  std::string NextPage;   ///< Token of the following page; empty on the last one.
+  std::string NextPage;    ///< Token of the following page; empty on the last one.
   uint32_t Unreadable = 0; ///< Entries that could not be read and were left out.
 };
 
--- a/src/discovery/TargetList.cpp
+++ b/src/discovery/TargetList.cpp
@@ -19,15 +19,9 @@
 }
 
 core::Json encode(const Target &it, core::Time now) {
-  return {it.Id,
-          it.Service,
-          it.Host,
-          it.Port,
-          it.Domain,
-          it.Version,
-          it.Slots,
-          it.Draining,
-          std::max<int64_t>(0, (it.ColdUntil - now).Ms)};
+  return {it.Id,    it.Service,  it.Host,
+          it.Port,  it.Domain,   it.Version,
+          it.Slots, it.Draining, std::max<int64_t>(0, (it.ColdUntil - now).Ms)};
 }
 
 Target decode(const core::Json &j, core::Time now) {
--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -243,16 +243,15 @@
 }
 
 void CallerSession::read() {
-  bool full = Unparsed.size() > Settings.MaxUnparsedBytes ||
-              (Receiving && Receiving->isTargetFull());
+  bool full =
+      Unparsed.size() > Settings.MaxUnparsedBytes || (Receiving && Receiving->isTargetFull());
   if (ReadPending || Closed || (Rejected && !Lingering) || full)
     return;
   ReadPending = true;
   Buffer.resize(ReadBytes);
-  Socket.async_read_some(asio::buffer(Buffer),
-                         [self = shared_from_this()](const asio::error_code &ec, size_t n) {
-                           self->onRead(ec, n);
-                         });
+  Socket.async_read_some(
+      asio::buffer(Buffer),
+      [self = shared_from_this()](const asio::error_code &ec, size_t n) { self->onRead(ec, n); });
 }
 
 void CallerSession::onRead(const asio::error_code &ec, size_t n) {
--- a/src/entry/CallerSession.h
+++ b/src/entry/CallerSession.h
@@ -81,7 +81,7 @@
   bool Closed = false;
   bool Stopping = false;
   bool CloseIdle = false; ///< While stopping, a connection without requests is closed.
-  bool Rejected = false;     ///< The caller's bytes are no requests any more.
+  bool Rejected = false;  ///< The caller's bytes are no requests any more.
   bool CloseAfterWrite = false;
   bool Lingering = false; ///< The last answer is written; the caller's end is awaited.
   core::Time LastActivity;
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -27,9 +27,8 @@
   Probe(EntryNode &node, Pick target) : Node(node), Target(std::move(target)) {}
 
   void start() {
-    Connection = std::make_shared<http::ClientConnection>(Node.Io, Node.Clock, Target.Host,
-                                                          Target.Port,
-                                                          http::ClientConnectionSettings{});
+    Connection = std::make_shared<http::ClientConnection>(
+        Node.Io, Node.Clock, Target.Host, Target.Port, http::ClientConnectionSettings{});
     http::Head head;
     head.Method = "GET";
     head.Target = Node.All.Targets.healthPath(Target.Service);
@@ -73,19 +72,19 @@
 
 EntryNode::EntryNode(asio::io_context &io, const core::Clock &clock, core::EventSink &events,
                      transport::Transport &transport, const EntryNodeSettings &settings)
-    : Io(io), Clock(clock), Events(events), Peers(transport), Settings(settings),
-      All{settings.Names,
-          {},
-          nullptr,
-          {},
-          RateShares(),
-          RetryAllowance(),
-          TargetTable(settings.Own, settings.Choice),
-          balance::CrashGuard(core::hash64(settings.Own.Vm.Value,
-                                           static_cast<uint64_t>(clock.now().Ms))),
-          &events,
-          0,
-          0},
+    : Io(io), Clock(clock), Events(events), Peers(transport),
+      Settings(settings), All{settings.Names,
+                              {},
+                              nullptr,
+                              {},
+                              RateShares(),
+                              RetryAllowance(),
+                              TargetTable(settings.Own, settings.Choice),
+                              balance::CrashGuard(core::hash64(
+                                  settings.Own.Vm.Value, static_cast<uint64_t>(clock.now().Ms))),
+                              &events,
+                              0,
+                              0},
       Pool(io, clock, settings.Names.RequestId),
       ReadyServer(io,
                   [this](const http::WholeRequest &, const http::SmallServer::Responder &respond) {
@@ -100,8 +99,7 @@
 EntryNode::~EntryNode() = default;
 
 absl::Status EntryNode::start() {
-  if (absl::Status status =
-          http::listen(Acceptor, Settings.Callers.Host, Settings.Callers.Port);
+  if (absl::Status status = http::listen(Acceptor, Settings.Callers.Host, Settings.Callers.Port);
       !status.ok())
     return status;
   if (absl::Status status = ReadyServer.start(Settings.Ready.Host, Settings.Ready.Port);
@@ -200,8 +198,8 @@
   probe();
   if (!LeaderLost && now - LeaderHeard > Settings.ControlTimeout) {
     LeaderLost = true;
-    Events.emit({core::EventId::ControlLost,
-                 {{"leader", Leader}, {"silent_ms", now - LeaderHeard}}});
+    Events.emit(
+        {core::EventId::ControlLost, {{"leader", Leader}, {"silent_ms", now - LeaderHeard}}});
   }
   if (Stopping)
     finishStop();
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -31,15 +31,15 @@
   Place Own;
   Address Callers;
   Address Ready;
-  uint16_t PeerPort = 0;               ///< Of the message listeners of all VMs.
-  std::vector<core::VmId> Seeds;       ///< Control VMs to start from; ids are IP addresses.
-  core::Duration ReportInterval{400};  ///< Far below the validity of rate shares, 3 s.
+  uint16_t PeerPort = 0;                   ///< Of the message listeners of all VMs.
+  std::vector<core::VmId> Seeds;           ///< Control VMs to start from; ids are IP addresses.
+  core::Duration ReportInterval{400};      ///< Far below the validity of rate shares, 3 s.
   core::Duration FirstReportInterval{100}; ///< While there is no configuration to serve from.
-  core::Duration SweepInterval{200};   ///< Of idle connections, probes and logs.
-  core::Duration ControlTimeout{1000}; ///< Without a leader's answer for so long it is lost.
-  core::Duration StopAccept{2500};     ///< After a stop signal callers are served this long, while
-                                       ///< they learn of other VMs; look-ups are cached for 2 s.
-  core::Duration StopLimit{5500};      ///< The process ends at the latest then.
+  core::Duration SweepInterval{200};       ///< Of idle connections, probes and logs.
+  core::Duration ControlTimeout{1000};     ///< Without a leader's answer for so long it is lost.
+  core::Duration StopAccept{2500}; ///< After a stop signal callers are served this long, while
+                                   ///< they learn of other VMs; look-ups are cached for 2 s.
+  core::Duration StopLimit{5500};  ///< The process ends at the latest then.
   http::HeaderNames Names;
   TargetTableSettings Choice;
 };
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -26,11 +26,11 @@
   std::optional<std::string_view> value = head.find("authorization");
   if (!value)
     return std::nullopt;
-  constexpr std::string_view Scheme = "bearer ";
-  if (value->size() <= Scheme.size() ||
-      !core::equalsIgnoreCase(value->substr(0, Scheme.size()), Scheme))
+  constexpr std::string_view scheme = "bearer ";
+  if (value->size() <= scheme.size() ||
+      !core::equalsIgnoreCase(value->substr(0, scheme.size()), scheme))
     return std::nullopt;
-  return value->substr(Scheme.size());
+  return value->substr(scheme.size());
 }
 
 std::string_view hostOf(const http::Head &head) {
@@ -431,8 +431,8 @@
 
 core::Duration Exchange::busyWait() const {
   // The id is drawn by the caller, so its hash spreads the callers' returns.
-  int64_t spread =
-      static_cast<int64_t>(core::hash64(Id) % static_cast<uint64_t>(All.Settings.RetryAfterSpread.Ms));
+  int64_t spread = static_cast<int64_t>(core::hash64(Id) %
+                                        static_cast<uint64_t>(All.Settings.RetryAfterSpread.Ms));
   return All.Settings.RetryAfterBusy + core::Duration{spread};
 }
 
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -24,8 +24,8 @@
                                    ///< be sent again.
   size_t HeldAnswer = 64UL * 1024; ///< An answer up to this size is passed on when it is whole.
   core::Duration DefaultDeadline{10'000}; ///< For callers that name none.
-  core::Duration AnswerMargin{30};        ///< An answer is settled this long before the caller gives
-                                          ///< up, to reach it in time.
+  core::Duration AnswerMargin{30}; ///< An answer is settled this long before the caller gives
+                                   ///< up, to reach it in time.
   core::Duration TargetGrace{60}; ///< Time beyond its deadline for a target's own answer to arrive.
   core::Duration LeastSend{20};   ///< With less time left a request is not sent any more.
   core::Duration RetryAfterBusy{250};   ///< Shortest wait that a refusal asks for.
--- a/src/entry/ObjectHomes.h
+++ b/src/entry/ObjectHomes.h
@@ -13,8 +13,8 @@
 namespace briarspar::entry {
 
 struct ObjectHomesSettings {
-  core::Duration Window{15'000};   ///< An object asked for within it is in use.
-  double FirstRemembered = 30;     ///< Objects that a target is taken to remember at first.
+  core::Duration Window{15'000}; ///< An object asked for within it is in use.
+  double FirstRemembered = 30;   ///< Objects that a target is taken to remember at first.
   double LeastRemembered = 8;
   double MostRemembered = 400;
   double GoodHits = 0.85; ///< With more familiar answers than this, the estimate grows.
@@ -32,9 +32,9 @@
 /// Decides which target serves an object, alike on all entry VMs of a region without a message
 /// between them, so that a target keeps meeting the objects that it remembers. Rendezvous hashing
 /// picks one target of the region, and two spare ones for times when it is full: the next target of
-/// the region and one of the other regions. Of the objects that fall to a target beyond what it remembers, a
-/// fixed part has its home in another region instead. One home a failure domain was measured too:
-/// each further home costs one slow answer an object, more than the bytes it saves.
+/// the region and one of the other regions. Of the objects that fall to a target beyond what it
+/// remembers, a fixed part has its home in another region instead. One home a failure domain was
+/// measured too: each further home costs one slow answer an object, more than the bytes it saves.
 class ObjectHomes {
 public:
   explicit ObjectHomes(const ObjectHomesSettings &settings = {});
--- a/src/entry/RateShares.cpp
+++ b/src/entry/RateShares.cpp
@@ -11,8 +11,8 @@
 constexpr double UnknownFleet = 64;
 
 /// A bucket holds at least one request, so that a small share can be used at all, and up to
-/// MostLeastDepth where the platform's bound on a window leaves room for that on all VMs: beyond 5.4
-/// rates from shares and reserve it has room for another 1.2 rates and 20 requests.
+/// MostLeastDepth where the platform's bound on a window leaves room for that on all VMs:
+/// beyond 5.4 rates from shares and reserve it has room for another 1.2 rates and 20 requests.
 constexpr double MostLeastDepth = 3;
 constexpr double WindowRoomRates = 1.2;
 constexpr double WindowRoomRequests = 15;
@@ -23,7 +23,8 @@
 } // namespace
 
 RateShares::RateShares(const RateSharesSettings &settings)
-    : Settings(settings), ReserveShare(settings.ReservePermille / 1000.0 / UnknownFleet), Entries(UnknownFleet) {}
+    : Settings(settings), ReserveShare(settings.ReservePermille / 1000.0 / UnknownFleet),
+      Entries(UnknownFleet) {}
 
 void RateShares::setLimits(const catalog::Shelf<catalog::Customer> &customers, core::Time now) {
   std::map<std::string, Bucket> old;
--- a/src/entry/RateShares.h
+++ b/src/entry/RateShares.h
@@ -13,7 +13,7 @@
 /// Bounds of the use of customers' rates. The shares that the leader hands out add up to the whole
 /// rate; what VMs use without a valid share adds up to ReservePermille more.
 struct RateSharesSettings {
-  core::Duration Validity{3000};   ///< A share ends this long after its report was sent.
+  core::Duration Validity{3000}; ///< A share ends this long after its report was sent.
   uint32_t ReservePermille = 80; ///< Of the rate and of the burst, for all VMs without a valid
                                  ///< share together; the platform allows a tenth beyond the rate.
   core::Duration DemandWindow{1500}; ///< Time constant of the measured arrivals.
--- a/src/entry/RegionShift.cpp
+++ b/src/entry/RegionShift.cpp
@@ -15,7 +15,8 @@
   LastWish = now;
   Shares[region];
   double seconds = static_cast<double>(span.Ms) / 1000;
-  double keep = std::exp(-static_cast<double>(span.Ms) / static_cast<double>(Settings.WishWindow.Ms));
+  double keep =
+      std::exp(-static_cast<double>(span.Ms) / static_cast<double>(Settings.WishWindow.Ms));
   // Requests at the same moment still move the wishes a little.
   keep = std::min(keep, 0.98);
   double planned = 0;
--- a/src/entry/RegionShift.h
+++ b/src/entry/RegionShift.h
@@ -8,12 +8,12 @@
 namespace briarspar::entry {
 
 struct RegionShiftSettings {
-  double MaxMovePerS = 0.055;  ///< Part of the requests that may change their region in a second.
-                               ///< The platform allows 0.15 from one window of 2 s to the next.
+  double MaxMovePerS = 0.055; ///< Part of the requests that may change their region in a second.
+                              ///< The platform allows 0.15 from one window of 2 s to the next.
   double MaxMovePerRequest = 0.01; ///< So that a few requests in a quiet time move little.
-  double MaxOverdraft = 2;     ///< Requests by which a region may be ahead of its share.
-  core::Duration WishWindow{700}; ///< Time constant of the wished shares.
-  core::Duration Idle{2000};   ///< After so long without a request, shares start anew.
+  double MaxOverdraft = 2;         ///< Requests by which a region may be ahead of its share.
+  core::Duration WishWindow{700};  ///< Time constant of the wished shares.
+  core::Duration Idle{2000};       ///< After so long without a request, shares start anew.
 };
 
 /// Bounds how fast the requests of this VM move between regions, in either direction: each region
--- a/src/entry/TargetPool.cpp
+++ b/src/entry/TargetPool.cpp
@@ -46,8 +46,8 @@
       it->close();
 }
 
-std::shared_ptr<http::ClientConnection>
-TargetPool::acquire(const std::string &host, uint16_t port, size_t most, bool fresh) {
+std::shared_ptr<http::ClientConnection> TargetPool::acquire(const std::string &host, uint16_t port,
+                                                            size_t most, bool fresh) {
   Peer &peer = Peers[{host, port}];
   core::Time now = Clock.now();
   while (!peer.Idle.empty()) {
@@ -57,9 +57,9 @@
       return connection;
     connection->close();
   }
-  peer.All.erase(std::remove_if(peer.All.begin(), peer.All.end(),
-                                [](const auto &it) { return it.expired(); }),
-                 peer.All.end());
+  peer.All.erase(
+      std::remove_if(peer.All.begin(), peer.All.end(), [](const auto &it) { return it.expired(); }),
+      peer.All.end());
   if (peer.All.size() >= most)
     return nullptr;
   auto connection = std::make_shared<http::ClientConnection>(Io, Clock, host, port, Settings);
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -75,9 +75,8 @@
     std::map<core::VersionId, size_t> versions;
     for (const core::TargetId &id : ids)
       ++versions[Targets[id].Info.Version];
-    auto most = std::max_element(
-        versions.begin(), versions.end(),
-        [](const auto &a, const auto &b) { return a.second < b.second; });
+    auto most = std::max_element(versions.begin(), versions.end(),
+                                 [](const auto &a, const auto &b) { return a.second < b.second; });
     Baseline[service] = most->first;
   }
 }
@@ -135,14 +134,14 @@
   for (const catalog::WeightedService &it : route.Services)
     total += it.Weight;
   std::map<std::string, double> &credit = SplitCredit[route.Name];
-  const catalog::WeightedService *chosen = nullptr;
+  std::string chosen = route.Services.front().Service;
   for (const catalog::WeightedService &it : route.Services) {
     credit[it.Service] += it.Weight / total;
-    if (it.Weight > 0 && (chosen == nullptr || credit[it.Service] > credit[chosen->Service]))
-      chosen = &it;
+    if (it.Weight > 0 && credit[it.Service] > credit[chosen])
+      chosen = it.Service;
   }
-  credit[chosen->Service] -= 1;
-  return chosen->Service;
+  credit[chosen] -= 1;
+  return chosen;
 }
 
 std::optional<Pick> TargetTable::pick(const PickRequest &request, core::Time now) {
@@ -168,9 +167,9 @@
   return chosen->What;
 }
 
-std::optional<TargetTable::Candidate>
-TargetTable::pickForRollout(const catalog::Rollout &rollout, const PickRequest &request,
-                            core::Time now) {
+std::optional<TargetTable::Candidate> TargetTable::pickForRollout(const catalog::Rollout &rollout,
+                                                                  const PickRequest &request,
+                                                                  core::Time now) {
   core::VersionId target(rollout.Target);
   if (rollout.State == catalog::RolloutState::Completed)
     return best(ofVersion(request.Service, &target, nullptr), request, now);
@@ -214,9 +213,8 @@
   return out;
 }
 
-std::optional<TargetTable::Candidate> TargetTable::best(absl::Span<State *const> targets,
-                                                        const PickRequest &request,
-                                                        core::Time now) {
+std::optional<TargetTable::Candidate>
+TargetTable::best(absl::Span<State *const> targets, const PickRequest &request, core::Time now) {
   std::vector<HomeCandidate> homes;
   std::vector<State *> usable;
   for (State *state : targets) {
@@ -272,9 +270,8 @@
 }
 
 TargetTable::Candidate TargetTable::rate(State &state, const HomeCandidate &home,
-                                         const PickRequest &request,
-                                         const WorkTime &time, double meanWork,
-                                         core::Time now) const {
+                                         const PickRequest &request, const WorkTime &time,
+                                         double meanWork, core::Time now) const {
   Pick pick;
   pick.Id = state.Info.Id;
   pick.Host = state.Info.Host;
@@ -290,8 +287,7 @@
   double work = (pick.Familiar ? time.Warm : time.Cold) * pick.Slowness;
   if (isCold(state, now))
     work += time.Cold;
-  double wait =
-      pick.Load < slots ? 0 : (pick.Load - slots + 1) / slots * meanWork * pick.Slowness;
+  double wait = pick.Load < slots ? 0 : (pick.Load - slots + 1) / slots * meanWork * pick.Slowness;
   pick.Expected = pick.Network + wait + work;
 
   double goal = static_cast<double>((request.Route->LatencyGoal - request.Waited).Ms);
@@ -324,9 +320,8 @@
       Evacuated.count(state.Info.Domain.Value) != 0)
     return false;
   const std::string &region = state.Region.Value;
-  bool isAllowed =
-      (request.HomeRegions.empty() || contains(request.HomeRegions, region)) &&
-      (request.CustomerRegions.empty() || contains(request.CustomerRegions, region));
+  bool isAllowed = (request.HomeRegions.empty() || contains(request.HomeRegions, region)) &&
+                   (request.CustomerRegions.empty() || contains(request.CustomerRegions, region));
   return isAllowed && std::find(request.Tried.begin(), request.Tried.end(), state.Info.Id) ==
                           request.Tried.end();
 }
@@ -357,8 +352,7 @@
 
 double TargetTable::slowness(const State &state, core::Time now) const {
   double age = static_cast<double>((now - state.SlownessAt).Ms);
-  return 1 +
-         (state.Slowness - 1) * std::exp(-age / static_cast<double>(Settings.SlownessDecay.Ms));
+  return 1 + (state.Slowness - 1) * std::exp(-age / static_cast<double>(Settings.SlownessDecay.Ms));
 }
 
 double TargetTable::network(const State &state) const {
@@ -380,9 +374,8 @@
   state.Served[object] = now;
   if (static_cast<double>(state.Served.size()) <= Homes.remembered(state.Info.Service))
     return;
-  auto oldest =
-      std::min_element(state.Served.begin(), state.Served.end(),
-                       [](const auto &a, const auto &b) { return a.second < b.second; });
+  auto oldest = std::min_element(state.Served.begin(), state.Served.end(),
+                                 [](const auto &a, const auto &b) { return a.second < b.second; });
   state.Served.erase(oldest);
 }
 
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -34,15 +34,15 @@
   double PriorityStep = 0.25; ///< Added for each rank of priority above NormalPriority.
   uint32_t NormalPriority = 2;
   double LeastValue = 0.03; ///< A request worth less at every target is refused.
-  double ForgetCost = 0.35;  ///< Value lost when a target that is no home of an object learns it:
-                             ///< it forgets another one, which comes back.
-  double SpareCost = 0.05;   ///< The same for the spare targets of an object, where the requests
-                             ///< that follow will find it known.
+  double ForgetCost = 0.35; ///< Value lost when a target that is no home of an object learns it:
+                            ///< it forgets another one, which comes back.
+  double SpareCost = 0.05;  ///< The same for the spare targets of an object, where the requests
+                            ///< that follow will find it known.
   core::Duration SpareMemory{6000}; ///< A target that is no home is taken to remember an object for
                                     ///< this long.
-  double FreeLoad = 0.7;    ///< Requests a slot up to which a request displaces no other.
-  double LoadCost = 1.0;    ///< Value displaced by a request of mean work for each request a slot
-                            ///< beyond that.
+  double FreeLoad = 0.7;            ///< Requests a slot up to which a request displaces no other.
+  double LoadCost = 1.0; ///< Value displaced by a request of mean work for each request a slot
+                         ///< beyond that.
   double DomainCostPerKb = 0.04; ///< Value of 1,000 bytes between failure domains, which are paid
                                  ///< for.
   double RegionCostPerKb = 0.04; ///< The same between regions.
@@ -83,11 +83,11 @@
   std::string Service;
   core::VersionId Version;
   core::RegionId Region;
-  bool Familiar = false;   ///< The target is taken to have recently served the object.
-  double Expected = 0;     ///< Time until its answer, in ms.
-  double Network = 0;      ///< The part of it that is not at the target.
-  double Slowness = 1;     ///< Factor in the rest of it for this target.
-  double Load = 0;         ///< Estimated requests at the target before this one.
+  bool Familiar = false; ///< The target is taken to have recently served the object.
+  double Expected = 0;   ///< Time until its answer, in ms.
+  double Network = 0;    ///< The part of it that is not at the target.
+  double Slowness = 1;   ///< Factor in the rest of it for this target.
+  double Load = 0;       ///< Estimated requests at the target before this one.
   double Value = 0;
 };
 
@@ -216,8 +216,8 @@
                                 core::Time now);
   std::optional<Candidate> chooseRegion(const std::map<core::RegionId, Candidate> &bestOf,
                                         const std::string &service, core::Time now);
-  Candidate rate(State &state, const HomeCandidate &home, const PickRequest &request, const WorkTime &time,
-                 double meanWork, core::Time now) const;
+  Candidate rate(State &state, const HomeCandidate &home, const PickRequest &request,
+                 const WorkTime &time, double meanWork, core::Time now) const;
   double load(const State &state, core::Time now) const;
   double slowness(const State &state, core::Time now) const;
   double network(const State &state) const;
--- a/src/entry/WorkTimes.h
+++ b/src/entry/WorkTimes.h
@@ -10,8 +10,8 @@
 namespace briarspar::entry {
 
 struct WorkTimesSettings {
-  double ColdToGoal = 1.5; ///< Expected time for an unfamiliar object, in latency goals, until
-                           ///< answers have been measured.
+  double ColdToGoal = 1.5;    ///< Expected time for an unfamiliar object, in latency goals, until
+                              ///< answers have been measured.
   double ColdToTimeout = 0.5; ///< Most that is expected before that, in timeouts of the route:
                               ///< nothing is refused on a guess.
   double WarmToCold = 0.35;   ///< Expected time for a familiar object, in times for others.
--- a/src/entry/tests/LimitsTest.cpp
+++ b/src/entry/tests/LimitsTest.cpp
@@ -53,7 +53,7 @@
       if ((Now.Ms / 100 + static_cast<int64_t>(i)) % 4 != 0 || random() % 1000 < lossPermille)
         continue;
       auto answer = Leader->divide(id(i), Incarnation(it.Run), it.Heard, it.Shares.uses(Now),
-                                  Vms.size(), Now);
+                                   Vms.size(), Now);
       if (random() % 1000 < lossPermille)
         continue;
       it.Heard = LeaderTerm;
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -101,7 +101,8 @@
     if (!ec && self->Phase == Connecting)
       self->lose(ConnectionLoss::NotConnected);
   });
-  Socket.async_connect({address, Port}, [self](const asio::error_code &ec) { self->onConnect(ec); });
+  Socket.async_connect({address, Port},
+                       [self](const asio::error_code &ec) { self->onConnect(ec); });
 }
 
 void ClientConnection::onConnect(const asio::error_code &ec) {
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -40,7 +40,7 @@
   /// Unacknowledged bytes for this long end the connection: the peer's host is cut off or dark.
   core::Duration UserTimeout{1200};
   size_t MaxHeadBytes = 64UL * 1024;
-  size_t MaxQueuedBytes = 256UL * 1024; ///< Beyond it `isWritable` is false.
+  size_t MaxQueuedBytes = 256UL * 1024;  ///< Beyond it `isWritable` is false.
   core::Duration DefaultKeepAlive{5000}; ///< Idle time when the server names none.
 };
 
--- a/src/http/Head.cpp
+++ b/src/http/Head.cpp
@@ -71,7 +71,8 @@
 std::string writeHead(const Head &head) {
   std::string out;
   if (head.Status != 0)
-    absl::StrAppend(&out, "HTTP/1.1 ", head.Status, " ", std::string(reasonPhrase(head.Status)), "\r\n");
+    absl::StrAppend(&out, "HTTP/1.1 ", head.Status, " ", std::string(reasonPhrase(head.Status)),
+                    "\r\n");
   else
     absl::StrAppend(&out, head.Method, " ", head.Target, " HTTP/1.1\r\n");
   for (const Header &it : head.Headers)
--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -123,12 +123,11 @@
   bool Ended = false;
   bool NoBody = false;
   bool UntilClose = false; ///< The body ends with the connection.
-  bool Interim = false; ///< The message is a 1xx answer, which is skipped.
+  bool Interim = false;    ///< The message is a 1xx answer, which is skipped.
   std::string Reason;
   absl::Status Failure;
 };
 
-
 MessageParser::MessageParser(Kind kind, size_t maxHeadBytes, MessageListener &listener)
     : Self(std::make_unique<State>(kind, maxHeadBytes, listener)) {}
 
--- a/src/http/SmallServer.cpp
+++ b/src/http/SmallServer.cpp
@@ -21,8 +21,7 @@
 
 } // namespace
 
-class SmallServer::Session : public std::enable_shared_from_this<Session>,
-                             private MessageListener {
+class SmallServer::Session : public std::enable_shared_from_this<Session>, private MessageListener {
 public:
   Session(SmallServer &server, asio::ip::tcp::socket socket)
       : Server(server), Socket(std::move(socket)),
@@ -82,7 +81,7 @@
       return;
     }
     std::weak_ptr<Session> self = weak_from_this();
-    Server.Handle(Current, [self](WholeAnswer it) {
+    Server.Handle(Current, [self](const WholeAnswer &it) {
       if (std::shared_ptr<Session> session = self.lock())
         session->answer(it);
     });
@@ -101,7 +100,8 @@
     if (!it.Location.empty())
       head.add("Location", it.Location);
     if (it.RetryAfter.Ms > 0)
-      head.add("Retry-After", absl::StrFormat("%.2f", static_cast<double>(it.RetryAfter.Ms) / 1000));
+      head.add("Retry-After",
+               absl::StrFormat("%.2f", static_cast<double>(it.RetryAfter.Ms) / 1000));
     Out = writeHead(head) + it.Body;
     auto self = shared_from_this();
     bool keep = head.KeepAlive;
@@ -144,7 +144,8 @@
   if (!ec)
     acceptor.listen(Backlog, ec);
   if (ec)
-    return absl::UnavailableError(absl::StrCat("listener on ", host, ":", port, ": ", ec.message()));
+    return absl::UnavailableError(
+        absl::StrCat("listener on ", host, ":", port, ": ", ec.message()));
   return absl::OkStatus();
 }
 
--- a/src/http/SmallServer.h
+++ b/src/http/SmallServer.h
@@ -39,7 +39,7 @@
 /// Answers may come later, on the same thread. Runs on the thread of the io_context.
 class SmallServer {
 public:
-  using Responder = std::function<void(WholeAnswer)>;
+  using Responder = std::function<void(const WholeAnswer &)>;
   using Handler = std::function<void(const WholeRequest &, Responder)>;
 
   SmallServer(asio::io_context &io, Handler handler, const SmallServerSettings &settings = {});
--- a/src/http/tests/MessageParserTest.cpp
+++ b/src/http/tests/MessageParserTest.cpp
@@ -1,5 +1,5 @@
-#include "core/testing/Property.h"
 #include "http/MessageParser.h"
+#include "core/testing/Property.h"
 
 using namespace briarspar::core;
 using namespace briarspar::http;
@@ -52,8 +52,9 @@
 /// Guards against requests hidden in other requests, whose end two parsers see at different places.
 Test(MessageParser, ambiguousFramingIsRefused) {
   for (const char *headers :
-       {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 5\r\nContent-Length: 6\r\n",
-        "Content-Length : 5\r\n", "Transfer-Encoding: gzip\r\n", "Content-Length: -1\r\n",
+       {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length : 5\r\n",
+        "Transfer-Encoding: gzip\r\n", "Content-Length: -1\r\n",
         "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n"}) {
     Collector out;
     MessageParser parser(MessageParser::Requests, 1000, out);
@@ -79,10 +80,11 @@
     const char *Text;
     bool Complete;
   };
-  for (const Case &it : {Case{"HTTP/1.1 200 OK\r\n\r\nabc", true},
-                         Case{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", false},
-                         Case{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false},
-                         Case{"HTTP/1.1 200 OK\r\nX: y", false}}) {
+  for (const Case &it :
+       {Case{"HTTP/1.1 200 OK\r\n\r\nabc", true},
+        Case{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", false},
+        Case{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false},
+        Case{"HTTP/1.1 200 OK\r\nX: y", false}}) {
     Collector out;
     MessageParser parser(MessageParser::Answers, 1000, out);
     cr_assert(feedAll(parser, it.Text, 7).ok());
--- a/src/link/Messages.cpp
+++ b/src/link/Messages.cpp
@@ -36,8 +36,7 @@
 }
 
 void to_json(Json &j, const VersionCounts &it) {
-  j = {it.Service,  it.Version,   it.Route,      it.Requests,
-       it.Failures, it.LatencyMs, it.SlowAnswers};
+  j = {it.Service, it.Version, it.Route, it.Requests, it.Failures, it.LatencyMs, it.SlowAnswers};
 }
 
 void from_json(const Json &j, VersionCounts &it) {
@@ -90,17 +89,10 @@
 }
 
 void to_json(Json &j, const ControlAnswer &it) {
-  j = {{"n", it.Sequence},
-       {"term", it.LeaderTerm},
-       {"leads", it.Leads},
-       {"leader", it.Leader},
-       {"members", it.Members},
-       {"catalog", it.CatalogDelta},
-       {"list", it.ListDelta},
-       {"shares", it.Shares},
-       {"entries", it.Entries},
-       {"regions", it.EntryRegions},
-       {"crashes", binary(it.Crashes)}};
+  j = {{"n", it.Sequence},           {"term", it.LeaderTerm},        {"leads", it.Leads},
+       {"leader", it.Leader},        {"members", it.Members},        {"catalog", it.CatalogDelta},
+       {"list", it.ListDelta},       {"shares", it.Shares},          {"entries", it.Entries},
+       {"regions", it.EntryRegions}, {"crashes", binary(it.Crashes)}};
 }
 
 void from_json(const Json &j, ControlAnswer &it) {
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -73,10 +73,10 @@
 
 /// What a control VM tells an entry VM.
 struct ControlAnswer {
-  uint64_t Sequence = 0; ///< Of the report that is answered; 0 when it comes unasked.
-  core::Term LeaderTerm; ///< Of the leader that answers.
-  bool Leads = false;    ///< The rest but Leader and Members counts only from a leader.
-  core::VmId Leader;     ///< Empty when unknown.
+  uint64_t Sequence = 0;           ///< Of the report that is answered; 0 when it comes unasked.
+  core::Term LeaderTerm;           ///< Of the leader that answers.
+  bool Leads = false;              ///< The rest but Leader and Members counts only from a leader.
+  core::VmId Leader;               ///< Empty when unknown.
   std::vector<core::VmId> Members; ///< Control VMs of the group.
   core::Json CatalogDelta;         ///< Null when nothing changed.
   core::Json ListDelta;            ///< Null when nothing changed.
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -1,6 +1,8 @@
 #include "node/Node.h"
 
+#include "http/SmallServer.h"
 #include "link/Messages.h"
+#include "observability/EventMetrics.h"
 #include "observability/StreamLog.h"
 #include "platform/OperatorApi.h"
 #include "platform/TargetListFormat.h"
@@ -52,7 +54,13 @@
 class Node::Impl {
 public:
   Impl(NodeSettings settings, std::string file)
-      : Settings(std::move(settings)), File(std::move(file)), Log(Settings.Vm, Settings.Name),
+      : Settings(std::move(settings)), File(std::move(file)), Lines(Settings.Vm, Settings.Name),
+        Log(Lines),
+        MetricsServer(
+            Io,
+            [this](const http::WholeRequest &, const http::SmallServer::Responder &respond) {
+              respond({200, Log.text(), "text/plain; version=0.0.4", "", {0}});
+            }),
         Peers(transport::makeWebsocketTransport(Io, Clock, Log, transportSettings(Settings))),
         Signals(Io), Housekeeping(Io) {
     if (Settings.What == Role::Entry)
@@ -70,6 +78,8 @@
     Signals.add(SIGHUP);
     absl::Status status =
         Peers->start([this](const transport::PeerMessage &message) { onMessage(message); });
+    if (status.ok() && Settings.MetricsPort != 0)
+      status = MetricsServer.start(Settings.Vm.Value, Settings.MetricsPort);
     if (status.ok())
       status = Entry ? Entry->start() : Control->start();
     if (!status.ok())
@@ -83,7 +93,7 @@
     keepHouse();
     Io.run();
     Log.emit({core::EventId::ProcessStopped, core::Json::object()});
-    Log.flush();
+    Lines.flush();
     return absl::OkStatus();
   }
 
@@ -109,7 +119,7 @@
 
   void stop() {
     Log.emit({core::EventId::ProcessStopping, core::Json::object()});
-    Log.flush();
+    Lines.flush();
     if (Entry) {
       Entry->stop([this] { Io.stop(); });
     } else {
@@ -119,7 +129,7 @@
   }
 
   void keepHouse() {
-    Log.flush();
+    Lines.flush();
     struct stat info = {};
     if (::stat(File.c_str(), &info) == 0) {
       auto changed = std::make_pair(info.st_mtim.tv_sec, info.st_mtim.tv_nsec);
@@ -142,8 +152,8 @@
     SettingsText = text;
     absl::StatusOr<NodeSettings> settings = parseNodeSettings(text);
     if (!settings.ok()) {
-      Log.emit({core::EventId::SettingsInvalid,
-                {{"reason", std::string(settings.status().message())}}});
+      Log.emit(
+          {core::EventId::SettingsInvalid, {{"reason", std::string(settings.status().message())}}});
       return;
     }
     Settings.Seeds = settings->Seeds;
@@ -160,7 +170,9 @@
   std::pair<int64_t, int64_t> FileChanged{0, 0};
   core::SteadyClock Clock;
   asio::io_context Io{1};
-  observability::StreamLog Log;
+  observability::StreamLog Lines;
+  observability::EventMetrics Log;
+  http::SmallServer MetricsServer;
   platform::OperatorApi Operators;
   platform::TargetListFormat List;
   std::unique_ptr<transport::Transport> Peers;
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -86,11 +86,11 @@
   j.at("domain").get_to(settings.Domain);
   for (const auto &[domain, region] : j.at("domains").items())
     settings.Domains[core::DomainId(domain)] = core::RegionId(region.get<std::string>());
-  for (const absl::Status &status : {readAddress(j, "callers", settings.Callers),
-                                     readAddress(j, "ready", settings.Ready),
-                                     readAddress(j, "operators", settings.Operators),
-                                     readAddress(j, "lookups", settings.Lookups),
-                                     readAddress(j, "target_list", settings.TargetList)})
+  for (const absl::Status &status :
+       {readAddress(j, "callers", settings.Callers), readAddress(j, "ready", settings.Ready),
+        readAddress(j, "operators", settings.Operators),
+        readAddress(j, "lookups", settings.Lookups),
+        readAddress(j, "target_list", settings.TargetList)})
     if (!status.ok())
       return status;
   j.at("peer_port").get_to(settings.PeerPort);
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -32,8 +32,8 @@
   std::vector<core::VmId> Seeds;
   std::string DataFolder; ///< Control VMs only.
   bool Bootstrap = false;
-  entry::Address TargetList; ///< Of the platform.
-  std::string Secret;        ///< Shared by all processes; authenticates their messages.
+  entry::Address TargetList;            ///< Of the platform.
+  std::string Secret;                   ///< Shared by all processes; authenticates their messages.
   std::map<std::string, double> Bounds; ///< Agreed bounds by the names of the platform.
 };
 
--- a/src/observability/StreamLog.cpp
+++ b/src/observability/StreamLog.cpp
@@ -46,8 +46,7 @@
   line["node"] = Name;
   line["event"] = static_cast<int>(event.Id);
   line["name"] = core::eventName(event.Id);
-  std::string text =
-      line.dump(-1, ' ', false, core::Json::error_handler_t::replace) + "\n";
+  std::string text = line.dump(-1, ' ', false, core::Json::error_handler_t::replace) + "\n";
   if (QueuedBytes + text.size() > Settings.MaxQueuedBytes) {
     ++Dropped;
     return;
--- a/src/observability/StreamLog.h
+++ b/src/observability/StreamLog.h
@@ -10,10 +10,10 @@
 namespace briarspar::observability {
 
 struct StreamLogSettings {
-  int Descriptor = 1;                     ///< Standard output.
-  size_t MaxQueuedBytes = 1024UL * 1024;  ///< Lines beyond it are dropped and counted.
-  uint32_t MaxRequestLinesPerS = 400;     ///< Beyond it, lines of requests are sampled.
-  uint32_t SamplePermille = 50;           ///< Requests whose lines are kept then.
+  int Descriptor = 1;                    ///< Standard output.
+  size_t MaxQueuedBytes = 1024UL * 1024; ///< Lines beyond it are dropped and counted.
+  uint32_t MaxRequestLinesPerS = 400;    ///< Beyond it, lines of requests are sampled.
+  uint32_t SamplePermille = 50;          ///< Requests whose lines are kept then.
 };
 
 /// Writes each event as one JSON object a line to a descriptor, without ever waiting for its
--- a/src/transport/tests/WebsocketTransportTest.cpp
+++ b/src/transport/tests/WebsocketTransportTest.cpp
@@ -1,3 +1,4 @@
+#include "core/testing/Property.h"
 #include "transport/Transport.h"
 
 #include <asio.hpp>
--- a/tools/capacity/Capacity.cpp
+++ b/tools/capacity/Capacity.cpp
@@ -3,8 +3,6 @@
 // a websocket on loopback. Prints one JSON line for each fleet size; docs/CAPACITY.md is worked out
 // from them.
 
-#define ASIO_STANDALONE
-
 #include "daemon/testing/InMemoryFleet.h"
 #include "transport/Transport.h"
 
