--- a/src/catalog/Catalog.cpp
+++ b/src/catalog/Catalog.cpp
@@ -217,11 +217,6 @@
   j.at(1).get_to(it.ChangedAt);
 }
 
-absl::Status Catalog::check(const Change &change) const {
-  Catalog trial = *this;
-  return trial.apply(change, ChangedAt.next());
-}
-
 absl::Status Catalog::apply(const Change &change, core::LogIndex at) {
   Shelf<Route> routes = Routes;
   Shelf<Customer> customers = Customers;
--- a/src/catalog/Catalog.h
+++ b/src/catalog/Catalog.h
@@ -82,12 +82,9 @@
 /// thread-safe.
 class Catalog {
 public:
-  /// Checks a change against the current items. Returns InvalidArgument when it would leave an
-  /// invalid catalogue, and AlreadyExists when an item has other content under a version that is
-  /// held. Parts that a higher version has overtaken are not checked.
-  absl::Status check(const Change &change) const;
-
-  /// Checks a change and applies it.
+  /// Checks a change and applies it. Returns InvalidArgument when it would leave an invalid
+  /// catalogue, and AlreadyExists when an item has other content under a version that is held; the
+  /// catalogue is then unchanged. Parts that a higher version has overtaken change nothing.
   absl::Status apply(const Change &change, core::LogIndex at);
 
   /// Starts a rollout of a service from one version to another. A repeated order changes nothing.
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -309,8 +309,7 @@
          {{"vm", message.From}, {"address", report->Address}, {"run", message.FromIncarnation}}});
   discovery::ListVersion list{report->ListEpoch, report->ListSequence};
   EntryVersions[message.From] = {report->Catalog, list};
-  const EntryRecord &record = Entries.records().at(message.From);
-  link::ControlAnswer answer = makeAnswer(record, report->Catalog, list, now);
+  link::ControlAnswer answer = makeAnswer(report->Catalog, list, now);
   answer.Sequence = report->Sequence;
   if (answer.Leads && report->Sequence != 0) {
     std::vector<core::VmId> live = Entries.live(now);
@@ -338,7 +337,7 @@
     Peers.send(message.From, link::kind::Answer, encode(answer));
 }
 
-link::ControlAnswer ControlNode::makeAnswer(const EntryRecord &, core::LogIndex catalog,
+link::ControlAnswer ControlNode::makeAnswer(core::LogIndex catalog,
                                             const discovery::ListVersion &list,
                                             core::Time now) const {
   link::ControlAnswer answer;
@@ -388,7 +387,7 @@
   Pushed = Machine.catalog().changedAt();
   for (const core::VmId &vm : Entries.live(now)) {
     auto &[catalog, list] = EntryVersions[vm];
-    link::ControlAnswer answer = makeAnswer(Entries.records().at(vm), catalog, list, now);
+    link::ControlAnswer answer = makeAnswer(catalog, list, now);
     if (answer.CatalogDelta.is_null() && answer.ListDelta.is_null())
       continue;
     // What gets lost is sent again in answer to the next report, which names what has arrived.
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -96,8 +96,8 @@
   void readList(core::Time now);
   void onListPage(int status, const std::string &body);
   void onReport(const transport::PeerMessage &message);
-  link::ControlAnswer makeAnswer(const EntryRecord &record, core::LogIndex catalog,
-                                 const discovery::ListVersion &list, core::Time now) const;
+  link::ControlAnswer makeAnswer(core::LogIndex catalog, const discovery::ListVersion &list,
+                                 core::Time now) const;
   void listEntry(const core::VmId &vm, bool present);
   void forgetEntries(core::Time now);
   void pushToEntries();
--- a/src/control/tests/ControlTest.cpp
+++ b/src/control/tests/ControlTest.cpp
@@ -35,8 +35,8 @@
   RolloutJudge judge;
   catalog::Rollout current = rollout();
   Played out;
-  link::VersionCounts news{"s", "v2", "r", 0, 0, 0, 0};
-  link::VersionCounts olds{"s", "v1", "r", 0, 0, 0, 0};
+  link::VersionCounts news{"s", "v2", "r", 0, 0, 0};
+  link::VersionCounts olds{"s", "v1", "r", 0, 0, 0};
   double credit = 0;
   double bad = 0;
   uint32_t share = 0;
--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -291,9 +291,7 @@
     if (used == 0)
       break;
   }
-  InHead = InHead && (Parser.isInsideHead() || !Parser.isInsideMessage());
-  if (!Parser.isInsideHead())
-    InHead = false;
+  InHead = InHead && Parser.isInsideHead();
 }
 
 /// Answers bytes that are no request, after the answers that are due, and closes.
--- a/src/link/Messages.cpp
+++ b/src/link/Messages.cpp
@@ -36,7 +36,7 @@
 }
 
 void to_json(Json &j, const VersionCounts &it) {
-  j = {it.Service, it.Version, it.Route, it.Requests, it.Failures, it.LatencyMs, it.SlowAnswers};
+  j = {it.Service, it.Version, it.Route, it.Requests, it.Failures, it.LatencyMs};
 }
 
 void from_json(const Json &j, VersionCounts &it) {
@@ -46,7 +46,6 @@
   j.at(3).get_to(it.Requests);
   j.at(4).get_to(it.Failures);
   j.at(5).get_to(it.LatencyMs);
-  j.at(6).get_to(it.SlowAnswers);
 }
 
 void to_json(Json &j, const EntryReport &it) {
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -42,9 +42,8 @@
   std::string Version;
   std::string Route;
   uint64_t Requests = 0;
-  uint64_t Failures = 0;    ///< Answers with a status from 500 on, made by the target itself.
-  uint64_t LatencyMs = 0;   ///< Sum over the answers that are no failures, in ms.
-  uint64_t SlowAnswers = 0; ///< Answers that took over three times as long as expected.
+  uint64_t Failures = 0;  ///< Answers with a status from 500 on, made by the target itself.
+  uint64_t LatencyMs = 0; ///< Sum over the answers that are no failures, in ms.
 };
 
 /// State of one entry VM. Sent to each control VM; only the leader gets the parts that it alone
