Do not eject overloaded targets for requests that wait in their queues

Change: a timeout of a request that was sent behind a queue does not count towards an ejection. Tests of the target choice; the new one fails without the change.

Ruled out: the plan of region shares (kept until the ejection).

--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -419,7 +419,9 @@
       eject(state, now);
     return;
   }
-  if (failed && ++state.FailuresInRow >= Settings.FailuresToEject)
+  // Behind a queue, silence until the deadline tells of load, not of a fault.
+  bool isLoad = outcome == TargetOutcome::TimedOut && pick.Load >= state.Info.Slots;
+  if (failed && !isLoad && ++state.FailuresInRow >= Settings.FailuresToEject)
     eject(state, now);
 }
 
--- /dev/null
+++ b/src/entry/tests/TargetTableTest.cpp
@@ -0,0 +1,109 @@
+#include "entry/TargetTable.h"
+#include "core/testing/Property.h"
+
+#include <set>
+
+using namespace briarspar;
+using namespace briarspar::core;
+using namespace briarspar::entry;
+
+namespace {
+
+/// One region with two targets of four slots, and a route.
+struct World {
+  World() : Table({VmId("vm"), RegionId("r"), DomainId("z"), {{DomainId("z"), RegionId("r")}}}) {
+    catalog::Catalog catalog;
+    catalog::Change change;
+    catalog::Service service;
+    service.Name = "s";
+    change.Services.push_back({catalog::ItemVersion(1), service, "s"});
+    cr_assert(catalog.apply(change, LogIndex(1)).ok());
+    Table.setCatalog(catalog, Time{0});
+    discovery::TargetList list;
+    list.startEpoch(1);
+    std::vector<discovery::Target> targets(2);
+    for (size_t i = 0; i < targets.size(); ++i) {
+      targets[i].Id = TargetId("t" + std::to_string(i));
+      targets[i].Service = "s";
+      targets[i].Domain = DomainId("z");
+      targets[i].Version = VersionId("v1");
+      targets[i].Slots = 4;
+    }
+    list.update(targets, Time{0});
+    Table.setTargets(list, Time{0});
+    Route.Name = "route";
+    Route.Idempotent = true;
+    Route.Sticky = true;
+    Route.Timeout = Duration{1000};
+    Route.LatencyGoal = Duration{400};
+    Route.Services = {{"s", 1}};
+  }
+
+  std::optional<Pick> pick(std::optional<uint64_t> object = std::nullopt) {
+    PickRequest request;
+    request.Route = &Route;
+    request.Service = "s";
+    request.Object = object;
+    request.Priority = 2;
+    request.Left = Duration{1000};
+    return Table.pick(request, Time{0});
+  }
+
+  TargetTable Table;
+  catalog::Route Route;
+};
+
+} // namespace
+
+/// Guards against overloaded targets that are ejected because requests wait in their queues, which
+/// sends the load of a region to the others at once.
+Test(TargetTable, timeoutsBehindAQueueDoNotEject) {
+  World world;
+  std::optional<Pick> pick = world.pick();
+  cr_assert(pick.has_value());
+  pick->Load = 6; // Of four slots.
+  for (int i = 0; i < 6; ++i)
+    world.Table.record(*pick, world.Route, TargetOutcome::TimedOut, Duration{1000}, 0, Time{1000});
+  cr_assert(world.Table.takeEjections().empty());
+}
+
+/// Guards against a silent target that goes on getting requests.
+Test(TargetTable, timeoutsOfAnIdleTargetEject) {
+  World world;
+  std::map<TargetId, int> timeouts;
+  for (int i = 0; i < 8; ++i) {
+    std::optional<Pick> pick = world.pick();
+    if (!pick)
+      break;
+    ++timeouts[pick->Id];
+    world.Table.record(*pick, world.Route, TargetOutcome::TimedOut, Duration{1000}, 0, Time{10});
+  }
+  cr_assert_geq(world.Table.takeEjections().size(), 1);
+}
+
+/// Guards against an object that is served by several targets while its home has room: each of them
+/// would work on it as long as on an unknown one.
+Test(TargetTable, anObjectStaysAtItsHome) {
+  World world;
+  for (uint64_t object = 1; object < 20; ++object) {
+    std::set<TargetId> used;
+    for (int i = 0; i < 10; ++i) {
+      std::optional<Pick> pick = world.pick(object);
+      cr_assert(pick.has_value());
+      used.insert(pick->Id);
+      world.Table.record(*pick, world.Route, TargetOutcome::Good, Duration{100}, 500, Time{0});
+    }
+    cr_assert_eq(used.size(), 1);
+  }
+}
+
+/// Guards against requests that are held at full targets until their time is over: beyond the
+/// queues that can be served in time, a request is refused at once.
+Test(TargetTable, beyondTheQueuesNothingIsTaken) {
+  World world;
+  size_t taken = 0;
+  while (taken < 100 && world.pick())
+    ++taken;
+  cr_assert_leq(taken, 2 * 4 * 3);
+  cr_assert_geq(taken, 2 * 4);
+}
