Let a leader that regains its lease in the same term go on where it was

Cause, found by reading: a leader whose lease lapses for a moment started its target list, rate shares and judge anew in the same term. Copies ignored the list's restarted numbers, so that drains did not reach entry VMs, and shares on their way were no longer counted. Two ways to end a control VM: a voter read after its removal from the configuration, and a lost entry VM looked up after it was forgotten.

Change: an epoch or term that was started goes on; the removed voter is copied; takeLost names the silence. Undecodable joins and crash reports are logged. Members of Exchange that nothing read are gone.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -169,9 +169,8 @@
   core::Time now = Clock.now();
   Log->tick(now);
   flush();
-  for (const core::VmId &vm : Entries.takeLost(now))
-    Events.emit({core::EventId::EntryLost,
-                 {{"vm", vm}, {"silent_ms", now - Entries.records().at(vm).HeardAt}}});
+  for (const LostEntry &it : Entries.takeLost(now))
+    Events.emit({core::EventId::EntryLost, {{"vm", it.Vm}, {"silent_ms", it.Silent}}});
   if (isLeading(now))
     lead(now);
   else
@@ -257,9 +256,11 @@
       heard = now;
     if (now - heard < Settings.VoterSilence)
       continue;
-    absl::Status status = Log->removeVoter(it, now);
+    // The removal changes the configuration that `it` refers to.
+    const agreement::VoterId voter = it;
+    absl::Status status = Log->removeVoter(voter, now);
     Events.emit({core::EventId::VoterRemoved,
-                 {{"vm", it.Vm}, {"silent_ms", now - heard}, {"outcome", status.ToString()}}});
+                 {{"vm", voter.Vm}, {"silent_ms", now - heard}, {"outcome", status.ToString()}}});
     flush();
     return;
   }
@@ -275,15 +276,18 @@
   if (message.Kind == link::kind::Raft) {
     absl::StatusOr<agreement::Envelope> envelope = agreement::decodeEnvelope(message.Body);
     if (!envelope.ok()) {
-      Events.emit({core::EventId::PeerMessageRejected,
-                   {{"peer", message.From}, {"reason", std::string(envelope.status().message())}}});
+      rejectMessage(message.From, envelope.status());
       return;
     }
     Log->receive(*envelope, now);
     flush();
   } else if (message.Kind == link::kind::Join) {
     absl::StatusOr<link::JoinRequest> request = link::decodeJoinRequest(message.Body);
-    if (!request.ok() || !isLeading(now))
+    if (!request.ok()) {
+      rejectMessage(message.From, request.status());
+      return;
+    }
+    if (!isLeading(now))
       return;
     agreement::VoterId id{request->Vm, request->Data};
     if (Log->configuration().contains(id))
@@ -295,12 +299,16 @@
   }
 }
 
+void ControlNode::rejectMessage(const core::VmId &peer, const absl::Status &status) {
+  Events.emit({core::EventId::PeerMessageRejected,
+               {{"peer", peer}, {"reason", std::string(status.message())}}});
+}
+
 void ControlNode::onReport(const transport::PeerMessage &message) {
   core::Time now = Clock.now();
   absl::StatusOr<link::EntryReport> report = link::decodeEntryReport(message.Body);
   if (!report.ok()) {
-    Events.emit({core::EventId::PeerMessageRejected,
-                 {{"peer", message.From}, {"reason", std::string(report.status().message())}}});
+    rejectMessage(message.From, report.status());
     return;
   }
   if (Entries.report(message.From, message.FromIncarnation, *report, now))
@@ -327,6 +335,8 @@
       absl::StatusOr<balance::CrashReport> crashes = balance::decodeCrashReport(report->Crashes);
       if (crashes.ok())
         Crashes.merge(*crashes, now);
+      else
+        rejectMessage(message.From, crashes.status());
     }
     balance::CrashReport crashes = Crashes.report(now);
     if (!crashes.Entries.empty())
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -95,6 +95,7 @@
   void judgeRollouts(core::Time now);
   void readList(core::Time now);
   void onListPage(int status, const std::string &body);
+  void rejectMessage(const core::VmId &peer, const absl::Status &status);
   void onReport(const transport::PeerMessage &message);
   link::ControlAnswer makeAnswer(core::LogIndex catalog, const discovery::ListVersion &list,
                                  core::Time now) const;
--- a/src/control/EntryRegistry.cpp
+++ b/src/control/EntryRegistry.cpp
@@ -17,13 +17,13 @@
   return !std::exchange(wasLive, isLive(record, now)) && wasLive;
 }
 
-std::vector<core::VmId> EntryRegistry::takeLost(core::Time now) {
-  std::vector<core::VmId> lost;
+std::vector<LostEntry> EntryRegistry::takeLost(core::Time now) {
+  std::vector<LostEntry> lost;
   for (auto it = Records.begin(); it != Records.end();) {
     bool &wasLive = WasLive[it->first];
     if (wasLive && !isLive(it->second, now)) {
       wasLive = false;
-      lost.push_back(it->first);
+      lost.push_back({it->first, now - it->second.HeardAt});
     }
     if (now - it->second.HeardAt > Settings.Forget) {
       WasLive.erase(it->first);
--- a/src/control/EntryRegistry.h
+++ b/src/control/EntryRegistry.h
@@ -29,6 +29,12 @@
   core::Time HeardAt;
 };
 
+/// A VM that has stopped being live.
+struct LostEntry {
+  core::VmId Vm;
+  core::Duration Silent; ///< Since its last report.
+};
+
 /// Which entry VMs are there, from their own reports, and which of them callers should use. Each
 /// control VM has one of its own. Not thread-safe.
 class EntryRegistry {
@@ -40,7 +46,7 @@
               core::Time now);
 
   /// Returns the VMs that have stopped being live since the last call.
-  std::vector<core::VmId> takeLost(core::Time now);
+  std::vector<LostEntry> takeLost(core::Time now);
 
   /// Returns the addresses for a caller: of its failure domain, of its region, or of all, whichever
   /// is the first with enough VMs. Empty when none serves.
--- a/src/control/RateDivision.cpp
+++ b/src/control/RateDivision.cpp
@@ -14,6 +14,8 @@
 
 void RateDivision::becomeLeader(core::Term term, const std::set<core::VmId> &entries,
                                 core::Time now) {
+  if (term == Term)
+    return;
   Customers.clear();
   Term = term;
   Unheard = entries;
--- a/src/control/RateDivision.h
+++ b/src/control/RateDivision.h
@@ -31,7 +31,8 @@
 
   /// Starts without knowledge of the shares that earlier leaders gave to `entries`. VMs keep what
   /// they report and get no more until all of them have reported what they hold after they heard
-  /// from this leader, or until every earlier share has ended.
+  /// from this leader, or until every earlier share has ended. A call with the term that it leads
+  /// already changes nothing, as answers of that term may be on their way.
   void becomeLeader(core::Term term, const std::set<core::VmId> &entries, core::Time now);
 
   /// Takes the rates of the customers.
--- a/src/control/tests/ControlTest.cpp
+++ b/src/control/tests/ControlTest.cpp
@@ -1,5 +1,6 @@
 #include "control/ControlMachine.h"
 #include "control/EntryRegistry.h"
+#include "control/RateDivision.h"
 #include "control/RolloutJudge.h"
 #include "core/testing/Property.h"
 
@@ -139,6 +140,42 @@
   cr_assert_eq(registry.takeLost(Time{4100}).size(), 2);
 }
 
+/// Guards against a process that ends because a VM is lost and forgotten at once, after its own
+/// host was suspended for long.
+Test(EntryRegistry, aLongPauseLosesEverythingAtOnce) {
+  EntryRegistry registry;
+  link::EntryReport report;
+  report.Serving = true;
+  registry.report(VmId("a"), Incarnation(1), report, Time{0});
+  auto lost = registry.takeLost(Time{100'000});
+  cr_assert_eq(lost.size(), 1);
+  cr_assert_eq(lost[0].Silent.Ms, 100'000);
+  cr_assert(registry.records().empty());
+}
+
+/// Guards against shares beyond the whole rate when a leader loses its lease for a moment and gains
+/// it again in the same term, while an answer is on its way.
+Test(RateDivision, theSameTermKeepsWhatWasGranted) {
+  catalog::Customer customer;
+  customer.Name = "c";
+  customer.RatePerS = 100;
+  catalog::Shelf<catalog::Customer> shelf;
+  shelf["c"] = {catalog::ItemVersion(1), LogIndex(1), customer, ""};
+  RateDivision division;
+  division.setRates(shelf);
+  division.becomeLeader(Term(3), {}, Time{0});
+  auto ask = [&](const char *vm, double demand, uint32_t held, int64_t ms) {
+    std::vector<link::CustomerUse> uses{{"c", demand, held}};
+    return division.divide(VmId(vm), Incarnation(1), Term(3), uses, 2, Time{ms})[0].Permille;
+  };
+  uint32_t first = ask("a", 60, 0, 4000);
+  division.becomeLeader(Term(3), {VmId("a"), VmId("b")}, Time{4010});
+  // The report of "a" was sent before its share arrived.
+  (void)ask("a", 0, 0, 4020);
+  uint32_t second = ask("b", 90, 0, 4030);
+  cr_assert_leq(first + second, 1000);
+}
+
 /// Guards against state that differs between voters after a snapshot.
 Test(ControlMachine, snapshotsKeepEverything) {
   ControlMachine machine;
--- a/src/discovery/TargetList.cpp
+++ b/src/discovery/TargetList.cpp
@@ -41,6 +41,8 @@
 } // namespace
 
 void TargetList::startEpoch(uint64_t epoch) {
+  if (epoch == Version.Epoch)
+    return;
   Version = {epoch, 0};
   ChangedAt.clear();
   for (const auto &[id, target] : Targets)
--- a/src/discovery/TargetList.h
+++ b/src/discovery/TargetList.h
@@ -18,7 +18,8 @@
 /// from the platform's list; every entry VM holds a copy that it updates by deltas.
 class TargetList {
 public:
-  /// Starts an epoch of this process's own. The targets stay.
+  /// Starts an epoch of this process's own; an epoch that has been started goes on. The targets
+  /// stay.
   void startEpoch(uint64_t epoch);
 
   /// Takes a complete reading. Targets that it does not name are gone. Returns whether anything
--- a/src/discovery/tests/DiscoveryTest.cpp
+++ b/src/discovery/tests/DiscoveryTest.cpp
@@ -74,6 +74,21 @@
   cr_assert_eq(copy.targets().count(TargetId("new")), 1);
 }
 
+/// Guards against a leader that loses its lease for a moment and gains it again in the same term:
+/// numbers that start anew would make copies ignore its next changes.
+Test(TargetList, theSameEpochGoesOn) {
+  TargetList list;
+  list.startEpoch(4);
+  list.update({target("a")}, Time{});
+  list.update({target("a"), target("b")}, Time{});
+  TargetList copy;
+  cr_assert(copy.applyDelta(list.deltaSince(copy.version(), Time{}), Time{}).ok());
+  list.startEpoch(4);
+  list.update({target("a", /*draining=*/true), target("b")}, Time{});
+  cr_assert(copy.applyDelta(list.deltaSince(copy.version(), Time{}), Time{}).ok());
+  cr_assert(copy.targets().at(TargetId("a")).Draining);
+}
+
 /// Guards against a cold span that starts again at each reading, because clocks and delays differ.
 Test(TargetList, theSameColdSpanIsNoChange) {
   TargetList list;
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -151,7 +151,6 @@
 void Exchange::onCallerGone(core::Time now) {
   if (State == Done)
     return;
-  CallerGone = true;
   if (isAtTarget()) {
     // Work that may run only once is left to finish: its effect counts even if nobody waits.
     if (Route->Idempotent || !BodyEnded)
@@ -307,7 +306,6 @@
     return;
   // Too long to hold: from here on a loss of the target cuts the caller's answer.
   State = Streaming;
-  Started = true;
   WakeAt = now + All.Settings.DefaultDeadline;
   Actions.answerHead(Answer);
   Actions.answerBody(AnswerBytes);
@@ -350,7 +348,6 @@
       return;
     }
   }
-  Started = true;
   http::Head head = Answer;
   if (head.Body == http::Framing::UntilClose || head.Body == http::Framing::Chunked) {
     head.Body = http::Framing::Length;
@@ -395,9 +392,6 @@
   if (State == Done || now < WakeAt)
     return;
   if (State == Receiving) {
-    if (Spent)
-      All.Rates.giveBack(Customer->Name, now);
-    Spent = false;
     refuse({408, "the body did not arrive in time", {0}}, now);
     return;
   }
@@ -455,7 +449,6 @@
   std::string body = absl::StrCat(answer.Reason, "\n");
   head.Length = Request.Method == "HEAD" ? 0 : body.size();
   head.add("Content-Type", "text/plain");
-  Started = true;
   State = Done;
   Actions.answerHead(head);
   if (Request.Method != "HEAD")
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -96,7 +96,6 @@
   core::Time wakeAt() const { return WakeAt; }
 
   bool isDone() const { return State == Done; }
-  bool isAnswerStarted() const { return Started; }
 
   /// True while a target works on the request or its answer is being passed on.
   bool isAtTarget() const { return State == AtTarget || State == Streaming; }
@@ -157,8 +156,6 @@
   http::Head Answer;
   bool HasAnswer = false;
   std::string AnswerBytes;
-  bool Started = false; ///< Parts of an answer have been passed on.
-  bool CallerGone = false;
 };
 
 } // namespace briarspar::entry
