Do not take a target that answers others for silent

Change: a timeout counts only if the target gave no answer since the request was sent.

Ruled out: the plan of shares (kept until the ejection).

--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -387,6 +387,9 @@
   State &state = it->second;
   state.Own = std::max(0, state.Own - 1);
   bool good = outcome == TargetOutcome::Good;
+  if (good || outcome == TargetOutcome::Failed || outcome == TargetOutcome::NotRun ||
+      outcome == TargetOutcome::TooLate)
+    state.AnsweredAt = now;
   bool failed = outcome == TargetOutcome::Failed || outcome == TargetOutcome::Broken ||
                 outcome == TargetOutcome::TimedOut || outcome == TargetOutcome::NotReached;
   if (good || failed || outcome == TargetOutcome::TooLate) {
@@ -419,8 +422,9 @@
       eject(state, now);
     return;
   }
-  // Behind a queue, silence until the deadline tells of load, not of a fault.
-  bool isLoad = outcome == TargetOutcome::TimedOut && pick.Load >= state.Info.Slots;
+  // Behind a queue, or while the target answers others, a timeout tells of load, not of a fault.
+  bool isLoad = outcome == TargetOutcome::TimedOut &&
+                (pick.Load >= state.Info.Slots || state.AnsweredAt > now - latency);
   if (failed && !isLoad && ++state.FailuresInRow >= Settings.FailuresToEject)
     eject(state, now);
 }
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -190,6 +190,7 @@
     double FailureShare = 0; ///< Exponentially aged.
     double Slowness = 1;     ///< Measured to expected time, exponentially aged.
     core::Time SlownessAt;
+    core::Time AnsweredAt; ///< Last answer of any kind to this VM.
     uint32_t FailuresInRow = 0;
     uint32_t Ejections = 0;
     bool Ejected = false;
