Release the bound on region shifts for lost connections only

Change: only targets that cannot be reached or break their connections release the bound; silent ones are ejected and probed. A host that is cut off or dark breaks its connections within 1.2 s.

--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -418,8 +418,11 @@
   if (outcome == TargetOutcome::NotReached || outcome == TargetOutcome::Broken) {
     // The process may have ended: what it remembered is gone, and it may come back cold.
     state.Served.clear();
+    bool wasEjected = state.Ejected;
     if (outcome == TargetOutcome::NotReached || ++state.FailuresInRow >= Settings.FailuresToEject)
       eject(state, now);
+    if (state.Ejected && !wasEjected)
+      DisturbedAt[state.Info.Service] = now;
     return;
   }
   // Behind a queue, or while the target answers others, a timeout tells of load, not of a fault.
@@ -449,7 +452,6 @@
 void TargetTable::eject(State &state, core::Time now) {
   if (state.Ejected)
     return;
-  DisturbedAt[state.Info.Service] = now;
   state.Ejected = true;
   state.EjectedUntil =
       now + std::min(Settings.FirstEjection * (int64_t{1} << std::min(state.Ejections, 5U)),
--- a/src/entry/tests/TargetTableTest.cpp
+++ b/src/entry/tests/TargetTableTest.cpp
@@ -11,7 +11,12 @@
 
 /// One region with two targets of four slots, and a route.
 struct World {
-  World() : Table({VmId("vm"), RegionId("r"), DomainId("z"), {{DomainId("z"), RegionId("r")}}}) {
+  /// `domains` are those of the two targets; each is a region of its own.
+  explicit World(const std::vector<std::string> &domains = {"z", "z"})
+      : Table({VmId("vm"),
+               RegionId("z"),
+               DomainId("z"),
+               {{DomainId("z"), RegionId("z")}, {DomainId("far"), RegionId("far")}}}) {
     catalog::Catalog catalog;
     catalog::Change change;
     catalog::Service service;
@@ -25,7 +30,7 @@
     for (size_t i = 0; i < targets.size(); ++i) {
       targets[i].Id = TargetId("t" + std::to_string(i));
       targets[i].Service = "s";
-      targets[i].Domain = DomainId("z");
+      targets[i].Domain = DomainId(domains[i]);
       targets[i].Version = VersionId("v1");
       targets[i].Slots = 4;
     }
@@ -39,14 +44,14 @@
     Route.Services = {{"s", 1}};
   }
 
-  std::optional<Pick> pick(std::optional<uint64_t> object = std::nullopt) {
+  std::optional<Pick> pick(std::optional<uint64_t> object = std::nullopt, Time now = Time{0}) {
     PickRequest request;
     request.Route = &Route;
     request.Service = "s";
     request.Object = object;
     request.Priority = 2;
     request.Left = Duration{1000};
-    return Table.pick(request, Time{0});
+    return Table.pick(request, now);
   }
 
   TargetTable Table;
@@ -88,6 +93,31 @@
   cr_assert_eq(world.Table.takeEjections().size(), 1);
 }
 
+/// Guards against an overload that is taken for a loss of targets: requests would leave the region
+/// at once. Only lost connections show that targets have failed.
+Test(TargetTable, onlyLostConnectionsReleaseTheBoundOnRegions) {
+  for (TargetOutcome outcome : {TargetOutcome::TimedOut, TargetOutcome::NotReached}) {
+    World world({"z", "far"});
+    std::optional<Pick> own = world.pick();
+    cr_assert_eq(own->Region.Value, "z");
+    for (int i = 0; i < 3; ++i)
+      world.Table.record(*own, world.Route, outcome, Duration{1000}, 0, Time{1500});
+    cr_assert_eq(world.Table.takeEjections().size(), 1);
+    int far = 0;
+    for (int64_t ms = 1500; ms < 2500; ms += 25) {
+      std::optional<Pick> pick = world.pick(std::nullopt, Time{ms});
+      if (!pick)
+        continue;
+      ++far;
+      world.Table.record(*pick, world.Route, TargetOutcome::Good, Duration{100}, 0, Time{ms});
+    }
+    if (outcome == TargetOutcome::TimedOut)
+      cr_assert_leq(far, 20);
+    else
+      cr_assert_geq(far, 35);
+  }
+}
+
 /// Guards against a silent target that goes on getting requests.
 Test(TargetTable, timeoutsOfAnIdleTargetEject) {
   World world;
