Count the objects of a region from samples of all entry VMs

VMs report the 64 smallest hashes of their objects once a second; the leader merges them by region and answers with the number.

Ruled out: lists of all objects, which grow with the fleet; estimates from the repeats that one VM sees, which differ between VMs, so that an object gets two homes.

--- a/src/control/tests/ControlTest.cpp
+++ b/src/control/tests/ControlTest.cpp
@@ -1,7 +1,9 @@
 #include "control/ControlMachine.h"
 #include "control/EntryRegistry.h"
+#include "control/ObjectCensus.h"
 #include "control/RateDivision.h"
 #include "control/RolloutJudge.h"
+#include "core/Hash.h"
 #include "core/testing/Property.h"
 
 #include <algorithm>
@@ -178,6 +180,36 @@
   cr_assert_leq(first + second, 1000);
 }
 
+/// Guards against a fleet in which no VM knows how many objects the region's callers ask for. The
+/// load: 27 VMs, each of which meets a tenth of 800 objects; 8 of the VMs are lost later.
+Test(ObjectCensus, countsWhatNoVmSeesWhole) {
+  ObjectCensus census;
+  uint64_t state = 20261204;
+  auto random = [&state] {
+    state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+    return state >> 33;
+  };
+  auto report = [&](size_t vm, int64_t ms) {
+    std::set<uint64_t> seen;
+    while (seen.size() < 80)
+      seen.insert(hash64(std::to_string(random() % 800)));
+    link::ObjectSample sample{"s", {seen.begin(), seen.end()}};
+    sample.Smallest.resize(link::SampleSize);
+    census.report(VmId("vm" + std::to_string(vm)), RegionId("r"), {&sample, 1}, Time{ms});
+  };
+  for (size_t vm = 0; vm < 27; ++vm)
+    report(vm, 0);
+  auto counts = census.counts(RegionId("r"), Time{10});
+  cr_assert_eq(counts.size(), 1);
+  cr_assert_float_eq(counts[0].Objects, 800, 200);
+  // A single VM that is left is known whole only below the size of a sample.
+  link::ObjectSample few{"s", {1, 2, 3}};
+  census.report(VmId("vm0"), RegionId("r"), {&few, 1}, Time{6000});
+  counts = census.counts(RegionId("r"), Time{6010});
+  cr_assert_eq(counts[0].Objects, 3);
+  cr_assert(census.counts(RegionId("other"), Time{6020}).empty());
+}
+
 /// Guards against state that differs between voters after a snapshot.
 Test(ControlMachine, snapshotsKeepEverything) {
   ControlMachine machine;
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -15,6 +15,10 @@
 /// Reports whose answers may still come; older ones are forgotten.
 constexpr size_t MaxOpenReports = 16;
 
+/// Samples of the objects that callers ask for are reported this often: 600 bytes a service, while
+/// a report may take 1.6 KB/s.
+constexpr core::Duration SampleInterval{1000};
+
 /// Probes sent in one sweep.
 constexpr int ProbesPerSweep = 4;
 
@@ -178,6 +182,10 @@
   if (full) {
     report.Uses = All.Rates.uses(now);
     report.Versions = All.Targets.versionCounts();
+    if (now - SampledAt >= SampleInterval) {
+      SampledAt = now;
+      report.Objects = All.Targets.objectSamples();
+    }
     balance::CrashReport crashes = All.Crashes.report(now);
     if (!crashes.Entries.empty())
       report.Crashes = balance::encode(crashes);
@@ -318,6 +326,7 @@
     All.Retries.setEntries(answer.Entries.size());
     All.Rates.setEntries(answer.Entries);
   }
+  All.Targets.setObjectCounts(answer.Objects);
   auto sent = SentAt.find(answer.Sequence);
   if (sent != SentAt.end()) {
     All.Rates.setShares(answer.Shares, sent->second, now);
--- a/src/entry/ObjectHomes.cpp
+++ b/src/entry/ObjectHomes.cpp
@@ -62,7 +62,7 @@
 void ObjectHomes::markHomes(const std::string &service, uint64_t object,
                             const core::RegionId &region,
                             absl::Span<HomeCandidate> candidates) const {
-  double inUse = static_cast<double>(std::max<size_t>(1, objects(service)));
+  double inUse = std::max(1.0, objects(service));
   double most = remembered(service);
   Best local;
   Best remote;
@@ -101,9 +101,32 @@
   it.Remembered = std::clamp(remembered, Settings.LeastRemembered, Settings.MostRemembered);
 }
 
-size_t ObjectHomes::objects(const std::string &service) const {
+std::vector<link::ObjectSample> ObjectHomes::samples() const {
+  std::vector<link::ObjectSample> out;
+  for (const auto &[name, service] : Services) {
+    link::ObjectSample sample{name, {}};
+    sample.Smallest.reserve(service.LastAsked.size());
+    for (const auto &[object, at] : service.LastAsked)
+      sample.Smallest.push_back(object);
+    size_t n = std::min(sample.Smallest.size(), link::SampleSize);
+    auto end = sample.Smallest.begin() + static_cast<std::ptrdiff_t>(n);
+    std::partial_sort(sample.Smallest.begin(), end, sample.Smallest.end());
+    sample.Smallest.resize(n);
+    out.push_back(std::move(sample));
+  }
+  return out;
+}
+
+void ObjectHomes::setCounts(absl::Span<const link::ObjectCount> counts) {
+  for (const link::ObjectCount &it : counts)
+    Services[it.Service].InRegion = it.Objects;
+}
+
+double ObjectHomes::objects(const std::string &service) const {
   auto it = Services.find(service);
-  return it == Services.end() ? 0 : it->second.LastAsked.size();
+  if (it == Services.end())
+    return 0;
+  return std::max(it->second.InRegion, static_cast<double>(it->second.LastAsked.size()));
 }
 
 double ObjectHomes::remembered(const std::string &service) const {
--- a/src/entry/ObjectHomes.h
+++ b/src/entry/ObjectHomes.h
@@ -3,6 +3,7 @@
 #include "absl/types/span.h"
 #include "core/Clock.h"
 #include "core/Ids.h"
+#include "link/Messages.h"
 
 #include <cstdint>
 #include <map>
@@ -50,8 +51,14 @@
   /// because its target is the object's home, was.
   void recordHit(const std::string &service, bool wasFast);
 
-  /// Objects in use of a service.
-  size_t objects(const std::string &service) const;
+  /// Returns a sample of the objects of each service that this VM's callers ask for.
+  std::vector<link::ObjectSample> samples() const;
+
+  /// Takes the number of objects that the callers of the whole region ask for.
+  void setCounts(absl::Span<const link::ObjectCount> counts);
+
+  /// Objects of a service that the callers of the region ask for, as far as is known.
+  double objects(const std::string &service) const;
 
   /// Objects that a target of the service is taken to remember.
   double remembered(const std::string &service) const;
@@ -60,6 +67,7 @@
   struct Service {
     std::unordered_map<uint64_t, core::Time> LastAsked;
     core::Time NextPrune;
+    double InRegion = 0; ///< Objects asked for in the region; 0: unknown.
     double Remembered = 0;
     double HitShare = 0.75; ///< Exponentially aged; starts between the two thresholds.
   };
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -133,6 +133,12 @@
   /// Takes the live entry VMs.
   void setEntries(absl::Span<const link::EntryPlace> entries);
 
+  /// Returns a sample of the objects that callers ask for, for the leader's count.
+  std::vector<link::ObjectSample> objectSamples() const { return Homes.samples(); }
+
+  /// Takes the number of objects that the callers of the region ask for.
+  void setObjectCounts(absl::Span<const link::ObjectCount> counts) { Homes.setCounts(counts); }
+
   /// Chooses the service of a request so that each gets its weight's part.
   std::string chooseService(const catalog::Route &route);
 
--- a/src/link/Messages.cpp
+++ b/src/link/Messages.cpp
@@ -53,12 +53,26 @@
   j.at(5).get_to(it.LatencyMs);
 }
 
+void to_json(Json &j, const ObjectSample &it) { j = {it.Service, it.Smallest}; }
+
+void from_json(const Json &j, ObjectSample &it) {
+  j.at(0).get_to(it.Service);
+  j.at(1).get_to(it.Smallest);
+}
+
+void to_json(Json &j, const ObjectCount &it) { j = {it.Service, it.Objects}; }
+
+void from_json(const Json &j, ObjectCount &it) {
+  j.at(0).get_to(it.Service);
+  j.at(1).get_to(it.Objects);
+}
+
 void to_json(Json &j, const EntryReport &it) {
-  j = {{"n", it.Sequence},        {"region", it.Region},          {"domain", it.Domain},
-       {"address", it.Address},   {"serving", it.Serving},        {"stopping", it.Stopping},
-       {"term", it.LeaderTerm},   {"catalog", it.Catalog},        {"epoch", it.ListEpoch},
-       {"list", it.ListSequence}, {"entries", it.EntriesDigest},  {"uses", it.Uses},
-       {"versions", it.Versions}, {"crashes", binary(it.Crashes)}};
+  j = {{"n", it.Sequence},        {"region", it.Region},         {"domain", it.Domain},
+       {"address", it.Address},   {"serving", it.Serving},       {"stopping", it.Stopping},
+       {"term", it.LeaderTerm},   {"catalog", it.Catalog},       {"epoch", it.ListEpoch},
+       {"list", it.ListSequence}, {"entries", it.EntriesDigest}, {"uses", it.Uses},
+       {"versions", it.Versions}, {"objects", it.Objects},       {"crashes", binary(it.Crashes)}};
 }
 
 void from_json(const Json &j, EntryReport &it) {
@@ -75,6 +89,7 @@
   j.at("entries").get_to(it.EntriesDigest);
   j.at("uses").get_to(it.Uses);
   j.at("versions").get_to(it.Versions);
+  j.at("objects").get_to(it.Objects);
   it.Crashes = fromBinary(j.at("crashes"));
 }
 
@@ -108,11 +123,10 @@
 }
 
 void to_json(Json &j, const ControlAnswer &it) {
-  j = {{"n", it.Sequence},      {"term", it.LeaderTerm},
-       {"leads", it.Leads},     {"leader", it.Leader},
-       {"members", it.Members}, {"catalog", it.CatalogDelta},
-       {"list", it.ListDelta},  {"shares", it.Shares},
-       {"entries", it.Entries}, {"crashes", binary(it.Crashes)}};
+  j = {{"n", it.Sequence},      {"term", it.LeaderTerm},        {"leads", it.Leads},
+       {"leader", it.Leader},   {"members", it.Members},        {"catalog", it.CatalogDelta},
+       {"list", it.ListDelta},  {"shares", it.Shares},          {"entries", it.Entries},
+       {"objects", it.Objects}, {"crashes", binary(it.Crashes)}};
 }
 
 void from_json(const Json &j, ControlAnswer &it) {
@@ -125,6 +139,7 @@
   it.ListDelta = j.at("list");
   j.at("shares").get_to(it.Shares);
   j.at("entries").get_to(it.Entries);
+  j.at("objects").get_to(it.Objects);
   it.Crashes = fromBinary(j.at("crashes"));
 }
 
