Pause a listener that cannot accept a connection

Cause: without descriptors the accept loops of the small server and of the entry VM tried again at once and took the processor from the connections that could have ended, without a line in the log.

http::Listener waits 100 ms and logs it. The test takes all descriptors away; a loop without the pause gives two failures in two handlers, which the test forbids.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -110,10 +110,14 @@
                          const ControlNodeSettings &settings)
     : Io(io), Clock(clock), Events(events), Peers(transport), Format(format), Settings(settings),
       Randomness(std::make_unique<Random>()),
-      OperatorServer(io, [this](const http::WholeRequest &request,
-                                const Responder &respond) { onHttp(request, respond); }),
-      LookupServer(io, [this](const http::WholeRequest &request,
-                              const Responder &respond) { onHttp(request, respond); }),
+      OperatorServer(io, events,
+                     [this](const http::WholeRequest &request, const Responder &respond) {
+                       onHttp(request, respond);
+                     }),
+      LookupServer(io, events,
+                   [this](const http::WholeRequest &request, const Responder &respond) {
+                     onHttp(request, respond);
+                   }),
       TickTimer(io), Crashes(core::hash64(settings.Vm.Value, wallClockMs())),
       Reader(listFormat, settings.List), Fetch(std::make_shared<ListFetch>(*this)) {}
 
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -93,26 +93,27 @@
                               0,
                               0},
       Pool(io, clock, settings.Names.RequestId),
-      ReadyServer(io,
+      ReadyServer(io, events,
                   [this](const http::WholeRequest &, const http::SmallServer::Responder &respond) {
                     http::WholeAnswer answer;
                     answer.Status = isServing() && !Stopping ? 200 : 503;
                     respond(answer);
                   }),
-      Acceptor(io), ReportTimer(io), SweepTimer(io), RateTimer(io), Seeds(settings.Seeds) {
+      CallerConnections(io, events,
+                        [this](asio::ip::tcp::socket socket) { takeCaller(std::move(socket)); }),
+      ReportTimer(io), SweepTimer(io), RateTimer(io), Seeds(settings.Seeds) {
   Controls.insert(Seeds.begin(), Seeds.end());
 }
 
 EntryNode::~EntryNode() = default;
 
 absl::Status EntryNode::start() {
-  if (absl::Status status = http::listen(Acceptor, Settings.Callers.Host, Settings.Callers.Port);
+  if (absl::Status status = CallerConnections.start(Settings.Callers.Host, Settings.Callers.Port);
       !status.ok())
     return status;
   if (absl::Status status = ReadyServer.start(Settings.Ready.Host, Settings.Ready.Port);
       !status.ok())
     return status;
-  accept();
   report();
   sweep();
   return absl::OkStatus();
@@ -123,21 +124,14 @@
   Controls.insert(seeds.begin(), seeds.end());
 }
 
-void EntryNode::accept() {
-  Acceptor.async_accept([this](const asio::error_code &ec, asio::ip::tcp::socket socket) {
-    if (!Accepting)
-      return;
-    if (!ec) {
-      auto session = std::make_shared<CallerSession>(
-          Io, std::move(socket), Clock, All, Pool,
-          [this](const std::shared_ptr<CallerSession> &it) { Sessions.erase(it); });
-      Sessions.insert(session);
-      session->start();
-      if (Stopping)
-        session->startStopping(/*closeIdle=*/false);
-    }
-    accept();
-  });
+void EntryNode::takeCaller(asio::ip::tcp::socket socket) {
+  auto session = std::make_shared<CallerSession>(
+      Io, std::move(socket), Clock, All, Pool,
+      [this](const std::shared_ptr<CallerSession> &it) { Sessions.erase(it); });
+  Sessions.insert(session);
+  session->start();
+  if (Stopping)
+    session->startStopping(/*closeIdle=*/false);
 }
 
 void EntryNode::report() {
@@ -400,8 +394,7 @@
   core::Duration since = Clock.now() - StopStart;
   if (Accepting && since > Settings.StopAccept) {
     Accepting = false;
-    asio::error_code ignored;
-    Acceptor.close(ignored);
+    CallerConnections.stop();
     auto sessions = Sessions;
     for (const std::shared_ptr<CallerSession> &it : sessions)
       it->startStopping(/*closeIdle=*/true);
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -67,7 +67,7 @@
   const Steering &steering() const { return All; }
 
 private:
-  void accept();
+  void takeCaller(asio::ip::tcp::socket socket);
   void report();
   void sweep();
   void probe();
@@ -94,7 +94,7 @@
   discovery::TargetList List;
   TargetPool Pool;
   http::SmallServer ReadyServer;
-  asio::ip::tcp::acceptor Acceptor;
+  http::Listener CallerConnections;
   asio::steady_timer ReportTimer;
   asio::steady_timer SweepTimer;
   asio::steady_timer RateTimer; ///< Runs while holders are asked.
--- /dev/null
+++ b/src/http/Listener.cpp
@@ -0,0 +1,72 @@
+#include "http/Listener.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <chrono>
+#include <utility>
+
+namespace briarspar::http {
+
+namespace {
+
+/// Connections that may wait to be accepted.
+constexpr int Backlog = 1024;
+
+/// Wait after a connection that could not be accepted: short beside the callers' patience, and ten
+/// log lines a second at most.
+constexpr std::chrono::milliseconds PauseSpan{100};
+
+} // namespace
+
+Listener::Listener(asio::io_context &io, core::EventSink &events, Accepted accepted)
+    : Events(events), OnAccepted(std::move(accepted)), Acceptor(io), Pause(io) {}
+
+absl::Status Listener::start(const std::string &host, uint16_t port) {
+  asio::error_code ec;
+  asio::ip::tcp::endpoint endpoint(asio::ip::make_address(host, ec), port);
+  if (!ec)
+    Acceptor.open(endpoint.protocol(), ec);
+  if (!ec)
+    Acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), ec);
+  if (!ec)
+    Acceptor.bind(endpoint, ec);
+  if (!ec)
+    Acceptor.listen(Backlog, ec);
+  if (ec)
+    return absl::UnavailableError(
+        absl::StrCat("listener on ", host, ":", port, ": ", ec.message()));
+  Port = Acceptor.local_endpoint().port();
+  accept();
+  return absl::OkStatus();
+}
+
+void Listener::stop() {
+  asio::error_code ignored;
+  Acceptor.close(ignored);
+  Pause.cancel();
+}
+
+void Listener::accept() {
+  Acceptor.async_accept([this](const asio::error_code &ec, asio::ip::tcp::socket socket) {
+    if (ec == asio::error::operation_aborted || !Acceptor.is_open())
+      return;
+    if (ec) {
+      pause(ec);
+      return;
+    }
+    OnAccepted(std::move(socket));
+    accept();
+  });
+}
+
+void Listener::pause(const asio::error_code &ec) {
+  Events.emit({core::EventId::ConnectionNotAccepted,
+               {{"port", Port}, {"reason", ec.message()}, {"pause_ms", PauseSpan.count()}}});
+  Pause.expires_after(PauseSpan);
+  Pause.async_wait([this](const asio::error_code &aborted) {
+    if (!aborted && Acceptor.is_open())
+      accept();
+  });
+}
+
+} // namespace briarspar::http
--- a/src/http/SmallServer.cpp
+++ b/src/http/SmallServer.cpp
@@ -16,9 +16,6 @@
 /// Bytes read at once.
 constexpr size_t ReadBytes = 16UL * 1024;
 
-/// Connections that may wait to be accepted.
-constexpr int Backlog = 1024;
-
 } // namespace
 
 class SmallServer::Session : public std::enable_shared_from_this<Session>, private MessageListener {
@@ -127,57 +124,32 @@
   bool Closed = false;
 };
 
-SmallServer::SmallServer(asio::io_context &io, Handler handler, const SmallServerSettings &settings)
-    : Io(io), Handle(std::move(handler)), Settings(settings), Acceptor(io) {}
+SmallServer::SmallServer(asio::io_context &io, core::EventSink &events, Handler handler,
+                         const SmallServerSettings &settings)
+    : Handle(std::move(handler)), Settings(settings),
+      Connections(io, events, [this](asio::ip::tcp::socket socket) { take(std::move(socket)); }) {}
 
 SmallServer::~SmallServer() { stop(); }
 
-absl::Status listen(asio::ip::tcp::acceptor &acceptor, const std::string &host, uint16_t port) {
-  asio::error_code ec;
-  asio::ip::tcp::endpoint endpoint(asio::ip::make_address(host, ec), port);
-  if (!ec)
-    acceptor.open(endpoint.protocol(), ec);
-  if (!ec)
-    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), ec);
-  if (!ec)
-    acceptor.bind(endpoint, ec);
-  if (!ec)
-    acceptor.listen(Backlog, ec);
-  if (ec)
-    return absl::UnavailableError(
-        absl::StrCat("listener on ", host, ":", port, ": ", ec.message()));
-  return absl::OkStatus();
-}
-
 absl::Status SmallServer::start(const std::string &host, uint16_t port) {
-  if (absl::Status status = listen(Acceptor, host, port); !status.ok())
-    return status;
-  Port = Acceptor.local_endpoint().port();
-  accept();
-  return absl::OkStatus();
+  return Connections.start(host, port);
 }
 
 void SmallServer::stop() {
-  asio::error_code ignored;
-  Acceptor.close(ignored);
+  Connections.stop();
   auto sessions = Sessions;
   for (const std::shared_ptr<Session> &it : sessions)
     it->close();
 }
 
-void SmallServer::accept() {
-  Acceptor.async_accept([this](const asio::error_code &ec, asio::ip::tcp::socket socket) {
-    if (ec == asio::error::operation_aborted || !Acceptor.is_open())
-      return;
-    if (!ec && Sessions.size() < Settings.MaxConnections) {
-      asio::error_code ignored;
-      socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-      auto session = std::make_shared<Session>(*this, std::move(socket));
-      Sessions.insert(session);
-      session->read();
-    }
-    accept();
-  });
+void SmallServer::take(asio::ip::tcp::socket socket) {
+  if (Sessions.size() >= Settings.MaxConnections)
+    return;
+  asio::error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  auto session = std::make_shared<Session>(*this, std::move(socket));
+  Sessions.insert(session);
+  session->read();
 }
 
 } // namespace briarspar::http
--- a/src/http/SmallServer.h
+++ b/src/http/SmallServer.h
@@ -3,6 +3,7 @@
 #include "absl/status/status.h"
 #include "core/Clock.h"
 #include "http/Head.h"
+#include "http/Listener.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -42,29 +43,25 @@
   using Responder = std::function<void(const WholeAnswer &)>;
   using Handler = std::function<void(const WholeRequest &, Responder)>;
 
-  SmallServer(asio::io_context &io, Handler handler, const SmallServerSettings &settings = {});
+  SmallServer(asio::io_context &io, core::EventSink &events, Handler handler,
+              const SmallServerSettings &settings = {});
   ~SmallServer();
 
   /// Opens the listener. Returns an error when the address is not available.
   absl::Status start(const std::string &host, uint16_t port);
   void stop();
 
-  uint16_t port() const { return Port; }
+  uint16_t port() const { return Connections.port(); }
 
 private:
   class Session;
 
-  void accept();
+  void take(asio::ip::tcp::socket socket);
 
-  asio::io_context &Io;
   Handler Handle;
   const SmallServerSettings Settings;
-  asio::ip::tcp::acceptor Acceptor;
-  uint16_t Port = 0;
+  Listener Connections;
   std::unordered_set<std::shared_ptr<Session>> Sessions;
 };
 
-/// Opens a listener with the address reused. Returns an error when it is not available.
-absl::Status listen(asio::ip::tcp::acceptor &acceptor, const std::string &host, uint16_t port);
-
 } // namespace briarspar::http
--- /dev/null
+++ b/src/http/tests/ListenerTest.cpp
@@ -0,0 +1,48 @@
+#include "http/Listener.h"
+
+#include <criterion/criterion.h>
+
+#include <sys/resource.h>
+
+#include <vector>
+
+using namespace briarspar;
+using namespace briarspar::http;
+
+namespace {
+
+/// Counts events.
+struct Counter final : core::EventSink {
+  void emit(core::Event) override { ++Events; }
+  int Events = 0;
+};
+
+} // namespace
+
+/// Guards against a listener that takes all the processor time while there are no descriptors, and
+/// against one that accepts nothing after they are back.
+Test(Listener, waitsWithoutDescriptors) {
+  asio::io_context io;
+  Counter events;
+  std::vector<asio::ip::tcp::socket> accepted;
+  Listener listener(io, events,
+                    [&](asio::ip::tcp::socket socket) { accepted.push_back(std::move(socket)); });
+  cr_assert(listener.start("127.0.0.1", 0).ok());
+  asio::ip::tcp::socket caller(io);
+  caller.connect({asio::ip::make_address("127.0.0.1"), listener.port()});
+  rlimit before{};
+  cr_assert_eq(getrlimit(RLIMIT_NOFILE, &before), 0);
+  rlimit none = before;
+  none.rlim_cur = 0;
+  cr_assert_eq(setrlimit(RLIMIT_NOFILE, &none), 0);
+  // Without a pause, each of the handlers would be a failure.
+  size_t handlers = 0;
+  while (events.Events < 2 && handlers < 20)
+    handlers += io.run_one();
+  cr_assert_leq(events.Events, 2);
+  cr_assert_geq(handlers, 3, "a timer runs between two failures");
+  cr_assert_eq(setrlimit(RLIMIT_NOFILE, &before), 0);
+  while (accepted.empty())
+    io.run_one();
+  cr_assert_eq(accepted.size(), 1);
+}
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -57,7 +57,7 @@
       : Settings(std::move(settings)), File(std::move(file)), Lines(Settings.Vm, Settings.Name),
         Log(Lines),
         MetricsServer(
-            Io,
+            Io, Log,
             [this](const http::WholeRequest &, const http::SmallServer::Responder &respond) {
               respond({200, Log.text(), "text/plain; version=0.0.4", "", {0}});
             }),
