Let the demand of all regions decide how many objects a region keeps

Cause: load reports do not tell an entry VM that its region is full: one VM of many meets a target every few seconds.

VMs report the slots that their callers' requests take; the leader sums them up by region and service. A region keeps the objects that three quarters of its slots serve, as far as the others have room. All VMs of a region have the same figures, so that an object has one home.

Ruled out: homes that a target is too small to remember (272 objects over 33 targets that remember 16 each); an integrating controller on each VM, which drifts apart.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -335,9 +335,9 @@
     else
       listEntry(message.From, true);
     Judge.report(message.From, message.FromIncarnation, report->Versions);
-    if (!report->Objects.empty())
-      Objects.report(message.From, report->Region, report->Objects, now);
-    answer.Objects = Objects.counts(report->Region, now);
+    if (!report->Services.empty())
+      Demand.report(message.From, report->Region, report->Services, now);
+    answer.Demand = Demand.demand(now);
     if (report->EntriesDigest != LiveDigest)
       answer.Entries = Live;
     if (!report->Crashes.empty()) {
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -7,8 +7,8 @@
 #include "agreement/Replica.h"
 #include "balance/CrashGuard.h"
 #include "control/ControlMachine.h"
+#include "control/DemandCensus.h"
 #include "control/EntryRegistry.h"
-#include "control/ObjectCensus.h"
 #include "control/OperatorCall.h"
 #include "control/RateDivision.h"
 #include "control/RolloutJudge.h"
@@ -131,7 +131,7 @@
   EntryRegistry Entries;
   std::map<core::VmId, std::pair<core::LogIndex, discovery::ListVersion>> EntryVersions;
   RateDivision Rates;
-  ObjectCensus Objects;
+  DemandCensus Demand;
   std::vector<link::EntryPlace> Live; ///< Entry VMs that answers name.
   uint64_t LiveDigest = 0;            ///< Of Live; 0 before it is made.
   core::Time LiveAt;                  ///< When Live was made.
--- /dev/null
+++ b/src/control/DemandCensus.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "absl/types/span.h"
+#include "core/Clock.h"
+#include "core/Ids.h"
+#include "link/Messages.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace briarspar::control {
+
+struct DemandCensusSettings {
+  core::Duration Validity{5000}; ///< A sample counts for so long; VMs send one each second.
+  core::Duration Interval{500};  ///< The demand is summed up anew this often.
+};
+
+/// What the callers of each region ask of each service: the slots that their requests take and the
+/// number of their objects. One entry VM of a large fleet sees little of both, and which of its
+/// objects the others see too is not known to it; from the smallest hashes of each VM's objects the
+/// number of all follows without a list of them. Used by the leader. Not thread-safe.
+class DemandCensus {
+public:
+  explicit DemandCensus(const DemandCensusSettings &settings = {}) : Settings(settings) {}
+
+  /// Takes the samples of one VM.
+  void report(const core::VmId &vm, const core::RegionId &region,
+              absl::Span<const link::ServiceSample> samples, core::Time now);
+
+  /// Returns the demand of all regions.
+  const std::vector<link::ServiceDemand> &demand(core::Time now);
+
+private:
+  struct VmSamples {
+    core::RegionId Region;
+    core::Time At;
+    std::vector<link::ServiceSample> Samples;
+  };
+
+  void sumUp(core::Time now);
+
+  const DemandCensusSettings Settings;
+  std::map<core::VmId, VmSamples> Vms;
+  std::vector<link::ServiceDemand> Demand;
+  core::Time SummedAt;
+};
+
+/// Estimates the size of a set of objects from its smallest hashes, in rising order. With fewer
+/// than link::SampleSize of them the set is known whole.
+double estimateObjects(absl::Span<const uint64_t> smallest);
+
+} // namespace briarspar::control
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -15,7 +15,7 @@
 /// Reports whose answers may still come; older ones are forgotten.
 constexpr size_t MaxOpenReports = 16;
 
-/// Samples of the objects that callers ask for are reported this often: 600 bytes a service, while
+/// Samples of what callers ask of the services are reported this often: 600 bytes a service, while
 /// a report may take 1.6 KB/s.
 constexpr core::Duration SampleInterval{1000};
 
@@ -178,7 +178,7 @@
     report.Versions = All.Targets.versionCounts();
     if (now - SampledAt >= SampleInterval) {
       SampledAt = now;
-      report.Objects = All.Targets.objectSamples();
+      report.Services = All.Targets.serviceSamples(now);
     }
     balance::CrashReport crashes = All.Crashes.report(now);
     if (!crashes.Entries.empty())
@@ -320,7 +320,7 @@
     All.Retries.setEntries(answer.Entries.size());
     All.Rates.setEntries(answer.Entries);
   }
-  All.Targets.setObjectCounts(answer.Objects);
+  All.Targets.setDemand(answer.Demand);
   auto sent = SentAt.find(answer.Sequence);
   if (sent != SentAt.end()) {
     All.Rates.setShares(answer.Shares, sent->second, now);
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -99,7 +99,7 @@
   asio::steady_timer SweepTimer;
   asio::steady_timer RateTimer; ///< Runs while holders are asked.
   bool RateTimerRuns = false;
-  core::Time SampledAt;       ///< Last sample of the objects that callers ask for.
+  core::Time SampledAt;       ///< Last sample of what callers ask of the services.
   uint64_t EntriesDigest = 0; ///< Of the list of entry VMs that is held here.
   std::unordered_set<std::shared_ptr<CallerSession>> Sessions;
   std::set<core::VmId> Controls; ///< All control VMs that are known.
--- a/src/entry/ObjectHomes.cpp
+++ b/src/entry/ObjectHomes.cpp
@@ -3,6 +3,7 @@
 #include "core/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace briarspar::entry {
@@ -32,9 +33,11 @@
   double FirstOrder = -1;
   double SecondOrder = -1;
   size_t Members = 0;
+  double Slots = 0;
 
   void offer(HomeCandidate &it, double order) {
     ++Members;
+    Slots += it.Slots;
     if (order > FirstOrder) {
       Second = std::exchange(First, &it);
       SecondOrder = std::exchange(FirstOrder, order);
@@ -49,9 +52,13 @@
 
 ObjectHomes::ObjectHomes(const ObjectHomesSettings &settings) : Settings(settings) {}
 
-void ObjectHomes::note(const std::string &service, uint64_t object, core::Time now) {
+void ObjectHomes::note(const std::string &service, std::optional<uint64_t> object, double work,
+                       core::Time now) {
   Service &it = Services[service];
-  it.LastAsked[object] = now;
+  it.Slots = slots(it, now) + work / static_cast<double>(Settings.DemandWindow.Ms);
+  it.DemandAt = now;
+  if (object)
+    it.LastAsked[*object] = now;
   if (now < it.NextPrune)
     return;
   it.NextPrune = now + PruneInterval;
@@ -62,17 +69,21 @@
 void ObjectHomes::markHomes(const std::string &service, uint64_t object,
                             const core::RegionId &region,
                             absl::Span<HomeCandidate> candidates) const {
-  double inUse = std::max(1.0, objects(service));
+  double inUse = std::max(1.0, objects(service, region));
   double most = remembered(service);
   Best local;
   Best remote;
   for (HomeCandidate &it : candidates)
     (*it.Region == region ? local : remote).offer(it, unitHash(*it.Id, object));
+  auto known = Services.find(service);
   auto keeps = [&](const Best &best) {
     if (best.First == nullptr)
       return false;
     double each = inUse / static_cast<double>(best.Members);
-    return each <= most || unitHash(*best.First->Id, object ^ KeepSeed) < most / each;
+    double part = std::min(1.0, most / each);
+    if (known != Services.end())
+      part = std::min(part, keptBySlots(known->second, region, local.Slots, remote.Slots));
+    return part >= 1 || unitHash(*best.First->Id, object ^ KeepSeed) < part;
   };
   if (keeps(local) || remote.First == nullptr) {
     if (local.First != nullptr)
@@ -101,10 +112,10 @@
   it.Remembered = std::clamp(remembered, Settings.LeastRemembered, Settings.MostRemembered);
 }
 
-std::vector<link::ObjectSample> ObjectHomes::samples() const {
-  std::vector<link::ObjectSample> out;
+std::vector<link::ServiceSample> ObjectHomes::samples(core::Time now) const {
+  std::vector<link::ServiceSample> out;
   for (const auto &[name, service] : Services) {
-    link::ObjectSample sample{name, {}};
+    link::ServiceSample sample{name, {}, slots(service, now)};
     sample.Smallest.reserve(service.LastAsked.size());
     for (const auto &[object, at] : service.LastAsked)
       sample.Smallest.push_back(object);
@@ -117,16 +128,40 @@
   return out;
 }
 
-void ObjectHomes::setCounts(absl::Span<const link::ObjectCount> counts) {
-  for (const link::ObjectCount &it : counts)
-    Services[it.Service].InRegion = it.Objects;
+void ObjectHomes::setDemand(absl::Span<const link::ServiceDemand> demand) {
+  for (auto &[name, service] : Services)
+    service.Demand.clear();
+  for (const link::ServiceDemand &it : demand)
+    Services[it.Service].Demand[it.Region] = it;
 }
 
-double ObjectHomes::objects(const std::string &service) const {
+double ObjectHomes::objects(const std::string &service, const core::RegionId &region) const {
   auto it = Services.find(service);
   if (it == Services.end())
     return 0;
-  return std::max(it->second.InRegion, static_cast<double>(it->second.LastAsked.size()));
+  auto demand = it->second.Demand.find(region);
+  double known = demand == it->second.Demand.end() ? 0 : demand->second.Objects;
+  return std::max(known, static_cast<double>(it->second.LastAsked.size()));
+}
+
+double ObjectHomes::slots(const Service &service, core::Time now) const {
+  double age = static_cast<double>((now - service.DemandAt).Ms);
+  return service.Slots * std::exp(-age / static_cast<double>(Settings.DemandWindow.Ms));
+}
+
+/// Returns the part of the region's requests that stay in it, so that its targets have slots for
+/// them; what leaves fits into the free slots of the others.
+double ObjectHomes::keptBySlots(const Service &service, const core::RegionId &region, double local,
+                                double remote) const {
+  double own = 0;
+  double others = 0;
+  for (const auto &[name, demand] : service.Demand)
+    (name == region ? own : others) += demand.Slots;
+  double excess = own - local * Settings.UsableSlots;
+  double room = remote * Settings.UsableSlots - others;
+  if (own <= 0 || excess <= 0 || room <= 0)
+    return 1;
+  return 1 - std::min(excess, room) / own;
 }
 
 double ObjectHomes::remembered(const std::string &service) const {
--- a/src/entry/ObjectHomes.h
+++ b/src/entry/ObjectHomes.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -18,14 +19,18 @@
   double FirstRemembered = 30;   ///< Objects that a target is taken to remember at first.
   double LeastRemembered = 8;
   double MostRemembered = 400;
-  double GoodHits = 0.85; ///< With more familiar answers than this, the estimate grows.
-  double PoorHits = 0.6;  ///< With fewer, it shrinks.
+  double GoodHits = 0.85;            ///< With more familiar answers than this, the estimate grows.
+  double PoorHits = 0.6;             ///< With fewer, it shrinks.
+  double UsableSlots = 0.75;         ///< Part of a region's slots that its callers' requests may
+                                     ///< take; beyond it they wait for each other.
+  core::Duration DemandWindow{2000}; ///< Time constant of the measured demand.
 };
 
 /// A target among which an object's homes are chosen.
 struct HomeCandidate {
   const core::TargetId *Id = nullptr;
   const core::RegionId *Region = nullptr;
+  double Slots = 0;
   bool IsHome = false;  ///< Set by markHomes().
   bool IsSpare = false; ///< Set by markHomes(): serves the object when its home is full.
 };
@@ -33,15 +38,18 @@
 /// Decides which target serves an object, alike on all entry VMs of a region without a message
 /// between them, so that a target keeps meeting the objects that it remembers. Rendezvous hashing
 /// picks one target of the region, and two spare ones for times when it is full: the next target of
-/// the region and one of the other regions. Of the objects that fall to a target beyond what it
-/// remembers, a fixed part has its home in another region instead. One home a failure domain was
-/// measured too: each further home costs one slow answer an object, more than the bytes it saves.
+/// the region and one of the other regions. Of the objects beyond what the region's targets
+/// remember, or what their slots can serve while other regions have slots free, a fixed part has
+/// its home in another region instead. One home a failure domain was measured too: each further
+/// home costs one slow answer an object, more than the bytes it saves.
 class ObjectHomes {
 public:
   explicit ObjectHomes(const ObjectHomesSettings &settings = {});
 
-  /// Counts a request for an object of a service.
-  void note(const std::string &service, uint64_t object, core::Time now);
+  /// Counts a request to a service, for an object or for none. `work` is the time that it takes a
+  /// target that knows the object, in ms.
+  void note(const std::string &service, std::optional<uint64_t> object, double work,
+            core::Time now);
 
   /// Marks the candidates that are home and spares of the object for callers of a region.
   void markHomes(const std::string &service, uint64_t object, const core::RegionId &region,
@@ -51,14 +59,14 @@
   /// because its target is the object's home, was.
   void recordHit(const std::string &service, bool wasFast);
 
-  /// Returns a sample of the objects of each service that this VM's callers ask for.
-  std::vector<link::ObjectSample> samples() const;
+  /// Returns what this VM's callers ask of each service.
+  std::vector<link::ServiceSample> samples(core::Time now) const;
 
-  /// Takes the number of objects that the callers of the whole region ask for.
-  void setCounts(absl::Span<const link::ObjectCount> counts);
+  /// Takes what the callers of all regions ask for.
+  void setDemand(absl::Span<const link::ServiceDemand> demand);
 
   /// Objects of a service that the callers of the region ask for, as far as is known.
-  double objects(const std::string &service) const;
+  double objects(const std::string &service, const core::RegionId &region) const;
 
   /// Objects that a target of the service is taken to remember.
   double remembered(const std::string &service) const;
@@ -67,11 +75,17 @@
   struct Service {
     std::unordered_map<uint64_t, core::Time> LastAsked;
     core::Time NextPrune;
-    double InRegion = 0; ///< Objects asked for in the region; 0: unknown.
+    std::map<core::RegionId, link::ServiceDemand> Demand; ///< As far as is known.
+    double Slots = 0; ///< Taken by the requests of this VM at DemandAt, exponentially aged.
+    core::Time DemandAt;
     double Remembered = 0;
     double HitShare = 0.75; ///< Exponentially aged; starts between the two thresholds.
   };
 
+  double slots(const Service &service, core::Time now) const;
+  double keptBySlots(const Service &service, const core::RegionId &region, double local,
+                     double remote) const;
+
   const ObjectHomesSettings Settings;
   std::map<std::string, Service> Services;
 };
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -144,8 +144,8 @@
 }
 
 std::optional<Pick> TargetTable::pick(const PickRequest &request, core::Time now) {
-  if (request.Object)
-    Homes.note(request.Service, *request.Object, now);
+  if (request.Tried.empty())
+    Homes.note(request.Service, request.Object, Work.of(*request.Route, request.Service).Warm, now);
   std::optional<Candidate> chosen;
   auto rollout = Rollouts.find(request.Service);
   if (rollout != Rollouts.end()) {
@@ -220,7 +220,7 @@
     if (!mayUse(*state, request))
       continue;
     usable.push_back(state);
-    homes.push_back({&state->Info.Id, &state->Region});
+    homes.push_back({&state->Info.Id, &state->Region, static_cast<double>(state->Info.Slots)});
   }
   if (request.Object)
     Homes.markHomes(request.Service, *request.Object, Own.Region, absl::MakeSpan(homes));
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -133,11 +133,13 @@
   /// Takes the live entry VMs.
   void setEntries(absl::Span<const link::EntryPlace> entries);
 
-  /// Returns a sample of the objects that callers ask for, for the leader's count.
-  std::vector<link::ObjectSample> objectSamples() const { return Homes.samples(); }
+  /// Returns what this VM's callers ask of each service, for the leader's sum.
+  std::vector<link::ServiceSample> serviceSamples(core::Time now) const {
+    return Homes.samples(now);
+  }
 
-  /// Takes the number of objects that the callers of the region ask for.
-  void setObjectCounts(absl::Span<const link::ObjectCount> counts) { Homes.setCounts(counts); }
+  /// Takes what the callers of all regions ask of each service.
+  void setDemand(absl::Span<const link::ServiceDemand> demand) { Homes.setDemand(demand); }
 
   /// Chooses the service of a request so that each gets its weight's part.
   std::string chooseService(const catalog::Route &route);
--- a/src/link/Messages.cpp
+++ b/src/link/Messages.cpp
@@ -53,18 +53,23 @@
   j.at(5).get_to(it.LatencyMs);
 }
 
-void to_json(Json &j, const ObjectSample &it) { j = {it.Service, it.Smallest}; }
+void to_json(Json &j, const ServiceSample &it) { j = {it.Service, it.Smallest, it.Slots}; }
 
-void from_json(const Json &j, ObjectSample &it) {
+void from_json(const Json &j, ServiceSample &it) {
   j.at(0).get_to(it.Service);
   j.at(1).get_to(it.Smallest);
+  j.at(2).get_to(it.Slots);
 }
 
-void to_json(Json &j, const ObjectCount &it) { j = {it.Service, it.Objects}; }
+void to_json(Json &j, const ServiceDemand &it) {
+  j = {it.Region, it.Service, it.Objects, it.Slots};
+}
 
-void from_json(const Json &j, ObjectCount &it) {
-  j.at(0).get_to(it.Service);
-  j.at(1).get_to(it.Objects);
+void from_json(const Json &j, ServiceDemand &it) {
+  j.at(0).get_to(it.Region);
+  j.at(1).get_to(it.Service);
+  j.at(2).get_to(it.Objects);
+  j.at(3).get_to(it.Slots);
 }
 
 void to_json(Json &j, const EntryReport &it) {
@@ -72,7 +77,7 @@
        {"address", it.Address},   {"serving", it.Serving},       {"stopping", it.Stopping},
        {"term", it.LeaderTerm},   {"catalog", it.Catalog},       {"epoch", it.ListEpoch},
        {"list", it.ListSequence}, {"entries", it.EntriesDigest}, {"uses", it.Uses},
-       {"versions", it.Versions}, {"objects", it.Objects},       {"crashes", binary(it.Crashes)}};
+       {"versions", it.Versions}, {"services", it.Services},     {"crashes", binary(it.Crashes)}};
 }
 
 void from_json(const Json &j, EntryReport &it) {
@@ -89,7 +94,7 @@
   j.at("entries").get_to(it.EntriesDigest);
   j.at("uses").get_to(it.Uses);
   j.at("versions").get_to(it.Versions);
-  j.at("objects").get_to(it.Objects);
+  j.at("services").get_to(it.Services);
   it.Crashes = fromBinary(j.at("crashes"));
 }
 
@@ -123,10 +128,10 @@
 }
 
 void to_json(Json &j, const ControlAnswer &it) {
-  j = {{"n", it.Sequence},      {"term", it.LeaderTerm},        {"leads", it.Leads},
-       {"leader", it.Leader},   {"members", it.Members},        {"catalog", it.CatalogDelta},
-       {"list", it.ListDelta},  {"shares", it.Shares},          {"entries", it.Entries},
-       {"objects", it.Objects}, {"crashes", binary(it.Crashes)}};
+  j = {{"n", it.Sequence},     {"term", it.LeaderTerm},        {"leads", it.Leads},
+       {"leader", it.Leader},  {"members", it.Members},        {"catalog", it.CatalogDelta},
+       {"list", it.ListDelta}, {"shares", it.Shares},          {"entries", it.Entries},
+       {"demand", it.Demand},  {"crashes", binary(it.Crashes)}};
 }
 
 void from_json(const Json &j, ControlAnswer &it) {
@@ -139,7 +144,7 @@
   it.ListDelta = j.at("list");
   j.at("shares").get_to(it.Shares);
   j.at("entries").get_to(it.Entries);
-  j.at("objects").get_to(it.Objects);
+  j.at("demand").get_to(it.Demand);
   it.Crashes = fromBinary(j.at("crashes"));
 }
 
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -50,21 +50,23 @@
   uint64_t LatencyMs = 0; ///< Sum over the answers that are no failures, in ms.
 };
 
-/// Hashes in an ObjectSample at most. The number of objects that follows from 64 of them is within
+/// Hashes in a ServiceSample at most. The number of objects that follows from 64 of them is within
 /// an eighth of the true one two times in three.
 constexpr size_t SampleSize = 64;
 
-/// The smallest hashes of the objects of a service that a VM's callers have lately asked for, in
-/// rising order.
-struct ObjectSample {
+/// What a VM's callers have lately asked of a service.
+struct ServiceSample {
   std::string Service;
-  std::vector<uint64_t> Smallest;
+  std::vector<uint64_t> Smallest; ///< Smallest hashes of the objects, in rising order.
+  double Slots = 0;               ///< Slots that their requests take when targets know the objects.
 };
 
-/// Objects of a service that the callers of a region have lately asked for.
-struct ObjectCount {
+/// What the callers of a region have lately asked of a service.
+struct ServiceDemand {
+  core::RegionId Region;
   std::string Service;
-  double Objects = 0;
+  double Objects = 0; ///< Different ones.
+  double Slots = 0;   ///< Slots that the requests take when targets know the objects.
 };
 
 /// State of one entry VM. Sent to each control VM; only the leader gets the parts that it alone
@@ -83,8 +85,8 @@
   uint64_t EntriesDigest = 0; ///< Of the list of entry VMs that is held here; 0 without one.
   std::vector<CustomerUse> Uses;
   std::vector<VersionCounts> Versions;
-  std::vector<ObjectSample> Objects; ///< Empty in most reports.
-  std::string Crashes;               ///< Encoded balance::CrashReport; empty when there are none.
+  std::vector<ServiceSample> Services; ///< Empty in most reports.
+  std::string Crashes;                 ///< Encoded balance::CrashReport; empty when there are none.
 };
 
 /// Part of a customer's rate that an entry VM may use.
@@ -117,18 +119,18 @@
 
 /// What a control VM tells an entry VM.
 struct ControlAnswer {
-  uint64_t Sequence = 0;            ///< Of the report that is answered; 0 when it comes unasked.
-  core::Term LeaderTerm;            ///< Of the leader that answers.
-  bool Leads = false;               ///< The rest but Leader and Members counts only from a leader.
-  core::VmId Leader;                ///< Empty when unknown.
-  std::vector<core::VmId> Members;  ///< Control VMs of the group.
-  core::Json CatalogDelta;          ///< Null when nothing changed.
-  core::Json ListDelta;             ///< Null when nothing changed.
-  std::vector<RateShare> Shares;    ///< Replace all earlier ones; for answers to reports.
-  std::vector<EntryPlace> Entries;  ///< Live entry VMs in the order of their ids; empty when the VM
-                                    ///< holds the same list already.
-  std::vector<ObjectCount> Objects; ///< In the region of the VM.
-  std::string Crashes;              ///< Encoded balance::CrashReport; may be empty.
+  uint64_t Sequence = 0;           ///< Of the report that is answered; 0 when it comes unasked.
+  core::Term LeaderTerm;           ///< Of the leader that answers.
+  bool Leads = false;              ///< The rest but Leader and Members counts only from a leader.
+  core::VmId Leader;               ///< Empty when unknown.
+  std::vector<core::VmId> Members; ///< Control VMs of the group.
+  core::Json CatalogDelta;         ///< Null when nothing changed.
+  core::Json ListDelta;            ///< Null when nothing changed.
+  std::vector<RateShare> Shares;   ///< Replace all earlier ones; for answers to reports.
+  std::vector<EntryPlace> Entries; ///< Live entry VMs in the order of their ids; empty when the VM
+                                   ///< holds the same list already.
+  std::vector<ServiceDemand> Demand; ///< Of all regions.
+  std::string Crashes;               ///< Encoded balance::CrashReport; may be empty.
 };
 
 std::string encode(const JoinRequest &it);
