Forget old ejections of a target

Cause: the span of an ejection doubles with each one and was never reset, so that a target that had failed a few times in its life was left out for 8 s at the next broken connection. After 30 s without an ejection the spans start anew. The test fails without that.

--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -404,6 +404,8 @@
     state.FailureShare += SampleWeight * ((good ? 0.0 : 1.0) - state.FailureShare);
   if (good) {
     state.FailuresInRow = 0;
+    if (now - state.EjectedUntil > Settings.EjectionMemory)
+      state.Ejections = 0;
     Work.recordBytes(route, bytes);
     learnTime(state, pick, route, latency, now);
     return;
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -57,6 +57,8 @@
   uint32_t FailuresToEject = 3;       ///< Failures in a row that eject a target.
   core::Duration FirstEjection{1000}; ///< Doubles with every further ejection.
   core::Duration LongestEjection{8000};
+  core::Duration EjectionMemory{30'000}; ///< After so long without an ejection they start anew, far
+                                         ///< beyond the seconds in which targets fail by turns.
   ColdLimitSettings Cold;
   RegionShiftSettings Shift;
   WorkTimesSettings Work;
--- a/src/entry/tests/TargetTableTest.cpp
+++ b/src/entry/tests/TargetTableTest.cpp
@@ -132,6 +132,34 @@
   cr_assert_geq(world.Table.takeEjections().size(), 1);
 }
 
+/// Guards against a target that is left out for long because it failed several times long ago, and
+/// against one that fails by turns and is tried again each second.
+Test(TargetTable, ejectionsGrowAndAreForgotten) {
+  World world;
+  std::optional<Pick> pick = world.pick();
+  cr_assert(pick.has_value());
+  int64_t ms = 1000;
+  auto fail = [&] {
+    world.Table.record(*pick, world.Route, TargetOutcome::NotReached, Duration{1}, 0, Time{ms});
+    std::vector<TargetTable::Ejection> ejections = world.Table.takeEjections();
+    cr_assert_eq(ejections.size(), 1);
+    ms += ejections[0].Span.Ms;
+    world.Table.recordProbe(pick->Id, true, Duration{0}, Time{ms});
+    return ejections[0].Span.Ms;
+  };
+  auto serve = [&] {
+    world.Table.record(*pick, world.Route, TargetOutcome::Good, Duration{100}, 0, Time{ms});
+  };
+  cr_assert_eq(fail(), 1000);
+  serve();
+  cr_assert_eq(fail(), 2000);
+  serve();
+  cr_assert_eq(fail(), 4000);
+  ms += 60'000;
+  serve();
+  cr_assert_eq(fail(), 1000);
+}
+
 /// Guards against an object that is served by several targets while its home has room: each of them
 /// would work on it as long as on an unknown one.
 Test(TargetTable, anObjectStaysAtItsHome) {
