Give objects of a full region homes only where there is room

And homes carry unequal load: with eight objects each, many targets of a region are full when three quarters of its slots are used on average.

Only regions whose own callers leave slots free get homes of others, and a region keeps what 0.6 of its slots serve.

--- a/src/entry/ObjectHomes.cpp
+++ b/src/entry/ObjectHomes.cpp
@@ -33,11 +33,9 @@
   double FirstOrder = -1;
   double SecondOrder = -1;
   size_t Members = 0;
-  double Slots = 0;
 
   void offer(HomeCandidate &it, double order) {
     ++Members;
-    Slots += it.Slots;
     if (order > FirstOrder) {
       Second = std::exchange(First, &it);
       SecondOrder = std::exchange(FirstOrder, order);
@@ -69,20 +67,22 @@
 void ObjectHomes::markHomes(const std::string &service, uint64_t object,
                             const core::RegionId &region,
                             absl::Span<HomeCandidate> candidates) const {
-  double inUse = std::max(1.0, objects(service, region));
-  double most = remembered(service);
+  auto known = Services.find(service);
+  const Service nothing;
+  const Room room = findRoom(known == Services.end() ? nothing : known->second, region, candidates);
   Best local;
   Best remote;
-  for (HomeCandidate &it : candidates)
-    (*it.Region == region ? local : remote).offer(it, unitHash(*it.Id, object));
-  auto known = Services.find(service);
+  for (HomeCandidate &it : candidates) {
+    if (*it.Region == region)
+      local.offer(it, unitHash(*it.Id, object));
+    else if (room.Free.empty() || room.Free.count(*it.Region) != 0)
+      remote.offer(it, unitHash(*it.Id, object));
+  }
   auto keeps = [&](const Best &best) {
     if (best.First == nullptr)
       return false;
-    double each = inUse / static_cast<double>(best.Members);
-    double part = std::min(1.0, most / each);
-    if (known != Services.end())
-      part = std::min(part, keptBySlots(known->second, region, local.Slots, remote.Slots));
+    double each = std::max(1.0, objects(service, region)) / static_cast<double>(best.Members);
+    double part = std::min({1.0, remembered(service) / each, room.Kept});
     return part >= 1 || unitHash(*best.First->Id, object ^ KeepSeed) < part;
   };
   if (keeps(local) || remote.First == nullptr) {
@@ -149,19 +149,29 @@
   return service.Slots * std::exp(-age / static_cast<double>(Settings.DemandWindow.Ms));
 }
 
-/// Returns the part of the region's requests that stay in it, so that its targets have slots for
-/// them; what leaves fits into the free slots of the others.
-double ObjectHomes::keptBySlots(const Service &service, const core::RegionId &region, double local,
-                                double remote) const {
-  double own = 0;
-  double others = 0;
+/// Finds the regions with free slots, and the part of the region's own requests that stay in it, so
+/// that its targets have slots for them and the others for what leaves.
+ObjectHomes::Room ObjectHomes::findRoom(const Service &service, const core::RegionId &region,
+                                        absl::Span<const HomeCandidate> candidates) const {
+  std::map<core::RegionId, double> free;
+  for (const HomeCandidate &it : candidates)
+    free[*it.Region] += it.Slots * Settings.UsableSlots;
   for (const auto &[name, demand] : service.Demand)
-    (name == region ? own : others) += demand.Slots;
-  double excess = own - local * Settings.UsableSlots;
-  double room = remote * Settings.UsableSlots - others;
-  if (own <= 0 || excess <= 0 || room <= 0)
-    return 1;
-  return 1 - std::min(excess, room) / own;
+    if (auto it = free.find(name); it != free.end())
+      it->second -= demand.Slots;
+  Room room;
+  double all = 0;
+  for (const auto &[name, slots] : free) {
+    if (name == region || slots <= 0)
+      continue;
+    room.Free.insert(name);
+    all += slots;
+  }
+  auto own = service.Demand.find(region);
+  double excess = -free[region];
+  if (own != service.Demand.end() && own->second.Slots > 0 && excess > 0)
+    room.Kept = 1 - std::min({excess, all, own->second.Slots}) / own->second.Slots;
+  return room;
 }
 
 double ObjectHomes::remembered(const std::string &service) const {
--- a/src/entry/ObjectHomes.h
+++ b/src/entry/ObjectHomes.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -19,10 +20,11 @@
   double FirstRemembered = 30;   ///< Objects that a target is taken to remember at first.
   double LeastRemembered = 8;
   double MostRemembered = 400;
-  double GoodHits = 0.85;            ///< With more familiar answers than this, the estimate grows.
-  double PoorHits = 0.6;             ///< With fewer, it shrinks.
-  double UsableSlots = 0.75;         ///< Part of a region's slots that its callers' requests may
-                                     ///< take; beyond it they wait for each other.
+  double GoodHits = 0.85;   ///< With more familiar answers than this, the estimate grows.
+  double PoorHits = 0.6;    ///< With fewer, it shrinks.
+  double UsableSlots = 0.6; ///< Part of a region's slots that its callers' requests may take. Homes
+                            ///< get eight objects or so each, so that their load spreads by a third
+                            ///< around the mean; beyond this part many of them are full.
   core::Duration DemandWindow{2000}; ///< Time constant of the measured demand.
 };
 
@@ -82,9 +84,15 @@
     double HitShare = 0.75; ///< Exponentially aged; starts between the two thresholds.
   };
 
+  /// Where a region's requests find slots.
+  struct Room {
+    std::set<core::RegionId> Free; ///< Other regions with slots that their own callers leave free.
+    double Kept = 1;               ///< Part of the requests that stay in their region.
+  };
+
   double slots(const Service &service, core::Time now) const;
-  double keptBySlots(const Service &service, const core::RegionId &region, double local,
-                     double remote) const;
+  Room findRoom(const Service &service, const core::RegionId &region,
+                absl::Span<const HomeCandidate> candidates) const;
 
   const ObjectHomesSettings Settings;
   std::map<std::string, Service> Services;
