--- a/src/entry/ObjectHomes.h
+++ b/src/entry/ObjectHomes.h
@@ -20,11 +20,11 @@
   double FirstRemembered = 30;   ///< Objects that a target is taken to remember at first.
   double LeastRemembered = 8;
   double MostRemembered = 400;
-  double GoodHits = 0.85;   ///< With more familiar answers than this, the estimate grows.
-  double PoorHits = 0.6;    ///< With fewer, it shrinks.
-  double UsableSlots = 0.45; ///< Part of a region's slots that its callers' requests may take. Homes
-                            ///< get eight objects or so each, so that their load spreads by a third
-                            ///< around the mean; beyond this part many of them are full.
+  double GoodHits = 0.85;    ///< With more familiar answers than this, the estimate grows.
+  double PoorHits = 0.6;     ///< With fewer, it shrinks.
+  double UsableSlots = 0.45; ///< Part of a region's slots that its callers' requests may take.
+                             ///< Homes get eight objects or so each, so that their load spreads by
+                             ///< a third around the mean; beyond this part many of them are full.
   core::Duration DemandWindow{2000}; ///< Time constant of the measured demand.
 };
 
--- a/src/entry/RateDesk.cpp
+++ b/src/entry/RateDesk.cpp
@@ -1,5 +1,7 @@
 #include "entry/RateDesk.h"
 
+#include <set>
+
 namespace briarspar::entry {
 
 namespace {
@@ -28,13 +30,13 @@
 
 void RateDesk::formCircles() {
   Circles.clear();
-  std::map<std::string, ShareUse> uses;
+  std::set<std::string> byOthers;
   for (const auto &[name, limit] : Limits) {
     const std::vector<core::VmId> &circle = circleOf(name);
-    if (!circle.empty())
-      uses[name] = circle.front() == Own ? ShareUse::ForOthers : ShareUse::ByAnother;
+    if (!circle.empty() && circle.front() != Own)
+      byOthers.insert(name);
   }
-  Shares.setUses(std::move(uses));
+  Shares.setHeldByOthers(std::move(byOthers));
 }
 
 void RateDesk::setShares(absl::Span<const link::RateShare> shares, core::Time sentAt,
--- a/src/entry/RateShares.cpp
+++ b/src/entry/RateShares.cpp
@@ -88,10 +88,9 @@
   for (auto &[name, bucket] : Buckets) {
     countArrivals(bucket, 0, now);
     uint32_t held = now < bucket.ShareUntil ? bucket.SharePermille : 0;
-    auto use = Uses.find(name);
-    ShareUse kind = use == Uses.end() ? ShareUse::Own : use->second;
-    if (bucket.ArrivalsPerS > IdleRate || held != 0 || kind == ShareUse::ForOthers)
-      out.push_back({name, bucket.ArrivalsPerS, held, kind != ShareUse::ByAnother});
+    bool holds = HeldByOthers.count(name) == 0;
+    if (bucket.ArrivalsPerS > IdleRate || held != 0 || holds)
+      out.push_back({name, bucket.ArrivalsPerS, held, holds});
   }
   return out;
 }
--- a/src/entry/RateShares.h
+++ b/src/entry/RateShares.h
@@ -5,6 +5,7 @@
 #include "link/Messages.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,13 +20,6 @@
   core::Duration DemandWindow{1500}; ///< Time constant of the measured arrivals.
 };
 
-/// For whom this VM is to hold a share of a customer's rate.
-enum class ShareUse : uint8_t {
-  Own,       ///< For its own callers.
-  ForOthers, ///< Also for other VMs, which ask it; so it wants a share before the first request.
-  ByAnother, ///< Another VM holds the share; this one has one only while it finds no holder.
-};
-
 /// Spends this VM's shares of the customers' rates. Holds for VMs that hear from nobody too: a
 /// share that is not renewed ends, and then only this VM's part of the reserve remains.
 class RateShares {
@@ -39,9 +33,9 @@
   void setShares(absl::Span<const link::RateShare> shares, size_t entries, core::Time sentAt,
                  core::Time now);
 
-  /// Takes for whom the customers' shares are held; customers that are not named are held for own
-  /// callers.
-  void setUses(std::map<std::string, ShareUse> uses) { Uses = std::move(uses); }
+  /// Takes the customers whose share another VM holds for this one; this VM has one of its own only
+  /// while it finds no holder.
+  void setHeldByOthers(std::set<std::string> customers) { HeldByOthers = std::move(customers); }
 
   /// Spends one request of a customer's rate. Returns false when nothing is left.
   bool spend(const std::string &customer, core::Time now);
@@ -49,8 +43,8 @@
   /// Gives back a request that was not run.
   void giveBack(const std::string &customer, core::Time now);
 
-  /// Returns the arrivals and the share in use of each customer that has been active lately or is
-  /// held for others.
+  /// Returns the arrivals and the share in use of each customer, so that a VM has a share before
+  /// the first request. Those held by others are left out when there is nothing to tell.
   std::vector<link::CustomerUse> uses(core::Time now);
 
 private:
@@ -71,7 +65,7 @@
 
   const RateSharesSettings Settings;
   std::map<std::string, Bucket> Buckets;
-  std::map<std::string, ShareUse> Uses;
+  std::set<std::string> HeldByOthers;
   double ReserveShare; ///< This VM's part of the reserve, as a part of the rate.
   double Entries;      ///< Live entry VMs.
 };
--- a/src/entry/tests/LimitsTest.cpp
+++ b/src/entry/tests/LimitsTest.cpp
@@ -196,6 +196,18 @@
                 fleet.admitted() - before, asked);
 }
 
+/// Guards against callers that are refused at the start of the traffic because no VM has a share
+/// before its first request. The load: half of a second's rate at once, spread over all VMs.
+Test(RateDesk, theFirstRequestsFindShares) {
+  Fleet fleet(12, 120);
+  auto random = [] { return uint64_t{999}; };
+  for (int i = 0; i < 40; ++i)
+    fleet.step(0, 0, 0, random);
+  for (size_t i = 0; i < 60; ++i)
+    fleet.request(i % 12, random);
+  cr_assert_eq(fleet.admitted(), 60, "%zu", fleet.admitted());
+}
+
 /// Guards against callers within their rate that are refused because the share of each VM is below
 /// one request. The load: customers at 60% of their rate, whose requests come to 72 VMs at random,
 /// none to three in 100 ms.
