Encode a change of the configuration once for all entry VMs

Cause: the leader built and encoded the change for each entry VM, and did so again at each new leader.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -360,7 +360,7 @@
 void ControlNode::sendAnswer(const core::VmId &vm, const link::ControlAnswer &answer,
                              core::Time now) {
   std::string bytes = encode(answer);
-  if (!answer.CatalogDelta.is_null() || !answer.ListDelta.is_null())
+  if (!answer.CatalogDelta.empty() || !answer.ListDelta.empty())
     Sent.sent(vm, {Machine.catalog().changedAt(), Targets.version()}, bytes.size(), now);
   Peers.send(vm, link::kind::Answer, std::move(bytes));
 }
@@ -382,7 +382,7 @@
   }
 }
 
-link::ControlAnswer ControlNode::makeAnswer(const HeldVersions &base, core::Time now) const {
+link::ControlAnswer ControlNode::makeAnswer(const HeldVersions &base, core::Time now) {
   link::ControlAnswer answer;
   answer.Leads = isLeading(now);
   answer.LeaderTerm = Log->term();
@@ -393,10 +393,10 @@
   if (!answer.Leads)
     return answer;
   if (base.Catalog < Machine.catalog().changedAt())
-    answer.CatalogDelta = Machine.catalog().deltaSince(base.Catalog);
+    answer.CatalogDelta = Deltas.catalog(Machine.catalog(), base.Catalog);
   const discovery::ListVersion &mine = Targets.version();
   if (mine.Sequence != 0 && (base.List.Epoch != mine.Epoch || base.List.Sequence < mine.Sequence))
-    answer.ListDelta = Targets.deltaSince(base.List, now);
+    answer.ListDelta = Deltas.list(Targets, base.List, now);
   return answer;
 }
 
@@ -430,7 +430,7 @@
   Pushed = Machine.catalog().changedAt();
   for (const core::VmId &vm : Entries.live(now)) {
     link::ControlAnswer answer = makeAnswer(Sent.base(vm, now), now);
-    if (answer.CatalogDelta.is_null() && answer.ListDelta.is_null())
+    if (answer.CatalogDelta.empty() && answer.ListDelta.empty())
       continue;
     // What gets lost is sent again in answer to a later report, which names what has arrived.
     sendAnswer(vm, answer, now);
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -8,6 +8,7 @@
 #include "balance/CrashGuard.h"
 #include "control/ControlMachine.h"
 #include "control/DemandCensus.h"
+#include "control/EncodedDeltas.h"
 #include "control/EntryRegistry.h"
 #include "control/OperatorCall.h"
 #include "control/RateDivision.h"
@@ -99,7 +100,7 @@
   void onListPage(int status, const std::string &body);
   void rejectMessage(const core::VmId &peer, const absl::Status &status);
   void onReport(const transport::PeerMessage &message);
-  link::ControlAnswer makeAnswer(const HeldVersions &base, core::Time now) const;
+  link::ControlAnswer makeAnswer(const HeldVersions &base, core::Time now);
   void sendAnswer(const core::VmId &vm, const link::ControlAnswer &answer, core::Time now);
   void listEntry(const core::VmId &vm, bool present);
   void forgetEntries(core::Time now);
@@ -131,6 +132,7 @@
 
   EntryRegistry Entries;
   SentVersions Sent;
+  EncodedDeltas Deltas;
   RateDivision Rates;
   DemandCensus Demand;
   std::vector<link::EntryPlace> Live; ///< Entry VMs that answers name.
--- a/src/control/tests/ControlTest.cpp
+++ b/src/control/tests/ControlTest.cpp
@@ -1,5 +1,6 @@
 #include "control/ControlMachine.h"
 #include "control/DemandCensus.h"
+#include "control/EncodedDeltas.h"
 #include "control/EntryRegistry.h"
 #include "control/RateDivision.h"
 #include "control/RolloutJudge.h"
@@ -207,6 +208,39 @@
   cr_assert_eq(versions.base(vm, Time{20'100}).Catalog, LogIndex());
 }
 
+/// Guards against a leader that encodes a large change for each of many VMs and loses its lease
+/// meanwhile, and against bytes that are older than the configuration.
+Test(EncodedDeltas, aChangeIsEncodedOnce) {
+  catalog::Catalog catalog;
+  auto add = [&](const char *name, uint64_t index) {
+    catalog::Change change;
+    catalog::Service service;
+    service.Name = name;
+    change.Services.push_back({catalog::ItemVersion(1), service, "{}"});
+    cr_assert(catalog.apply(change, LogIndex(index)).ok());
+  };
+  add("a", 1);
+  EncodedDeltas deltas;
+  const std::string *first = &deltas.catalog(catalog, LogIndex());
+  const char *bytes = first->data();
+  cr_assert_eq(deltas.catalog(catalog, LogIndex()).data(), bytes);
+  add("b", 2);
+  auto decoded = decodeCbor(deltas.catalog(catalog, LogIndex(1)));
+  cr_assert(decoded.ok());
+  cr_assert(*decoded == catalog.deltaSince(LogIndex(1)));
+  cr_assert(*decodeCbor(deltas.catalog(catalog, LogIndex())) == catalog.deltaSince(LogIndex()));
+  discovery::TargetList list;
+  list.startEpoch(3);
+  discovery::Target target;
+  target.Id = TargetId("t");
+  target.Service = "a";
+  target.Host = "10.0.0.1";
+  list.update({target}, Time{0});
+  const char *listBytes = deltas.list(list, {2, 7}, Time{0}).data();
+  cr_assert_eq(deltas.list(list, {1, 4}, Time{10}).data(), listBytes);
+  cr_assert(*decodeCbor(deltas.list(list, {}, Time{20})) == list.deltaSince({}, Time{0}));
+}
+
 /// Guards against a fleet in which no VM knows how many objects the region's callers ask for. The
 /// load: 27 VMs, each of which meets a tenth of 800 objects; 8 of the VMs are lost later.
 Test(DemandCensus, countsWhatNoVmSeesWhole) {
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -310,9 +310,9 @@
     Controls.insert(Seeds.begin(), Seeds.end());
     Controls.insert(answer.Members.begin(), answer.Members.end());
   }
-  if (!answer.CatalogDelta.is_null())
+  if (!answer.CatalogDelta.empty())
     applyCatalog(answer.CatalogDelta);
-  if (!answer.ListDelta.is_null())
+  if (!answer.ListDelta.empty())
     applyList(answer.ListDelta);
   if (!answer.Entries.empty()) {
     EntriesDigest = link::digestOf(answer.Entries);
@@ -340,9 +340,10 @@
   }
 }
 
-void EntryNode::applyCatalog(const core::Json &delta) {
+void EntryNode::applyCatalog(std::string_view bytes) {
   core::LogIndex before = Catalog.changedAt();
-  absl::Status status = Catalog.applyDelta(delta);
+  absl::StatusOr<core::Json> delta = core::decodeCbor(bytes);
+  absl::Status status = delta.ok() ? Catalog.applyDelta(*delta) : delta.status();
   if (!status.ok()) {
     rejectMessage(Leader, status);
     return;
@@ -360,9 +361,10 @@
   Events.emit({core::EventId::ConfigApplied, {{"from", before}, {"to", Catalog.changedAt()}}});
 }
 
-void EntryNode::applyList(const core::Json &delta) {
+void EntryNode::applyList(std::string_view bytes) {
   uint64_t before = List.version().Sequence;
-  absl::Status status = List.applyDelta(delta, Clock.now());
+  absl::StatusOr<core::Json> delta = core::decodeCbor(bytes);
+  absl::Status status = delta.ok() ? List.applyDelta(*delta, Clock.now()) : delta.status();
   if (!status.ok()) {
     rejectMessage(Leader, status);
     return;
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -77,8 +77,8 @@
   void sendRateAsk(const core::VmId &to, const link::RateAsk &ask);
   void startRateTimer();
   void rejectMessage(const core::VmId &peer, const absl::Status &status);
-  void applyCatalog(const core::Json &delta);
-  void applyList(const core::Json &delta);
+  void applyCatalog(std::string_view bytes);
+  void applyList(std::string_view bytes);
   void noteLeader(const core::VmId &leader);
   link::EntryReport makeReport(bool full);
   bool isServing() const;
--- a/src/link/Messages.cpp
+++ b/src/link/Messages.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// Crash reports are CBOR and travel as byte strings.
+/// Parts that are CBOR already travel as byte strings.
 Json binary(const std::string &bytes) {
   return Json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
 }
@@ -128,10 +128,17 @@
 }
 
 void to_json(Json &j, const ControlAnswer &it) {
-  j = {{"n", it.Sequence},     {"term", it.LeaderTerm},        {"leads", it.Leads},
-       {"leader", it.Leader},  {"members", it.Members},        {"catalog", it.CatalogDelta},
-       {"list", it.ListDelta}, {"shares", it.Shares},          {"entries", it.Entries},
-       {"demand", it.Demand},  {"crashes", binary(it.Crashes)}};
+  j = {{"n", it.Sequence},
+       {"term", it.LeaderTerm},
+       {"leads", it.Leads},
+       {"leader", it.Leader},
+       {"members", it.Members},
+       {"catalog", binary(it.CatalogDelta)},
+       {"list", binary(it.ListDelta)},
+       {"shares", it.Shares},
+       {"entries", it.Entries},
+       {"demand", it.Demand},
+       {"crashes", binary(it.Crashes)}};
 }
 
 void from_json(const Json &j, ControlAnswer &it) {
@@ -140,8 +147,8 @@
   j.at("leads").get_to(it.Leads);
   j.at("leader").get_to(it.Leader);
   j.at("members").get_to(it.Members);
-  it.CatalogDelta = j.at("catalog");
-  it.ListDelta = j.at("list");
+  it.CatalogDelta = fromBinary(j.at("catalog"));
+  it.ListDelta = fromBinary(j.at("list"));
   j.at("shares").get_to(it.Shares);
   j.at("entries").get_to(it.Entries);
   j.at("demand").get_to(it.Demand);
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -124,9 +124,9 @@
   bool Leads = false;              ///< The rest but Leader and Members counts only from a leader.
   core::VmId Leader;               ///< Empty when unknown.
   std::vector<core::VmId> Members; ///< Control VMs of the group.
-  core::Json CatalogDelta;         ///< Null when nothing changed.
-  core::Json ListDelta;            ///< Null when nothing changed.
-  std::vector<RateShare> Shares;   ///< Replace all earlier ones; for answers to reports.
+  std::string CatalogDelta;        ///< Encoded Catalog::deltaSince(); empty when nothing changed.
+  std::string ListDelta;         ///< Encoded TargetList::deltaSince(); empty when nothing changed.
+  std::vector<RateShare> Shares; ///< Replace all earlier ones; for answers to reports.
   std::vector<EntryPlace> Entries; ///< Live entry VMs in the order of their ids; empty when the VM
                                    ///< holds the same list already.
   std::vector<ServiceDemand> Demand; ///< Of all regions.
