Find a lost change although others follow it

Cause: each change that was sent to an entry VM put off the time at which what it does not confirm counts as lost. With a change of the list every 500 ms, as in a scale-out, a VM that missed one refused all that followed and stayed on its old list until the changes paused. Found by reading.

Later changes add only their time on the way while earlier ones are not confirmed; a report that shows progress starts the wait anew. The test aLostChangeIsSentAgainBetweenOthers fails before.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -325,7 +325,7 @@
         {core::EventId::EntryJoined,
          {{"vm", message.From}, {"address", report->Address}, {"run", message.FromIncarnation}}});
   discovery::ListVersion list{report->ListEpoch, report->ListSequence};
-  Sent.report(message.From, message.FromIncarnation, {report->Catalog, list});
+  Sent.report(message.From, message.FromIncarnation, {report->Catalog, list}, now);
   link::ControlAnswer answer = makeAnswer(Sent.base(message.From, now), now);
   answer.Sequence = report->Sequence;
   if (answer.Leads && report->Sequence != 0) {
--- a/src/control/SentVersions.cpp
+++ b/src/control/SentVersions.cpp
@@ -12,21 +12,28 @@
 
 } // namespace
 
-void SentVersions::report(const core::VmId &vm, core::Incarnation run, const HeldVersions &held) {
+void SentVersions::report(const core::VmId &vm, core::Incarnation run, const HeldVersions &held,
+                          core::Time now) {
   Vm &it = Vms[vm];
   if (it.Run != run)
     it = {run, {}, {}, {}};
+  bool isAhead = it.Held.Catalog < held.Catalog || isNewer(held.List, it.Held.List);
   it.Held = held;
+  // What follows on the same connection has not been waited for yet.
+  if (isAhead && now < it.Until)
+    it.Until = std::max(it.Until, now + Settings.Confirm);
 }
 
 void SentVersions::sent(const core::VmId &vm, const HeldVersions &versions, size_t bytes,
                         core::Time now) {
   Vm &it = Vms[vm];
+  bool isOpen =
+      now < it.Until && (it.Held.Catalog < it.Sent.Catalog || isNewer(it.Sent.List, it.Held.List));
+  core::Duration way{static_cast<int64_t>(bytes / Settings.BytesPerMs)};
   it.Sent = versions;
-  core::Duration span =
-      Settings.Confirm + core::Duration{static_cast<int64_t>(bytes / Settings.BytesPerMs)};
-  // Messages to one VM arrive one after the other.
-  it.Until = std::max(it.Until, now + span);
+  // While earlier changes are not confirmed, later ones only add their time on the way: a lost one
+  // must be found though others follow it.
+  it.Until = isOpen ? it.Until + way : now + Settings.Confirm + way;
 }
 
 HeldVersions SentVersions::base(const core::VmId &vm, core::Time now) const {
--- a/src/control/SentVersions.h
+++ b/src/control/SentVersions.h
@@ -30,7 +30,8 @@
   explicit SentVersions(const SentVersionsSettings &settings = {}) : Settings(settings) {}
 
   /// Takes the versions that a VM has reported.
-  void report(const core::VmId &vm, core::Incarnation run, const HeldVersions &held);
+  void report(const core::VmId &vm, core::Incarnation run, const HeldVersions &held,
+              core::Time now);
 
   /// Takes that changes up to `versions` have been sent in a message of `bytes`.
   void sent(const core::VmId &vm, const HeldVersions &versions, size_t bytes, core::Time now);
--- a/src/control/tests/ControlTest.cpp
+++ b/src/control/tests/ControlTest.cpp
@@ -189,11 +189,11 @@
   const VmId vm("vm");
   const HeldVersions old{LogIndex(5), {1, 3}};
   const HeldVersions big{LogIndex(6), {1, 3}};
-  versions.report(vm, Incarnation(1), old);
+  versions.report(vm, Incarnation(1), old, Time{0});
   cr_assert_eq(versions.base(vm, Time{0}).Catalog, LogIndex(5));
   versions.sent(vm, big, 280'000, Time{0});
   for (int64_t ms = 400; ms <= 1600; ms += 400) {
-    versions.report(vm, Incarnation(1), old);
+    versions.report(vm, Incarnation(1), old, Time{ms});
     cr_assert_eq(versions.base(vm, Time{ms}).Catalog, LogIndex(6));
   }
   // Later changes build on what is on its way.
@@ -204,10 +204,31 @@
   cr_assert_eq(versions.base(vm, Time{20'000}).Catalog, LogIndex(5));
   // A new process holds nothing of what the one before it was sent.
   versions.sent(vm, big, 280'000, Time{20'000});
-  versions.report(vm, Incarnation(2), {});
+  versions.report(vm, Incarnation(2), {}, Time{20'100});
   cr_assert_eq(versions.base(vm, Time{20'100}).Catalog, LogIndex());
 }
 
+/// Guards against a VM that misses one change and then never gets it, because changes that build on
+/// it go on being sent. The load: a change of the list every 500 ms, of which the second is lost.
+Test(SentVersions, aLostChangeIsSentAgainBetweenOthers) {
+  SentVersions versions;
+  const VmId vm("vm");
+  versions.report(vm, Incarnation(1), {LogIndex(5), {1, 1}}, Time{0});
+  versions.sent(vm, {LogIndex(5), {1, 2}}, 500, Time{0});
+  versions.report(vm, Incarnation(1), {LogIndex(5), {1, 2}}, Time{400});
+  int64_t again = 0;
+  for (int64_t ms = 500; ms < 5000 && again == 0; ms += 100) {
+    if (ms % 400 == 0)
+      versions.report(vm, Incarnation(1), {LogIndex(5), {1, 2}}, Time{ms});
+    if (versions.base(vm, Time{ms}).List.Sequence == 2 && ms > 500)
+      again = ms;
+    if (ms % 500 == 0)
+      versions.sent(vm, {LogIndex(5), {1, static_cast<uint64_t>(2 + ms / 500)}}, 500, Time{ms});
+  }
+  cr_assert_neq(again, 0);
+  cr_assert_leq(again, 2000, "%d", static_cast<int>(again));
+}
+
 /// Guards against a leader that encodes a large change for each of many VMs and loses its lease
 /// meanwhile, and against bytes that are older than the configuration.
 Test(EncodedDeltas, aChangeIsEncodedOnce) {
