Let a new leader wait for all samples before it tells the demand

Cause: a new leader summed up the demand from the first reports, so that for a second the regions seemed to have few objects and free slots, and homes moved there and back.

The demand stays unknown for 1.5 s, in which each VM has sent a sample, and entry VMs keep the last one meanwhile. The test aNewLeaderWaitsForAllSamples fails before.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -202,6 +202,7 @@
     Rates.setRates(Machine.catalog().customers());
     Judge.becomeLeader();
     Sent.becomeLeader();
+    Demand.becomeLeader(now);
     RolloutPending.clear();
     Targets.startEpoch(Log->term().Value);
     Reader.restart(now);
--- a/src/control/DemandCensus.cpp
+++ b/src/control/DemandCensus.cpp
@@ -6,13 +6,19 @@
 
 namespace briarspar::control {
 
+void DemandCensus::becomeLeader(core::Time now) {
+  Vms.clear();
+  Demand.clear();
+  KnownFrom = now + Settings.FirstSamples;
+}
+
 void DemandCensus::report(const core::VmId &vm, const core::RegionId &region,
                           absl::Span<const link::ServiceSample> samples, core::Time now) {
   Vms[vm] = {region, now, {samples.begin(), samples.end()}};
 }
 
 const std::vector<link::ServiceDemand> &DemandCensus::demand(core::Time now) {
-  if (now - SummedAt >= Settings.Interval)
+  if (now >= KnownFrom && now - SummedAt >= Settings.Interval)
     sumUp(now);
   return Demand;
 }
--- a/src/control/DemandCensus.h
+++ b/src/control/DemandCensus.h
@@ -12,8 +12,10 @@
 namespace briarspar::control {
 
 struct DemandCensusSettings {
-  core::Duration Validity{5000}; ///< A sample counts for so long; VMs send one each second.
-  core::Duration Interval{500};  ///< The demand is summed up anew this often.
+  core::Duration Validity{5000};     ///< A sample counts for so long; VMs send one each second.
+  core::Duration Interval{500};      ///< The demand is summed up anew this often.
+  core::Duration FirstSamples{1500}; ///< Within this time all VMs have found a new leader and sent
+                                     ///< it a sample.
 };
 
 /// What the callers of each region ask of each service: the slots that their requests take and the
@@ -24,11 +26,14 @@
 public:
   explicit DemandCensus(const DemandCensusSettings &settings = {}) : Settings(settings) {}
 
+  /// Forgets what was reported. The demand stays unknown until all VMs can have sent a sample.
+  void becomeLeader(core::Time now);
+
   /// Takes the samples of one VM.
   void report(const core::VmId &vm, const core::RegionId &region,
               absl::Span<const link::ServiceSample> samples, core::Time now);
 
-  /// Returns the demand of all regions.
+  /// Returns the demand of all regions; nothing while it is unknown.
   const std::vector<link::ServiceDemand> &demand(core::Time now);
 
 private:
@@ -44,6 +49,7 @@
   std::map<core::VmId, VmSamples> Vms;
   std::vector<link::ServiceDemand> Demand;
   core::Time SummedAt;
+  core::Time KnownFrom;
 };
 
 /// Estimates the size of a set of objects from its smallest hashes, in rising order. With fewer
--- a/src/control/tests/ControlTest.cpp
+++ b/src/control/tests/ControlTest.cpp
@@ -229,6 +229,22 @@
   cr_assert_leq(again, 2000, "%d", static_cast<int>(again));
 }
 
+/// Guards against homes that move when the leader changes, because the new one has heard of few of
+/// the callers yet.
+Test(DemandCensus, aNewLeaderWaitsForAllSamples) {
+  DemandCensus census;
+  link::ServiceSample sample{"s", {1, 2, 3}, 4};
+  census.report(VmId("a"), RegionId("r"), {&sample, 1}, Time{9900});
+  census.becomeLeader(Time{10'000});
+  census.report(VmId("b"), RegionId("r"), {&sample, 1}, Time{10'100});
+  cr_assert(census.demand(Time{10'200}).empty());
+  census.report(VmId("a"), RegionId("r"), {&sample, 1}, Time{10'900});
+  census.report(VmId("b"), RegionId("r"), {&sample, 1}, Time{11'100});
+  const std::vector<link::ServiceDemand> &demand = census.demand(Time{11'600});
+  cr_assert_eq(demand.size(), 1);
+  cr_assert_float_eq(demand[0].Slots, 8, 1e-6);
+}
+
 /// Guards against a leader that encodes a large change for each of many VMs and loses its lease
 /// meanwhile, and against bytes that are older than the configuration.
 Test(EncodedDeltas, aChangeIsEncodedOnce) {
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -320,7 +320,9 @@
     All.Retries.setEntries(answer.Entries.size());
     All.Rates.setEntries(answer.Entries);
   }
-  All.Targets.setDemand(answer.Demand);
+  // A new leader does not know it at first; until then the last one holds.
+  if (!answer.Demand.empty())
+    All.Targets.setDemand(answer.Demand);
   auto sent = SentAt.find(answer.Sequence);
   if (sent != SentAt.end()) {
     All.Rates.setShares(answer.Shares, sent->second, now);
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -129,7 +129,7 @@
   std::vector<RateShare> Shares; ///< Replace all earlier ones; for answers to reports.
   std::vector<EntryPlace> Entries; ///< Live entry VMs in the order of their ids; empty when the VM
                                    ///< holds the same list already.
-  std::vector<ServiceDemand> Demand; ///< Of all regions.
+  std::vector<ServiceDemand> Demand; ///< Of all regions; empty while the leader does not know it.
   std::string Crashes;               ///< Encoded balance::CrashReport; may be empty.
 };
 
