Test that full buckets of all VMs keep the window of a rate

The least depth of a bucket does not follow the shares, so that the buckets of a fleet could add up to more than the bound leaves.

--- a/src/entry/tests/LimitsTest.cpp
+++ b/src/entry/tests/LimitsTest.cpp
@@ -196,6 +196,25 @@
                 fleet.admitted() - before, asked);
 }
 
+/// Guards against buckets that together hold more than a window allows. The load: one VM has all
+/// callers of a customer, at half of its rate, and holds most of its share, while the buckets of all
+/// others are full too; then all VMs get more than they can take for 5 s.
+Test(RateDesk, fullBucketsTogetherKeepTheWindow) {
+  for (size_t n : {3, 8, 12, 20, 31, 60}) {
+    for (double rate : {20, 50, 100, 200, 400}) {
+      Fleet fleet(n, rate);
+      auto random = [] { return uint64_t{999}; };
+      auto hot = static_cast<uint64_t>(rate * 0.05);
+      for (int i = 0; i < 80; ++i)
+        fleet.step(0, hot, 0, random);
+      for (int i = 0; i < 50; ++i)
+        fleet.step(static_cast<uint64_t>(rate) / n + 8, static_cast<uint64_t>(rate), 0, random);
+      cr_assert_leq(fleet.worstWindow(), 1, "%.3f with %zu VMs at %.0f", fleet.worstWindow(), n,
+                    rate);
+    }
+  }
+}
+
 /// Guards against callers that are refused at the start of the traffic because no VM has a share
 /// before its first request. The load: half of a second's rate at once, spread over all VMs.
 Test(RateDesk, theFirstRequestsFindShares) {
