Part what a leader tells entry VMs from the wiring of a control VM

EntryAnswers now makes the answers, without I/O and with a test; agreement::ProposalWaits replaces the same loop in ControlNode and VoterSide. ControlAnswer::Leader, which nobody read, goes. The bound on a window and the reserve are named constants in one place, and a small server logs a connection that it closes because it has too many.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -14,10 +14,6 @@
 
 namespace {
 
-/// The list of live entry VMs is made anew this often, not for each report: at 2,000 VMs there are
-/// 5,000 reports a second.
-constexpr core::Duration LiveInterval{100};
-
 /// Identity of the data folders of the first voters, which all of them know without a message.
 constexpr core::Incarnation FirstData{1};
 
@@ -118,7 +114,8 @@
                    [this](const http::WholeRequest &request, const Responder &respond) {
                      onHttp(request, respond);
                    }),
-      TickTimer(io), Crashes(core::hash64(settings.Vm.Value, wallClockMs())),
+      TickTimer(io),
+      Answers(Machine.catalog(), Targets, Entries, core::hash64(settings.Vm.Value, wallClockMs())),
       Reader(listFormat, settings.List), Fetch(std::make_shared<ListFetch>(*this)) {}
 
 ControlNode::~ControlNode() = default;
@@ -198,11 +195,8 @@
 void ControlNode::lead(core::Time now) {
   if (!Leading) {
     Leading = true;
-    Rates.becomeLeader(Log->term(), Machine.entries(), now);
-    Rates.setRates(Machine.catalog().customers());
+    Answers.becomeLeader(Log->term(), Machine.entries(), now);
     Judge.becomeLeader();
-    Sent.becomeLeader();
-    Demand.becomeLeader(now);
     RolloutPending.clear();
     Targets.startEpoch(Log->term().Value);
     Reader.restart(now);
@@ -224,16 +218,9 @@
   }
   for (const core::Event &event : actions.Events)
     Events.emit(event);
-  for (agreement::ProposalResult &result : actions.Results) {
-    auto it = Pending.find(result.Index);
-    if (it == Pending.end())
-      continue;
-    auto done = std::move(it->second);
-    Pending.erase(it);
-    done(result.Answer);
-  }
+  Proposals.settle(actions.Results);
   if (Leading && Pushed < Machine.catalog().changedAt()) {
-    Rates.setRates(Machine.catalog().customers());
+    Answers.updateRates();
     pushToEntries();
   }
 }
@@ -325,79 +312,32 @@
     Events.emit(
         {core::EventId::EntryJoined,
          {{"vm", message.From}, {"address", report->Address}, {"run", message.FromIncarnation}}});
-  discovery::ListVersion list{report->ListEpoch, report->ListSequence};
-  Sent.report(message.From, message.FromIncarnation, {report->Catalog, list}, now);
-  link::ControlAnswer answer = makeAnswer(Sent.base(message.From, now), now);
+  Answers.takeHeld(message.From, message.FromIncarnation, *report, now);
+  link::ControlAnswer answer = makeAnswer(message.From, now);
   answer.Sequence = report->Sequence;
   if (answer.Leads && report->Sequence != 0) {
-    findLive(now);
-    if (Machine.entries().count(message.From) != 0)
-      answer.Shares = Rates.divide(message.From, message.FromIncarnation, report->LeaderTerm,
-                                   report->Uses, Holders, now);
-    else
+    bool isListed = Machine.entries().count(message.From) != 0;
+    if (!isListed)
       listEntry(message.From, true);
     Judge.report(message.From, message.FromIncarnation, report->Versions);
-    if (!report->Services.empty())
-      Demand.report(message.From, report->Region, report->Services, now);
-    answer.Demand = Demand.demand(now);
-    if (report->EntriesDigest != LiveDigest)
-      answer.Entries = Live;
-    if (!report->Crashes.empty()) {
-      absl::StatusOr<balance::CrashReport> crashes = balance::decodeCrashReport(report->Crashes);
-      if (crashes.ok())
-        Crashes.merge(*crashes, now);
-      else
-        rejectMessage(message.From, crashes.status());
-    }
-    balance::CrashReport crashes = Crashes.report(now);
-    if (!crashes.Entries.empty())
-      answer.Crashes = balance::encode(crashes);
+    absl::Status status = Answers.addReply(answer, message.From, message.FromIncarnation, *report,
+                                           /*mayHoldShares=*/isListed, now);
+    if (!status.ok())
+      rejectMessage(message.From, status);
   }
   // A control VM that does not lead answers only those that do not know the leader.
   if (answer.Leads || report->Sequence != 0)
-    sendAnswer(message.From, answer, now);
-}
-
-void ControlNode::sendAnswer(const core::VmId &vm, const link::ControlAnswer &answer,
-                             core::Time now) {
-  std::string bytes = encode(answer);
-  if (!answer.CatalogDelta.empty() || !answer.ListDelta.empty())
-    Sent.sent(vm, {Machine.catalog().changedAt(), Targets.version()}, bytes.size(), now);
-  Peers.send(vm, link::kind::Answer, std::move(bytes));
-}
-
-void ControlNode::findLive(core::Time now) {
-  if (LiveDigest != 0 && now - LiveAt < LiveInterval)
-    return;
-  LiveAt = now;
-  std::vector<link::EntryPlace> live;
-  for (const core::VmId &vm : Entries.live(now)) {
-    const EntryRecord &record = Entries.records().at(vm);
-    live.push_back({vm, record.Region, record.Domain});
-  }
-  uint64_t digest = link::digestOf(live);
-  if (digest != LiveDigest) {
-    LiveDigest = digest;
-    Live = live;
-    Holders = link::RateHolders(std::move(live));
-  }
+    Peers.send(message.From, link::kind::Answer, Answers.encodeFor(message.From, answer, now));
 }
 
-link::ControlAnswer ControlNode::makeAnswer(const HeldVersions &base, core::Time now) {
+link::ControlAnswer ControlNode::makeAnswer(const core::VmId &vm, core::Time now) {
   link::ControlAnswer answer;
   answer.Leads = isLeading(now);
   answer.LeaderTerm = Log->term();
-  if (std::optional<agreement::VoterId> leader = Log->leaderHint())
-    answer.Leader = leader->Vm;
   std::set<core::VmId> vms = members();
   answer.Members.assign(vms.begin(), vms.end());
-  if (!answer.Leads)
-    return answer;
-  if (base.Catalog < Machine.catalog().changedAt())
-    answer.CatalogDelta = Deltas.catalog(Machine.catalog(), base.Catalog);
-  const discovery::ListVersion &mine = Targets.version();
-  if (mine.Sequence != 0 && (base.List.Epoch != mine.Epoch || base.List.Sequence < mine.Sequence))
-    answer.ListDelta = Deltas.list(Targets, base.List, now);
+  if (answer.Leads)
+    Answers.addChanges(answer, vm, now);
   return answer;
 }
 
@@ -410,12 +350,12 @@
     EntryOrders.erase(vm);
     return;
   }
-  Pending[*index] = [this, vm](const absl::StatusOr<std::string> &) { EntryOrders.erase(vm); };
+  Proposals.add(*index, [this, vm](const absl::StatusOr<std::string> &) { EntryOrders.erase(vm); });
   flush();
 }
 
 void ControlNode::forgetEntries(core::Time now) {
-  if (!Rates.isSettled(now))
+  if (!Answers.isSettled(now))
     return;
   for (const core::VmId &vm : Machine.entries())
     if (Entries.records().count(vm) == 0) {
@@ -430,11 +370,11 @@
     return;
   Pushed = Machine.catalog().changedAt();
   for (const core::VmId &vm : Entries.live(now)) {
-    link::ControlAnswer answer = makeAnswer(Sent.base(vm, now), now);
+    link::ControlAnswer answer = makeAnswer(vm, now);
     if (answer.CatalogDelta.empty() && answer.ListDelta.empty())
       continue;
     // What gets lost is sent again in answer to a later report, which names what has arrived.
-    sendAnswer(vm, answer, now);
+    Peers.send(vm, link::kind::Answer, Answers.encodeFor(vm, answer, now));
   }
 }
 
@@ -501,9 +441,9 @@
     if (!index.ok())
       continue;
     RolloutPending[service] = true;
-    Pending[*index] = [this, service = service](const absl::StatusOr<std::string> &) {
+    Proposals.add(*index, [this, service = service](const absl::StatusOr<std::string> &) {
       RolloutPending[service] = false;
-    };
+    });
     flush();
     return; // The catalogue may have changed under the loop.
   }
@@ -579,15 +519,16 @@
              Settings.RetryAfterNoLeader});
     return;
   }
-  Pending[*index] = [this, what, respond, at = *index](const absl::StatusOr<std::string> &result) {
-    absl::Status status = result.ok() ? decodeOutcome(*result) : result.status();
-    Events.emit({status.ok() ? core::EventId::ItemsChanged : core::EventId::OrderRefused,
-                 {{"order", what}, {"index", at}, {"reason", std::string(status.message())}}});
-    http::WholeAnswer answer;
-    answer.Status = httpStatus(status);
-    answer.Body = status.ok() ? "{}" : Format.writeError(std::string(status.message()));
-    respond(answer);
-  };
+  Proposals.add(
+      *index, [this, what, respond, at = *index](const absl::StatusOr<std::string> &result) {
+        absl::Status status = result.ok() ? decodeOutcome(*result) : result.status();
+        Events.emit({status.ok() ? core::EventId::ItemsChanged : core::EventId::OrderRefused,
+                     {{"order", what}, {"index", at}, {"reason", std::string(status.message())}}});
+        http::WholeAnswer answer;
+        answer.Status = httpStatus(status);
+        answer.Body = status.ok() ? "{}" : Format.writeError(std::string(status.message()));
+        respond(answer);
+      });
   flush();
 }
 
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -3,17 +3,14 @@
 #include "absl/status/status.h"
 #include "agreement/FileLogStorage.h"
 #include "agreement/PosixFileSystem.h"
+#include "agreement/ProposalWaits.h"
 #include "agreement/RandomSource.h"
 #include "agreement/Replica.h"
-#include "balance/CrashGuard.h"
 #include "control/ControlMachine.h"
-#include "control/DemandCensus.h"
-#include "control/EncodedDeltas.h"
+#include "control/EntryAnswers.h"
 #include "control/EntryRegistry.h"
 #include "control/OperatorCall.h"
-#include "control/RateDivision.h"
 #include "control/RolloutJudge.h"
-#include "control/SentVersions.h"
 #include "core/Event.h"
 #include "discovery/ListReader.h"
 #include "discovery/TargetList.h"
@@ -24,7 +21,6 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -100,12 +96,10 @@
   void onListPage(int status, const std::string &body);
   void rejectMessage(const core::VmId &peer, const absl::Status &status);
   void onReport(const transport::PeerMessage &message);
-  link::ControlAnswer makeAnswer(const HeldVersions &base, core::Time now);
-  void sendAnswer(const core::VmId &vm, const link::ControlAnswer &answer, core::Time now);
+  link::ControlAnswer makeAnswer(const core::VmId &vm, core::Time now);
   void listEntry(const core::VmId &vm, bool present);
   void forgetEntries(core::Time now);
   void pushToEntries();
-  void findLive(core::Time now);
   void onHttp(const http::WholeRequest &request, const Responder &respond);
   void answerLookup(const LookupCall &call, const Responder &respond);
   void propose(const Order &order, const std::string &what, const Responder &respond);
@@ -125,23 +119,15 @@
   std::unique_ptr<agreement::FileLogStorage> Storage;
   ControlMachine Machine;
   std::unique_ptr<agreement::Replica> Log;
-  std::map<core::LogIndex, std::function<void(const absl::StatusOr<std::string> &)>> Pending;
+  agreement::ProposalWaits Proposals;
   http::SmallServer OperatorServer;
   http::SmallServer LookupServer;
   asio::steady_timer TickTimer;
 
-  EntryRegistry Entries;
-  SentVersions Sent;
-  EncodedDeltas Deltas;
-  RateDivision Rates;
-  DemandCensus Demand;
-  std::vector<link::EntryPlace> Live; ///< Entry VMs that answers name.
-  uint64_t LiveDigest = 0;            ///< Of Live; 0 before it is made.
-  core::Time LiveAt;                  ///< When Live was made.
-  link::RateHolders Holders;          ///< Made from Live.
   RolloutJudge Judge;
-  balance::CrashGuard Crashes;
   discovery::TargetList Targets;
+  EntryRegistry Entries;
+  EntryAnswers Answers;
   discovery::ListReader Reader;
   std::shared_ptr<ListFetch> Fetch;
 
--- /dev/null
+++ b/src/control/EntryAnswers.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "absl/status/status.h"
+#include "balance/CrashGuard.h"
+#include "catalog/Catalog.h"
+#include "control/DemandCensus.h"
+#include "control/EncodedDeltas.h"
+#include "control/EntryRegistry.h"
+#include "control/RateDivision.h"
+#include "control/SentVersions.h"
+#include "discovery/TargetList.h"
+#include "link/Messages.h"
+#include "link/RateHolders.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace briarspar::control {
+
+/// What a leader tells each entry VM: changes of the configuration and of the target list, its
+/// shares of the rates, the other entry VMs, the demand of all regions and requests that end
+/// targets. Without I/O. Not thread-safe.
+class EntryAnswers {
+public:
+  /// The catalogue, the list and the registry must outlive the object.
+  EntryAnswers(const catalog::Catalog &catalog, const discovery::TargetList &targets,
+               const EntryRegistry &entries, uint64_t crashSeed);
+
+  /// Starts to lead. `holders` are the entry VMs that may hold shares of earlier leaders.
+  void becomeLeader(core::Term term, const std::set<core::VmId> &holders, core::Time now);
+
+  /// Takes the rates of the catalogue's customers.
+  void updateRates() { Rates.setRates(Catalog.customers()); }
+
+  /// True when the shares of earlier leaders are known or have ended.
+  bool isSettled(core::Time now) const { return Rates.isSettled(now); }
+
+  /// Takes which versions a VM holds.
+  void takeHeld(const core::VmId &vm, core::Incarnation run, const link::EntryReport &report,
+                core::Time now);
+
+  /// Adds what has changed since the versions that the VM holds or is being sent.
+  void addChanges(link::ControlAnswer &answer, const core::VmId &vm, core::Time now);
+
+  /// Takes a report and adds what answers it; shares only for a VM that `mayHoldShares`. Returns an
+  /// error when a part of the report can't be read; the answer is complete without it.
+  absl::Status addReply(link::ControlAnswer &answer, const core::VmId &vm, core::Incarnation run,
+                        const link::EntryReport &report, bool mayHoldShares, core::Time now);
+
+  /// Encodes an answer, which is then taken as sent.
+  std::string encodeFor(const core::VmId &vm, const link::ControlAnswer &answer, core::Time now);
+
+private:
+  void findLive(core::Time now);
+
+  const catalog::Catalog &Catalog;
+  const discovery::TargetList &Targets;
+  const EntryRegistry &Entries;
+  SentVersions Sent;
+  EncodedDeltas Deltas;
+  RateDivision Rates;
+  DemandCensus Demand;
+  balance::CrashGuard Crashes;
+  std::vector<link::EntryPlace> Live; ///< Entry VMs that answers name.
+  uint64_t LiveDigest = 0;            ///< Of Live; 0 before it is made.
+  core::Time LiveAt;                  ///< When Live was made.
+  link::RateHolders Holders;          ///< Made from Live.
+};
+
+} // namespace briarspar::control
--- a/src/control/tests/ControlTest.cpp
+++ b/src/control/tests/ControlTest.cpp
@@ -1,6 +1,7 @@
 #include "control/ControlMachine.h"
 #include "control/DemandCensus.h"
 #include "control/EncodedDeltas.h"
+#include "control/EntryAnswers.h"
 #include "control/EntryRegistry.h"
 #include "control/RateDivision.h"
 #include "control/RolloutJudge.h"
@@ -245,6 +246,52 @@
   cr_assert_float_eq(demand[0].Slots, 8, 1e-6);
 }
 
+/// Guards against shares for a VM that no later leader would wait for, against the list of entry
+/// VMs in each answer, and against the configuration sent again while it is on its way.
+Test(EntryAnswers, saysWhatAVmDoesNotHold) {
+  catalog::Catalog catalog;
+  catalog::Change change;
+  catalog::Customer customer;
+  customer.Name = "c";
+  customer.RatePerS = 100;
+  customer.Burst = 100;
+  customer.Keys = {"k"};
+  change.Customers.push_back({catalog::ItemVersion(1), customer, "{}"});
+  cr_assert(catalog.apply(change, LogIndex(1)).ok());
+  discovery::TargetList targets;
+  EntryRegistry registry;
+  EntryAnswers answers(catalog, targets, registry, 1);
+  answers.becomeLeader(Term(1), {}, Time{0});
+  const VmId vm("vm");
+  link::EntryReport report;
+  report.Sequence = 1;
+  report.Region = RegionId("r");
+  report.Domain = DomainId("z");
+  report.LeaderTerm = Term(1);
+  report.Uses = {{"c", 10, 0}};
+  auto ask = [&](bool mayHoldShares, int64_t ms) {
+    registry.report(vm, Incarnation(1), report, Time{ms});
+    answers.takeHeld(vm, Incarnation(1), report, Time{ms});
+    link::ControlAnswer answer;
+    answers.addChanges(answer, vm, Time{ms});
+    cr_assert(answers.addReply(answer, vm, Incarnation(1), report, mayHoldShares, Time{ms}).ok());
+    (void)answers.encodeFor(vm, answer, Time{ms});
+    return answer;
+  };
+  link::ControlAnswer first = ask(false, 5000);
+  cr_assert(first.Shares.empty());
+  cr_assert_not(first.CatalogDelta.empty());
+  cr_assert_eq(first.Entries.size(), 1);
+  report.EntriesDigest = link::digestOf(first.Entries);
+  link::ControlAnswer second = ask(true, 5400);
+  cr_assert_eq(second.Shares.size(), 1);
+  cr_assert_gt(second.Shares[0].Permille, 0);
+  cr_assert(second.CatalogDelta.empty());
+  cr_assert(second.Entries.empty());
+  // What has not arrived after its time is sent again.
+  cr_assert_not(ask(true, 9000).CatalogDelta.empty());
+}
+
 /// Guards against a leader that encodes a large change for each of many VMs and loses its lease
 /// meanwhile, and against bytes that are older than the configuration.
 Test(EncodedDeltas, aChangeIsEncodedOnce) {
--- a/src/daemon/VoterSide.cpp
+++ b/src/daemon/VoterSide.cpp
@@ -56,7 +56,7 @@
   if (!index.ok())
     done(index.status());
   else
-    Pending[*index] = std::move(done);
+    Proposals.add(*index, std::move(done));
 }
 
 void VoterSide::flush() {
@@ -65,14 +65,7 @@
     Send(envelope.To.Vm, kind::Raft, agreement::encodeEnvelope(envelope));
   for (const core::Event &event : actions.Events)
     Events.emit(event);
-  for (agreement::ProposalResult &result : actions.Results) {
-    auto it = Pending.find(result.Index);
-    if (it == Pending.end())
-      continue;
-    Done done = std::move(it->second);
-    Pending.erase(it);
-    done(result.Answer);
-  }
+  Proposals.settle(actions.Results);
 }
 
 absl::Status VoterSide::admit(const agreement::VoterId &id, core::Time now) {
--- a/src/daemon/VoterSide.h
+++ b/src/daemon/VoterSide.h
@@ -1,12 +1,11 @@
 #pragma once
 
+#include "agreement/ProposalWaits.h"
 #include "agreement/Replica.h"
 #include "core/Event.h"
 #include "daemon/GroupMachine.h"
 #include "daemon/Messages.h"
 
-#include <functional>
-#include <map>
 #include <memory>
 
 namespace briarspar::daemon {
@@ -15,8 +14,7 @@
 /// thread-safe; used on the control thread.
 class VoterSide {
 public:
-  /// Receives the state machine's answer, or why the command has no known outcome.
-  using Done = std::function<void(const absl::StatusOr<std::string> &)>;
+  using Done = agreement::ProposalWaits::Done;
 
   /// The storage, random source, sink and sender must outlive the object.
   static absl::StatusOr<std::unique_ptr<VoterSide>>
@@ -56,7 +54,7 @@
   Sender Send;
   GroupMachine Machine;
   std::unique_ptr<agreement::Replica> Log;
-  std::map<core::LogIndex, Done> Pending;
+  agreement::ProposalWaits Proposals;
   core::Time LeadingSince;   ///< This clock, when the replica last became leader.
   core::Time LogTimeAtStart; ///< Log time at LeadingSince.
   core::Term LeadingTerm;
--- a/src/entry/ObjectHomes.h
+++ b/src/entry/ObjectHomes.h
@@ -22,9 +22,9 @@
   double MostRemembered = 400;
   double GoodHits = 0.85;    ///< With more familiar answers than this, the estimate grows.
   double PoorHits = 0.6;     ///< With fewer, it shrinks.
-  double UsableSlots = 0.45; ///< Part of a region's slots that its callers' requests may take.
-                             ///< Homes get eight objects or so each, so that their load spreads by
-                             ///< a third around the mean; beyond this part many of them are full.
+  double UsableSlots = 0.45; ///< Part of a region's slots that its callers' requests may take. A
+                             ///< home has few objects, so that homes are loaded unevenly: at 0.6
+                             ///< many of them are full, as MEASUREMENTS tells.
   core::Duration DemandWindow{2000}; ///< Time constant of the measured demand.
 };
 
@@ -42,8 +42,8 @@
 /// picks one target of the region, and two spare ones for times when it is full: the next target of
 /// the region and one of the other regions. Of the objects beyond what the region's targets
 /// remember, or what their slots can serve while other regions have slots free, a fixed part has
-/// its home in another region instead. One home a failure domain was measured too: each further
-/// home costs one slow answer an object, more than the bytes it saves.
+/// its home in one of those regions instead. One home a failure domain was measured too: each
+/// further home costs one slow answer an object, more than the bytes it saves.
 class ObjectHomes {
 public:
   explicit ObjectHomes(const ObjectHomesSettings &settings = {});
--- a/src/entry/RateShares.cpp
+++ b/src/entry/RateShares.cpp
@@ -1,7 +1,5 @@
 #include "entry/RateShares.h"
 
-#include "link/RateHolders.h"
-
 #include <algorithm>
 #include <cmath>
 
--- a/src/entry/RateShares.h
+++ b/src/entry/RateShares.h
@@ -3,6 +3,7 @@
 #include "absl/types/span.h"
 #include "catalog/Catalog.h"
 #include "link/Messages.h"
+#include "link/RateHolders.h"
 
 #include <map>
 #include <set>
@@ -15,9 +16,8 @@
 /// rate; what VMs use without a valid share adds up to ReservePermille more.
 struct RateSharesSettings {
   core::Duration Validity{3000}; ///< A share ends this long after its report was sent.
-  uint32_t ReservePermille = 80; ///< Of the rate and of the burst, for all VMs without a valid
-                                 ///< share together; the platform allows a tenth beyond the rate.
-  core::Duration DemandWindow{1500}; ///< Time constant of the measured arrivals.
+  uint32_t ReservePermille = link::ReservePermille; ///< For all VMs without a valid share together.
+  core::Duration DemandWindow{1500};                ///< Time constant of the measured arrivals.
 };
 
 /// Spends this VM's shares of the customers' rates. Holds for VMs that hear from nobody too: a
--- a/src/http/SmallServer.cpp
+++ b/src/http/SmallServer.cpp
@@ -126,7 +126,7 @@
 
 SmallServer::SmallServer(asio::io_context &io, core::EventSink &events, Handler handler,
                          const SmallServerSettings &settings)
-    : Handle(std::move(handler)), Settings(settings),
+    : Events(events), Handle(std::move(handler)), Settings(settings),
       Connections(io, events, [this](asio::ip::tcp::socket socket) { take(std::move(socket)); }) {}
 
 SmallServer::~SmallServer() { stop(); }
@@ -143,8 +143,11 @@
 }
 
 void SmallServer::take(asio::ip::tcp::socket socket) {
-  if (Sessions.size() >= Settings.MaxConnections)
+  if (Sessions.size() >= Settings.MaxConnections) {
+    Events.emit({core::EventId::ConnectionNotAccepted,
+                 {{"port", port()}, {"reason", "too many connections"}, {"pause_ms", 0}}});
     return;
+  }
   asio::error_code ignored;
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   auto session = std::make_shared<Session>(*this, std::move(socket));
--- a/src/http/SmallServer.h
+++ b/src/http/SmallServer.h
@@ -58,6 +58,7 @@
 
   void take(asio::ip::tcp::socket socket);
 
+  core::EventSink &Events;
   Handler Handle;
   const SmallServerSettings Settings;
   Listener Connections;
--- a/src/link/Messages.cpp
+++ b/src/link/Messages.cpp
@@ -131,7 +131,6 @@
   j = {{"n", it.Sequence},
        {"term", it.LeaderTerm},
        {"leads", it.Leads},
-       {"leader", it.Leader},
        {"members", it.Members},
        {"catalog", binary(it.CatalogDelta)},
        {"list", binary(it.ListDelta)},
@@ -145,7 +144,6 @@
   j.at("n").get_to(it.Sequence);
   j.at("term").get_to(it.LeaderTerm);
   j.at("leads").get_to(it.Leads);
-  j.at("leader").get_to(it.Leader);
   j.at("members").get_to(it.Members);
   it.CatalogDelta = fromBinary(j.at("catalog"));
   it.ListDelta = fromBinary(j.at("list"));
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -121,8 +121,7 @@
 struct ControlAnswer {
   uint64_t Sequence = 0;           ///< Of the report that is answered; 0 when it comes unasked.
   core::Term LeaderTerm;           ///< Of the leader that answers.
-  bool Leads = false;              ///< The rest but Leader and Members counts only from a leader.
-  core::VmId Leader;               ///< Empty when unknown.
+  bool Leads = false;              ///< The rest but Members counts only from a leader.
   std::vector<core::VmId> Members; ///< Control VMs of the group.
   std::string CatalogDelta;        ///< Encoded Catalog::deltaSince(); empty when nothing changed.
   std::string ListDelta;         ///< Encoded TargetList::deltaSince(); empty when nothing changed.
--- a/src/link/RateHolders.cpp
+++ b/src/link/RateHolders.cpp
@@ -13,10 +13,20 @@
 /// within the rate whenever a few of them come at the same moment.
 constexpr double LeastRequests = 4;
 
+/// The platform's bound: in a window, so much more than the rate and the burst allow, and so many
+/// requests on top.
+constexpr double WindowS = 5;
+constexpr double Excess = 0.1;
+constexpr double SlackRequests = 20;
+
+/// A margin to the bound, in requests.
+constexpr double KeptBack = 5;
+
 } // namespace
 
 double roomBeyondShares(const CustomerLimit &limit) {
-  return 0.1 * limit.RatePerS + 1.1 * limit.Burst + 15;
+  return (Excess - ReservePermille / 1000.0) * WindowS * limit.RatePerS +
+         (1 + Excess) * limit.Burst + SlackRequests - KeptBack;
 }
 
 RateHolders::RateHolders(std::vector<EntryPlace> entries) : Entries(std::move(entries)) {
--- a/src/link/RateHolders.h
+++ b/src/link/RateHolders.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "absl/types/span.h"
 #include "core/Ids.h"
 #include "link/Messages.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -15,9 +15,12 @@
   double Burst = 0; ///< Requests.
 };
 
-/// Requests that all VMs together may take at once beyond the shares of a rate and the reserve, as
-/// the platform's bound on a window allows: of 5 s, 1.1 times what the rate and the burst allow,
-/// and 20 requests, of which 5 are kept back.
+/// Part of each rate and burst that all VMs without a valid share may use together; the platform
+/// allows a tenth beyond the rate.
+constexpr uint32_t ReservePermille = 80;
+
+/// Requests that all VMs together may take at once, beyond what shares and reserve give them in a
+/// window, by the platform's bound on a window.
 double roomBeyondShares(const CustomerLimit &limit);
 
 /// Which entry VMs hold the shares of a customer's rate. A share that is spread over too many VMs
