--- a/src/entry/tests/LimitsTest.cpp
+++ b/src/entry/tests/LimitsTest.cpp
@@ -197,8 +197,8 @@
 }
 
 /// Guards against buckets that together hold more than a window allows. The load: one VM has all
-/// callers of a customer, at half of its rate, and holds most of its share, while the buckets of all
-/// others are full too; then all VMs get more than they can take for 5 s.
+/// callers of a customer, at half of its rate, and holds most of its share, while the buckets of
+/// all others are full too; then all VMs get more than they can take for 5 s.
 Test(RateDesk, fullBucketsTogetherKeepTheWindow) {
   for (size_t n : {3, 8, 12, 20, 31, 60}) {
     for (double rate : {20, 50, 100, 200, 400}) {
