Tell all entry VMs which targets are busy

Cause: in a fleet of 80 VMs each target answers one VM every ten seconds or so, and its load report is the only thing that a VM knows about the requests of the others. Homes of popular objects are filled by all VMs at once while others are idle. Ruled out: a longer decay of load reports (they are mostly older than any useful decay); asking targets for their load (probes are paid for, and wait for a slot). Change: each VM passes the loads that it saw in answers on to the leader with its report; the leader names the busiest targets, 128 at most, in its answers. The placement of TargetTable takes them where its own report is older than 500 ms.

--- a/src/control/EntryAnswers.cpp
+++ b/src/control/EntryAnswers.cpp
@@ -22,6 +22,7 @@
   updateRates();
   Sent.becomeLeader();
   Demand.becomeLeader(now);
+  Busy.becomeLeader();
 }
 
 void EntryAnswers::takeHeld(const core::VmId &vm, core::Incarnation run,
@@ -47,6 +48,8 @@
   if (!report.Services.empty())
     Demand.report(vm, report.Region, report.Services, now);
   answer.Demand = Demand.demand(now);
+  Busy.report(report.Loads, now);
+  answer.Busy = Busy.find(Targets, now);
   if (report.EntriesDigest != LiveDigest)
     answer.Entries = Live;
   absl::Status status;
--- a/src/control/EntryAnswers.h
+++ b/src/control/EntryAnswers.h
@@ -3,6 +3,7 @@
 #include "absl/status/status.h"
 #include "balance/CrashGuard.h"
 #include "catalog/Catalog.h"
+#include "control/BusyTargets.h"
 #include "control/DemandCensus.h"
 #include "control/EncodedDeltas.h"
 #include "control/EntryRegistry.h"
@@ -19,8 +20,8 @@
 namespace briarspar::control {
 
 /// What a leader tells each entry VM: changes of the configuration and of the target list, its
-/// shares of the rates, the other entry VMs, the demand of all regions and requests that end
-/// targets. Without I/O. Not thread-safe.
+/// shares of the rates, the other entry VMs, the demand of all regions, busy targets and requests
+/// that end targets. Without I/O. Not thread-safe.
 class EntryAnswers {
 public:
   /// The catalogue, the list and the registry must outlive the object.
@@ -61,6 +62,7 @@
   EncodedDeltas Deltas;
   RateDivision Rates;
   DemandCensus Demand;
+  BusyTargets Busy;
   balance::CrashGuard Crashes;
   std::vector<link::EntryPlace> Live; ///< Entry VMs that answers name.
   uint64_t LiveDigest = 0;            ///< Of Live; 0 before it is made.
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -176,6 +176,7 @@
   if (full) {
     report.Uses = All.Rates.uses(now);
     report.Versions = All.Targets.versionCounts();
+    report.Loads = All.Targets.takeLoads();
     if (now - SampledAt >= SampleInterval) {
       SampledAt = now;
       report.Services = All.Targets.serviceSamples(now);
@@ -323,6 +324,7 @@
   // A new leader does not know it at first; until then the last one holds.
   if (!answer.Demand.empty())
     All.Targets.setDemand(answer.Demand);
+  All.Targets.setBusy(answer.Busy, now);
   auto sent = SentAt.find(answer.Sequence);
   if (sent != SentAt.end()) {
     All.Rates.setShares(answer.Shares, sent->second, now);
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -18,7 +18,7 @@
 constexpr double ExplainedTime = 1.6;
 
 /// Utilization of the targets from which the shares of regions start.
-constexpr double StartUtilization = 0.8;
+constexpr double StartUtilization = 1;
 
 /// Spread of the time of an answer around what is expected, as a part of the latency goal.
 constexpr double GoalSpread = 0.1;
@@ -35,6 +35,10 @@
 /// Connections to one target are shared by all entry VMs; part of the limit that they use.
 constexpr double ConnectionPart = 0.7;
 
+/// Loads in one report to the leader, 8 bytes each; a VM with a tenth of a core gets 10 answers in
+/// the time between two reports.
+constexpr size_t MaxReportedLoads = 128;
+
 bool contains(absl::Span<const std::string> list, const std::string &it) {
   return std::find(list.begin(), list.end(), it) != list.end();
 }
@@ -53,6 +57,7 @@
   std::map<core::TargetId, State> old;
   old.swap(Targets);
   ByService.clear();
+  ByKey.clear();
   for (const auto &[id, info] : list.targets()) {
     State &state = Targets[id];
     auto known = old.find(id);
@@ -67,6 +72,7 @@
     if (info.ColdUntil > now)
       state.ColdUntil = info.ColdUntil;
     ByService[info.Service].push_back(id);
+    ByKey[link::targetKey(id)] = &state;
   }
   updateRoom();
   for (const auto &[service, ids] : ByService) {
@@ -145,7 +151,7 @@
 
 std::optional<Pick> TargetTable::pick(const PickRequest &request, core::Time now) {
   if (request.Tried.empty())
-    Homes.note(request.Service, request.Object, Work.of(*request.Route, request.Service).Warm, now);
+    Homes.note(request.Service, request.Object, Work.of(*request.Route, request.Service), now);
   std::optional<Candidate> chosen;
   auto rollout = Rollouts.find(request.Service);
   if (rollout != Rollouts.end()) {
@@ -478,6 +484,28 @@
   state.ReportedAt = now;
   if (load.Slots > 0)
     state.Info.Slots = load.Slots;
+  if (JustReported.size() < MaxReportedLoads)
+    JustReported[link::targetKey(id)] = load.Running + load.Waiting;
+}
+
+std::vector<link::TargetLoad> TargetTable::takeLoads() {
+  std::vector<link::TargetLoad> out;
+  out.reserve(JustReported.size());
+  for (const auto &[key, requests] : std::exchange(JustReported, {}))
+    out.push_back({key, requests});
+  return out;
+}
+
+void TargetTable::setBusy(absl::Span<const link::TargetLoad> busy, core::Time now) {
+  for (const link::TargetLoad &it : busy) {
+    auto known = ByKey.find(it.Target);
+    if (known == ByKey.end() || now - known->second->ReportedAt < Settings.OwnReportFirst)
+      continue;
+    State &state = *known->second;
+    state.Reported = it.Requests;
+    state.OwnAtReport = state.Own;
+    state.ReportedAt = now;
+  }
 }
 
 void TargetTable::recordRoundTrip(const core::TargetId &id, core::Duration time) {
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -52,6 +52,8 @@
   core::Duration RegionRoundTrip{60}; ///< To another region, until it has been measured.
   core::Duration LoadDecay{4000};     ///< Time constant with which a load report loses its weight;
                                       ///< reports come with answers, late in an overload.
+  core::Duration OwnReportFirst{500}; ///< A report to this VM goes before what the leader tells,
+                                      ///< which has taken up to a report's interval and more.
   core::Duration SlownessDecay{8000}; ///< The same of the measured slowness of a target.
   double FullQueues = 2.5;            ///< A target with this many requests a slot gets no more.
   uint32_t FailuresToEject = 3;       ///< Failures in a row that eject a target.
@@ -143,6 +145,12 @@
   /// Takes what the callers of all regions ask of each service.
   void setDemand(absl::Span<const link::ServiceDemand> demand) { Homes.setDemand(demand); }
 
+  /// Returns the loads that targets have reported since the last call.
+  std::vector<link::TargetLoad> takeLoads();
+
+  /// Takes the targets that the answers to all VMs show to be busy.
+  void setBusy(absl::Span<const link::TargetLoad> busy, core::Time now);
+
   /// Chooses the service of a request so that each gets its weight's part.
   std::string chooseService(const catalog::Route &route);
 
@@ -249,6 +257,8 @@
   const TargetTableSettings Settings;
   std::map<core::TargetId, State> Targets;
   std::map<std::string, std::vector<core::TargetId>> ByService;
+  std::unordered_map<uint32_t, State *> ByKey;     ///< By link::targetKey() of their ids.
+  std::map<uint32_t, uint32_t> JustReported;       ///< Requests at targets, by the same keys.
   std::map<std::string, core::VersionId> Baseline; ///< Version of a service before any rollout.
   std::map<std::string, catalog::Service> Services;
   std::map<std::string, catalog::Rollout> Rollouts;
--- /dev/null
+++ b/src/entry/tests/BusyTargetsTest.cpp
@@ -0,0 +1,228 @@
+#include "control/BusyTargets.h"
+#include "core/Hash.h"
+#include "core/testing/Property.h"
+
+#include "entry/TargetTable.h"
+
+#include <pcg_random.hpp>
+
+#include <deque>
+#include <random>
+
+using namespace briarspar;
+using namespace briarspar::core;
+using namespace briarspar::entry;
+
+namespace {
+
+constexpr size_t VmCount = 60;
+constexpr size_t TargetCount = 24;
+constexpr uint32_t SlotCount = 6;
+constexpr size_t RememberedObjects = 30;
+constexpr Duration Step{10};
+constexpr Duration ReportInterval{400};
+constexpr Duration Span{20'000};
+
+/// By then most objects have been asked for.
+constexpr Time FirstSeconds{5000};
+
+/// A fleet of entry VMs before the targets of one service, of which each VM knows its own requests
+/// and what the answers to them tell. Targets know the objects that they served last.
+class Fleet {
+public:
+  explicit Fleet(Duration work) : Work(work) {
+    Route.Name = "route";
+    Route.Idempotent = true;
+    Route.Sticky = true;
+    Route.Timeout = Duration{8000};
+    Route.LatencyGoal = Duration{1000};
+    Route.Services = {{"s", 1}};
+    catalog::Catalog catalog;
+    catalog::Change change;
+    catalog::Service service;
+    service.Name = "s";
+    change.Services.push_back({catalog::ItemVersion(1), service, "s"});
+    cr_assert(catalog.apply(change, LogIndex(1)).ok());
+    List.startEpoch(1);
+    std::vector<discovery::Target> targets(TargetCount);
+    for (size_t i = 0; i < TargetCount; ++i) {
+      targets[i].Id = TargetId("t" + std::to_string(i));
+      targets[i].Service = "s";
+      targets[i].Domain = DomainId("z");
+      targets[i].Version = VersionId("v1");
+      targets[i].Slots = SlotCount;
+      Queues[targets[i].Id];
+    }
+    List.update(targets, Time{0});
+    for (size_t i = 0; i < VmCount; ++i) {
+      Vms.push_back(std::make_unique<TargetTable>(Place{VmId("vm" + std::to_string(i)),
+                                                        RegionId("z"),
+                                                        DomainId("z"),
+                                                        {{DomainId("z"), RegionId("z")}}}));
+      Vms.back()->setCatalog(catalog, Time{0});
+      Vms.back()->setTargets(List, Time{0});
+    }
+  }
+
+  TargetTable &vm(size_t i) { return *Vms[i]; }
+  const catalog::Route &route() const { return Route; }
+
+  PickRequest request(uint64_t object) const {
+    PickRequest request;
+    request.Route = &Route;
+    request.Service = "s";
+    request.Object = hash64(std::to_string(object), 1);
+    request.Priority = 2;
+    request.Left = Route.Timeout;
+    return request;
+  }
+
+  /// Returns the part of the requests after the first seconds that were answered within the goal.
+  double play(double requestsPerS, bool tellBusy) {
+    pcg32 random(7);
+    control::BusyTargets busy;
+    double due = 0;
+    for (Time now{0}; now < Time{0} + Span; now = now + Step) {
+      due += requestsPerS * static_cast<double>(Step.Ms) / 1000;
+      for (; due >= 1; due -= 1)
+        send(random, now);
+      serve(now);
+      if (tellBusy && now.Ms % ReportInterval.Ms == 0)
+        for (const auto &vm : Vms) {
+          busy.report(vm->takeLoads(), now);
+          vm->setBusy(busy.find(List, now), now);
+        }
+    }
+    return static_cast<double>(InGoal) / static_cast<double>(Asked);
+  }
+
+private:
+  struct Job {
+    size_t Vm;
+    Pick What;
+    uint64_t Object;
+    Time At;
+  };
+
+  struct Queue {
+    std::deque<Job> Waiting;
+    std::vector<std::pair<Time, Job>> Running; ///< With the time of their end.
+    std::deque<uint64_t> Known;                ///< Objects, last used last.
+
+    bool knows(uint64_t object) const {
+      return std::find(Known.begin(), Known.end(), object) != Known.end();
+    }
+
+    void learn(uint64_t object) {
+      Known.erase(std::remove(Known.begin(), Known.end(), object), Known.end());
+      Known.push_back(object);
+      if (Known.size() > RememberedObjects)
+        Known.pop_front();
+    }
+  };
+
+  void send(pcg32 &random, Time now) {
+    // Of 400 objects, the first are asked for most often.
+    double part = std::uniform_real_distribution<double>()(random);
+    uint64_t object = static_cast<uint64_t>(400 * part * part);
+    size_t vm = random(VmCount);
+    PickRequest request = this->request(object);
+    Asked += now > FirstSeconds ? 1 : 0;
+    if (std::optional<Pick> pick = Vms[vm]->pick(request, now))
+      Queues[pick->Id].Waiting.push_back({vm, *pick, *request.Object, now});
+  }
+
+  void serve(Time now) {
+    for (auto &[id, queue] : Queues) {
+      for (auto it = queue.Running.begin(); it != queue.Running.end();) {
+        if (now < it->first) {
+          ++it;
+          continue;
+        }
+        Job job = it->second;
+        queue.learn(job.Object);
+        it = queue.Running.erase(it);
+        Duration latency = now - job.At;
+        InGoal += job.At > FirstSeconds && latency <= Route.LatencyGoal ? 1 : 0;
+        uint32_t waiting = static_cast<uint32_t>(queue.Waiting.size());
+        Vms[job.Vm]->recordLoad(id, {static_cast<uint32_t>(queue.Running.size()), waiting, 0}, now);
+        Vms[job.Vm]->record(job.What, Route, TargetOutcome::Good, latency, 0, now);
+      }
+      while (queue.Running.size() < SlotCount && !queue.Waiting.empty()) {
+        Job job = queue.Waiting.front();
+        queue.Waiting.pop_front();
+        queue.Running.push_back({now + Work * (queue.knows(job.Object) ? 1 : 4), job});
+      }
+    }
+  }
+
+  const Duration Work;
+  catalog::Route Route;
+  discovery::TargetList List;
+  std::vector<std::unique_ptr<TargetTable>> Vms;
+  std::map<TargetId, Queue> Queues;
+  size_t Asked = 0;
+  size_t InGoal = 0;
+};
+
+} // namespace
+
+/// Guards against homes that all VMs go on filling because none of them sees the requests of the
+/// others. The load: objects that are asked for unequally often and take a target that does not
+/// know them four times as long, so that their first requests alone fill many slots. `part` is the
+/// part of the slots that the requests would take if all targets knew all objects.
+Test(BusyTargets, allVmsSpareAFullHome) {
+  struct Case {
+    int64_t WorkMs;
+    double Part;
+    double Gain; ///< In the part of the callers that are answered within the goal.
+  };
+  for (const Case &it : {Case{300, 0.3, -0.03}, Case{200, 0.5, 0}, Case{300, 0.5, 0.05},
+                         Case{300, 0.8, 0.1}, Case{400, 0.8, 0.1}}) {
+    double rate = it.Part * TargetCount * SlotCount * 1000.0 / static_cast<double>(it.WorkMs);
+    double alone = Fleet(Duration{it.WorkMs}).play(rate, /*tellBusy=*/false);
+    double told = Fleet(Duration{it.WorkMs}).play(rate, /*tellBusy=*/true);
+    cr_expect_geq(told, alone + it.Gain, "work of %d ms for %.1f of the slots: %.3f, alone %.3f",
+                  static_cast<int>(it.WorkMs), it.Part, told, alone);
+  }
+}
+
+/// Guards against an old load that goes before what a target has just told this VM itself.
+Test(BusyTargets, anOwnReportGoesBeforeTheLeaders) {
+  Fleet fleet(Duration{100});
+  TargetTable &table = fleet.vm(0);
+  PickRequest request = fleet.request(1);
+  Pick home = *table.pick(request, Time{0});
+  table.record(home, fleet.route(), TargetOutcome::Good, Duration{100}, 0, Time{100});
+  table.recordLoad(home.Id, {0, 0, SlotCount}, Time{100});
+  link::TargetLoad busy{link::targetKey(home.Id), 4 * SlotCount};
+  table.setBusy({&busy, 1}, Time{200});
+  Pick second = *table.pick(request, Time{200});
+  cr_assert_eq(second.Id.Value, home.Id.Value);
+  table.record(second, fleet.route(), TargetOutcome::Good, Duration{100}, 0, Time{300});
+  table.setBusy({&busy, 1}, Time{1000});
+  cr_assert_neq(table.pick(request, Time{1000})->Id.Value, home.Id.Value);
+}
+
+/// Guards against a leader that names targets by loads of long ago, or that are not busy.
+Test(BusyTargets, namesTheBusiestOfTheLastReports) {
+  discovery::TargetList list;
+  list.startEpoch(1);
+  std::vector<discovery::Target> targets(4);
+  std::vector<uint32_t> keys;
+  for (size_t i = 0; i < targets.size(); ++i) {
+    targets[i].Id = TargetId("t" + std::to_string(i));
+    targets[i].Slots = 10;
+    keys.push_back(link::targetKey(targets[i].Id));
+  }
+  list.update(targets, Time{0});
+  control::BusyTargetsSettings settings;
+  settings.MaxNamed = 2;
+  control::BusyTargets busy(settings);
+  busy.report(std::vector<link::TargetLoad>{{keys[0], 30}}, Time{0});
+  busy.report(std::vector<link::TargetLoad>{{keys[1], 9}, {keys[2], 12}, {keys[3], 2}}, Time{1600});
+  std::vector<link::TargetLoad> found = busy.find(list, Time{1600});
+  cr_assert_eq(found.size(), 2);
+  cr_assert_eq(found[0].Target, keys[2]);
+  cr_assert_eq(found[1].Target, keys[1]);
+}
--- a/src/link/Messages.cpp
+++ b/src/link/Messages.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Separates the keys of targets from other hashes of their ids.
+constexpr uint64_t TargetKeySeed = 0x746b6579;
+
 /// Parts that are CBOR already travel as byte strings.
 Json binary(const std::string &bytes) {
   return Json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
@@ -72,12 +75,30 @@
   j.at(3).get_to(it.Slots);
 }
 
+void to_json(Json &j, const TargetLoad &it) { j = {it.Target, it.Requests}; }
+
+void from_json(const Json &j, TargetLoad &it) {
+  j.at(0).get_to(it.Target);
+  j.at(1).get_to(it.Requests);
+}
+
 void to_json(Json &j, const EntryReport &it) {
-  j = {{"n", it.Sequence},        {"region", it.Region},         {"domain", it.Domain},
-       {"address", it.Address},   {"serving", it.Serving},       {"stopping", it.Stopping},
-       {"term", it.LeaderTerm},   {"catalog", it.Catalog},       {"epoch", it.ListEpoch},
-       {"list", it.ListSequence}, {"entries", it.EntriesDigest}, {"uses", it.Uses},
-       {"versions", it.Versions}, {"services", it.Services},     {"crashes", binary(it.Crashes)}};
+  j = {{"n", it.Sequence},
+       {"region", it.Region},
+       {"domain", it.Domain},
+       {"address", it.Address},
+       {"serving", it.Serving},
+       {"stopping", it.Stopping},
+       {"term", it.LeaderTerm},
+       {"catalog", it.Catalog},
+       {"epoch", it.ListEpoch},
+       {"list", it.ListSequence},
+       {"entries", it.EntriesDigest},
+       {"uses", it.Uses},
+       {"versions", it.Versions},
+       {"services", it.Services},
+       {"loads", it.Loads},
+       {"crashes", binary(it.Crashes)}};
 }
 
 void from_json(const Json &j, EntryReport &it) {
@@ -95,6 +116,7 @@
   j.at("uses").get_to(it.Uses);
   j.at("versions").get_to(it.Versions);
   j.at("services").get_to(it.Services);
+  j.at("loads").get_to(it.Loads);
   it.Crashes = fromBinary(j.at("crashes"));
 }
 
@@ -137,6 +159,7 @@
        {"shares", it.Shares},
        {"entries", it.Entries},
        {"demand", it.Demand},
+       {"busy", it.Busy},
        {"crashes", binary(it.Crashes)}};
 }
 
@@ -150,6 +173,7 @@
   j.at("shares").get_to(it.Shares);
   j.at("entries").get_to(it.Entries);
   j.at("demand").get_to(it.Demand);
+  j.at("busy").get_to(it.Busy);
   it.Crashes = fromBinary(j.at("crashes"));
 }
 
@@ -159,6 +183,10 @@
 std::string encode(const RateAsk &it) { return core::encodeCbor(it); }
 std::string encode(const RatePermit &it) { return core::encodeCbor(it); }
 
+uint32_t targetKey(const core::TargetId &id) {
+  return static_cast<uint32_t>(core::hash64(id.Value, TargetKeySeed));
+}
+
 uint64_t digestOf(absl::Span<const EntryPlace> entries) {
   uint64_t digest = entries.size();
   for (const EntryPlace &it : entries)
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -69,6 +69,16 @@
   double Slots = 0;   ///< Slots that the requests take when targets know the objects.
 };
 
+/// Requests that run or wait at a target.
+struct TargetLoad {
+  uint32_t Target = 0; ///< targetKey() of its id.
+  uint32_t Requests = 0;
+};
+
+/// Returns what names a target where its id would be too long. Two targets of a thousand share a
+/// key once in 9,000 fleets; each then counts with the other's load.
+uint32_t targetKey(const core::TargetId &id);
+
 /// State of one entry VM. Sent to each control VM; only the leader gets the parts that it alone
 /// uses.
 struct EntryReport {
@@ -86,6 +96,7 @@
   std::vector<CustomerUse> Uses;
   std::vector<VersionCounts> Versions;
   std::vector<ServiceSample> Services; ///< Empty in most reports.
+  std::vector<TargetLoad> Loads;       ///< Seen in answers since the last report.
   std::string Crashes;                 ///< Encoded balance::CrashReport; empty when there are none.
 };
 
@@ -129,6 +140,7 @@
   std::vector<EntryPlace> Entries; ///< Live entry VMs in the order of their ids; empty when the VM
                                    ///< holds the same list already.
   std::vector<ServiceDemand> Demand; ///< Of all regions; empty while the leader does not know it.
+  std::vector<TargetLoad> Busy;      ///< Targets with the most requests a slot.
   std::string Crashes;               ///< Encoded balance::CrashReport; may be empty.
 };
 
