Start a poor region with its part of the objects, and count what targets learn

In the first ten seconds their objects have homes in the region, because no demand is known or the measured one is small: the window is not full yet, and each request counts as work for a target that knows the object, a quarter of what it takes then. The few targets learn all objects, with queues, and most objects move away afterwards to be learned again. Ruled out: the bound on shifts between regions alone (shares were 0.43 to 0.48 while 0.38 was planned). Change: until the demand is known a region keeps its part of the slots; a span below the window counts as if it had gone on; demand counts the part of homes that do not know the object yet; in an overload of all regions each takes what fits its targets, so that there is a place for the excess; shares of regions start from the slots.

--- a/src/entry/ObjectHomes.cpp
+++ b/src/entry/ObjectHomes.cpp
@@ -13,6 +13,9 @@
 /// Weight of one answer in the share of familiar ones.
 constexpr double HitWeight = 0.01;
 
+/// The same in the share by which demand is measured, which has to follow targets that learn.
+constexpr double KnownWeight = 0.05;
+
 /// Factor by which the estimate of remembered objects moves with one answer.
 constexpr double Growth = 1.002;
 
@@ -50,10 +53,13 @@
 
 ObjectHomes::ObjectHomes(const ObjectHomesSettings &settings) : Settings(settings) {}
 
-void ObjectHomes::note(const std::string &service, std::optional<uint64_t> object, double work,
-                       core::Time now) {
+void ObjectHomes::note(const std::string &service, std::optional<uint64_t> object,
+                       const WorkTime &time, core::Time now) {
   Service &it = Services[service];
-  it.Slots = slots(it, now) + work / static_cast<double>(Settings.DemandWindow.Ms);
+  if (it.Slots == 0)
+    it.DemandFrom = now;
+  double expected = it.KnownShare * time.Warm + (1 - it.KnownShare) * time.Cold;
+  it.Slots = agedSlots(it, now) + expected / static_cast<double>(Settings.DemandWindow.Ms);
   it.DemandAt = now;
   if (object)
     it.LastAsked[*object] = now;
@@ -104,7 +110,11 @@
 void ObjectHomes::recordHit(const std::string &service, bool wasFast) {
   Service &it = Services[service];
   double remembered = this->remembered(service);
-  it.HitShare += HitWeight * ((wasFast ? 1.0 : 0.0) - it.HitShare);
+  double hit = wasFast ? 1 : 0;
+  it.HitShare += HitWeight * (hit - it.HitShare);
+  ++it.Hits;
+  it.KnownShare +=
+      std::max(KnownWeight, 1.0 / static_cast<double>(it.Hits)) * (hit - it.KnownShare);
   if (it.HitShare > Settings.GoodHits)
     remembered *= Growth;
   else if (it.HitShare < Settings.PoorHits)
@@ -144,22 +154,51 @@
   return std::max(known, static_cast<double>(it->second.LastAsked.size()));
 }
 
-double ObjectHomes::slots(const Service &service, core::Time now) const {
+double ObjectHomes::agedSlots(const Service &service, core::Time now) const {
   double age = static_cast<double>((now - service.DemandAt).Ms);
   return service.Slots * std::exp(-age / static_cast<double>(Settings.DemandWindow.Ms));
 }
 
+/// What was measured over less than the window counts as if it had gone on through it.
+double ObjectHomes::slots(const Service &service, core::Time now) const {
+  core::Duration span = std::max(now - service.DemandFrom, Settings.LeastSpan);
+  double part =
+      1 - std::exp(-static_cast<double>(span.Ms) / static_cast<double>(Settings.DemandWindow.Ms));
+  return agedSlots(service, now) / part;
+}
+
 /// Finds the regions with free slots, and the part of the region's own requests that stay in it, so
 /// that its targets have slots for them and the others for what leaves.
 ObjectHomes::Room ObjectHomes::findRoom(const Service &service, const core::RegionId &region,
                                         absl::Span<const HomeCandidate> candidates) const {
   std::map<core::RegionId, double> free;
-  for (const HomeCandidate &it : candidates)
-    free[*it.Region] += it.Slots * Settings.UsableSlots;
+  double offered = 0;
+  for (const HomeCandidate &it : candidates) {
+    free[*it.Region] += it.Slots;
+    offered += it.Slots;
+  }
+  double asked = 0;
   for (const auto &[name, demand] : service.Demand)
-    if (auto it = free.find(name); it != free.end())
-      it->second -= demand.Slots;
+    asked += demand.Slots;
+  // In an overload of all regions each takes a part of it that fits its targets.
+  double usable = std::max(Settings.UsableSlots, offered == 0 ? 0 : asked / offered);
+  for (auto &[name, slots] : free) {
+    slots *= usable;
+    if (auto it = service.Demand.find(name); it != service.Demand.end())
+      slots -= it->second.Slots;
+  }
   Room room;
+  if (service.Demand.empty()) {
+    // Until the demand is known, the callers of all regions are taken to ask alike.
+    double fair = 0;
+    for (const auto &[name, slots] : free)
+      fair += slots / static_cast<double>(free.size());
+    for (const auto &[name, slots] : free)
+      if (slots >= fair)
+        room.Free.insert(name);
+    room.Kept = fair == 0 ? 1 : std::min(1.0, free[region] / fair);
+    return room;
+  }
   double all = 0;
   for (const auto &[name, slots] : free) {
     if (name == region || slots <= 0)
--- a/src/entry/ObjectHomes.h
+++ b/src/entry/ObjectHomes.h
@@ -3,6 +3,7 @@
 #include "absl/types/span.h"
 #include "core/Clock.h"
 #include "core/Ids.h"
+#include "entry/WorkTimes.h"
 #include "link/Messages.h"
 
 #include <cstdint>
@@ -26,6 +27,8 @@
                              ///< home has few objects, so that homes are loaded unevenly: at 0.6
                              ///< many of them are full, as MEASUREMENTS tells.
   core::Duration DemandWindow{2000}; ///< Time constant of the measured demand.
+  core::Duration LeastSpan{400};     ///< Demand is taken to be measured for so long at least: the
+                                     ///< interval of reports.
 };
 
 /// A target among which an object's homes are chosen.
@@ -48,9 +51,9 @@
 public:
   explicit ObjectHomes(const ObjectHomesSettings &settings = {});
 
-  /// Counts a request to a service, for an object or for none. `work` is the time that it takes a
-  /// target that knows the object, in ms.
-  void note(const std::string &service, std::optional<uint64_t> object, double work,
+  /// Counts a request to a service, for an object or for none. `time` is how long it takes a
+  /// target.
+  void note(const std::string &service, std::optional<uint64_t> object, const WorkTime &time,
             core::Time now);
 
   /// Marks the candidates that are home and spares of the object for callers of a region.
@@ -80,6 +83,9 @@
     std::map<core::RegionId, link::ServiceDemand> Demand; ///< As far as is known.
     double Slots = 0; ///< Taken by the requests of this VM at DemandAt, exponentially aged.
     core::Time DemandAt;
+    core::Time DemandFrom; ///< First request.
+    double KnownShare = 0; ///< Part of the requests whose home knew the object, exponentially aged.
+    uint64_t Hits = 0;     ///< Answers of homes, fast or not.
     double Remembered = 0;
     double HitShare = 0.75; ///< Exponentially aged; starts between the two thresholds.
   };
@@ -90,6 +96,7 @@
     double Kept = 1;               ///< Part of the requests that stay in their region.
   };
 
+  double agedSlots(const Service &service, core::Time now) const;
   double slots(const Service &service, core::Time now) const;
   Room findRoom(const Service &service, const core::RegionId &region,
                 absl::Span<const HomeCandidate> candidates) const;
