Shorten the messages between entry VMs and control VMs

Change: arrays instead of maps; figures as whole tenths; loads as a byte string; control VMs that do not lead get a brief report every 1,200 ms and at once when a VM starts to serve or to stop, and the leader tells them of VMs that fell silent; demand and members of the group every 800 ms; hashes of objects with 32 bits, every 3 s. Ruled out: keys instead of customers' names (two customers with one key would share a rate); reports less often (shares of rates follow the arrivals).

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -174,8 +174,11 @@
   core::Time now = Clock.now();
   Log->tick(now);
   flush();
-  for (const LostEntry &it : Entries.takeLost(now))
+  for (const LostEntry &it : Entries.takeLost(now)) {
     Events.emit({core::EventId::EntryLost, {{"vm", it.Vm}, {"silent_ms", it.Silent}}});
+    if (isLeading(now))
+      tellGone(it);
+  }
   if (isLeading(now))
     lead(now);
   else
@@ -188,6 +191,13 @@
   });
 }
 
+void ControlNode::tellGone(const LostEntry &lost) {
+  std::string bytes = encode(link::EntryGone{lost.Vm, lost.Run});
+  for (const core::VmId &vm : members())
+    if (vm != Settings.Vm)
+      Peers.send(vm, link::kind::EntryGone, bytes);
+}
+
 bool ControlNode::isLeading(core::Time now) const {
   return Log->isLeader() && Log->canRead(now).ok();
 }
@@ -278,6 +288,12 @@
     }
     Log->receive(*envelope, now);
     flush();
+  } else if (message.Kind == link::kind::EntryGone) {
+    absl::StatusOr<link::EntryGone> gone = link::decodeEntryGone(message.Body);
+    if (gone.ok())
+      Entries.markGone(*gone);
+    else
+      rejectMessage(message.From, gone.status());
   } else if (message.Kind == link::kind::Join) {
     absl::StatusOr<link::JoinRequest> request = link::decodeJoinRequest(message.Body);
     if (!request.ok()) {
@@ -322,6 +338,11 @@
     Judge.report(message.From, message.FromIncarnation, report->Versions);
     absl::Status status = Answers.addReply(answer, message.From, message.FromIncarnation, *report,
                                            /*mayHoldShares=*/isListed, now);
+    if (Answers.takeSlowDue(message.From, message.FromIncarnation, now)) {
+      Answers.addDemand(answer, now);
+      std::set<core::VmId> vms = members();
+      answer.Members.assign(vms.begin(), vms.end());
+    }
     if (!status.ok())
       rejectMessage(message.From, status);
   }
@@ -334,10 +355,12 @@
   link::ControlAnswer answer;
   answer.Leads = isLeading(now);
   answer.LeaderTerm = Log->term();
-  std::set<core::VmId> vms = members();
-  answer.Members.assign(vms.begin(), vms.end());
-  if (answer.Leads)
+  if (answer.Leads) {
     Answers.addChanges(answer, vm, now);
+  } else {
+    std::set<core::VmId> vms = members();
+    answer.Members.assign(vms.begin(), vms.end());
+  }
   return answer;
 }
 
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -107,6 +107,7 @@
   std::string baselineVersion(const std::string &service, const std::string &except) const;
   std::set<core::VmId> members() const;
   bool isLeading(core::Time now) const;
+  void tellGone(const LostEntry &lost);
 
   asio::io_context &Io;
   const core::Clock &Clock;
--- a/src/control/DemandCensus.cpp
+++ b/src/control/DemandCensus.cpp
@@ -14,7 +14,15 @@
 
 void DemandCensus::report(const core::VmId &vm, const core::RegionId &region,
                           absl::Span<const link::ServiceSample> samples, core::Time now) {
-  Vms[vm] = {region, now, {samples.begin(), samples.end()}};
+  VmSamples &held = Vms[vm];
+  std::vector<link::ServiceSample> old = std::move(held.Samples);
+  held = {region, now, {samples.begin(), samples.end()}};
+  for (link::ServiceSample &it : held.Samples) {
+    auto last = std::find_if(old.begin(), old.end(),
+                             [&](const link::ServiceSample &o) { return o.Service == it.Service; });
+    if (it.Smallest.empty() && last != old.end())
+      it.Smallest = std::move(last->Smallest);
+  }
 }
 
 const std::vector<link::ServiceDemand> &DemandCensus::demand(core::Time now) {
@@ -25,7 +33,7 @@
 
 void DemandCensus::sumUp(core::Time now) {
   struct Sum {
-    std::vector<uint64_t> Hashes;
+    std::vector<uint32_t> Hashes;
     double Slots = 0;
   };
   SummedAt = now;
@@ -51,10 +59,10 @@
   }
 }
 
-double estimateObjects(absl::Span<const uint64_t> smallest) {
+double estimateObjects(absl::Span<const uint32_t> smallest) {
   if (smallest.size() < link::SampleSize)
     return static_cast<double>(smallest.size());
-  double last = static_cast<double>(smallest.back()) * 0x1.0p-64;
+  double last = static_cast<double>(smallest.back()) * 0x1.0p-32;
   return static_cast<double>(smallest.size() - 1) / last;
 }
 
--- a/src/control/DemandCensus.h
+++ b/src/control/DemandCensus.h
@@ -29,7 +29,7 @@
   /// Forgets what was reported. The demand stays unknown until all VMs can have sent a sample.
   void becomeLeader(core::Time now);
 
-  /// Takes the samples of one VM.
+  /// Takes the samples of one VM. Without hashes, a sample leaves the objects as they were.
   void report(const core::VmId &vm, const core::RegionId &region,
               absl::Span<const link::ServiceSample> samples, core::Time now);
 
@@ -54,6 +54,6 @@
 
 /// Estimates the size of a set of objects from its smallest hashes, in rising order. With fewer
 /// than link::SampleSize of them the set is known whole.
-double estimateObjects(absl::Span<const uint64_t> smallest);
+double estimateObjects(absl::Span<const uint32_t> smallest);
 
 } // namespace briarspar::control
--- a/src/control/EntryAnswers.cpp
+++ b/src/control/EntryAnswers.cpp
@@ -10,6 +10,9 @@
 /// 5,000 reports a second.
 constexpr core::Duration LiveInterval{100};
 
+/// What changes slowly goes to each VM this often: the demand is measured over 2 s.
+constexpr core::Duration SlowInterval{800};
+
 } // namespace
 
 EntryAnswers::EntryAnswers(const catalog::Catalog &catalog, const discovery::TargetList &targets,
@@ -23,6 +26,7 @@
   Sent.becomeLeader();
   Demand.becomeLeader(now);
   Busy.becomeLeader();
+  SlowAt.clear();
 }
 
 void EntryAnswers::takeHeld(const core::VmId &vm, core::Incarnation run,
@@ -47,7 +51,6 @@
     answer.Shares = Rates.divide(vm, run, report.LeaderTerm, report.Uses, Holders, now);
   if (!report.Services.empty())
     Demand.report(vm, report.Region, report.Services, now);
-  answer.Demand = Demand.demand(now);
   Busy.report(report.Loads, now);
   answer.Busy = Busy.find(Targets, now);
   if (report.EntriesDigest != LiveDigest)
@@ -66,6 +69,19 @@
   return status;
 }
 
+bool EntryAnswers::takeSlowDue(const core::VmId &vm, core::Incarnation run, core::Time now) {
+  auto &[lastRun, at] = SlowAt[vm];
+  if (lastRun == run && now - at < SlowInterval)
+    return false;
+  lastRun = run;
+  at = now;
+  return true;
+}
+
+void EntryAnswers::addDemand(link::ControlAnswer &answer, core::Time now) {
+  answer.Demand = Demand.demand(now);
+}
+
 std::string EntryAnswers::encodeFor(const core::VmId &vm, const link::ControlAnswer &answer,
                                     core::Time now) {
   std::string bytes = encode(answer);
--- a/src/control/EntryAnswers.h
+++ b/src/control/EntryAnswers.h
@@ -13,8 +13,10 @@
 #include "link/Messages.h"
 #include "link/RateHolders.h"
 
+#include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace briarspar::control {
@@ -49,6 +51,12 @@
   absl::Status addReply(link::ControlAnswer &answer, const core::VmId &vm, core::Incarnation run,
                         const link::EntryReport &report, bool mayHoldShares, core::Time now);
 
+  /// True when the VM is due for what changes slowly, which is then taken as sent.
+  bool takeSlowDue(const core::VmId &vm, core::Incarnation run, core::Time now);
+
+  /// Adds the demand of all regions.
+  void addDemand(link::ControlAnswer &answer, core::Time now);
+
   /// Encodes an answer, which is then taken as sent.
   std::string encodeFor(const core::VmId &vm, const link::ControlAnswer &answer, core::Time now);
 
@@ -64,6 +72,7 @@
   DemandCensus Demand;
   BusyTargets Busy;
   balance::CrashGuard Crashes;
+  std::map<core::VmId, std::pair<core::Incarnation, core::Time>> SlowAt; ///< By VM and its run.
   std::vector<link::EntryPlace> Live; ///< Entry VMs that answers name.
   uint64_t LiveDigest = 0;            ///< Of Live; 0 before it is made.
   core::Time LiveAt;                  ///< When Live was made.
--- a/src/control/EntryRegistry.cpp
+++ b/src/control/EntryRegistry.cpp
@@ -12,18 +12,32 @@
   if (run < record.Run)
     return false;
   bool stopping = report.Stopping || (record.Run == run && record.Stopping);
-  record = {run, report.Region, report.Domain, report.Address, report.Serving, stopping, now};
+  record = {run,
+            report.Region,
+            report.Domain,
+            report.Address,
+            report.Serving,
+            stopping,
+            now,
+            /*IsBrief=*/report.Sequence == 0,
+            /*Gone=*/false};
   bool &wasLive = WasLive[vm];
   return !std::exchange(wasLive, isLive(record, now)) && wasLive;
 }
 
+void EntryRegistry::markGone(const link::EntryGone &gone) {
+  auto it = Records.find(gone.Vm);
+  if (it != Records.end() && it->second.Run == gone.Run)
+    it->second.Gone = true;
+}
+
 std::vector<LostEntry> EntryRegistry::takeLost(core::Time now) {
   std::vector<LostEntry> lost;
   for (auto it = Records.begin(); it != Records.end();) {
     bool &wasLive = WasLive[it->first];
     if (wasLive && !isLive(it->second, now)) {
       wasLive = false;
-      lost.push_back({it->first, now - it->second.HeardAt});
+      lost.push_back({it->first, it->second.Run, now - it->second.HeardAt});
     }
     if (now - it->second.HeardAt > Settings.Forget) {
       WasLive.erase(it->first);
@@ -66,7 +80,8 @@
 }
 
 bool EntryRegistry::isLive(const EntryRecord &record, core::Time now) const {
-  return !record.Stopping && now - record.HeardAt <= Settings.Silence;
+  core::Duration silence = record.IsBrief ? Settings.BriefSilence : Settings.Silence;
+  return !record.Stopping && !record.Gone && now - record.HeardAt <= silence;
 }
 
 } // namespace briarspar::control
--- a/src/control/EntryRegistry.h
+++ b/src/control/EntryRegistry.h
@@ -12,7 +12,9 @@
 
 struct EntryRegistrySettings {
   core::Duration Silence{1500}; ///< A VM that has not reported for so long is not named any more;
-                                ///< reports come every 400 ms.
+                                ///< reports to the leader come every 400 ms.
+  core::Duration BriefSilence{3000}; ///< The same where the last report was a brief one, which
+                                     ///< other control VMs get every 1,200 ms.
   core::Duration Forget{30'000};
   size_t MaxNamed = 16;  ///< VMs in the answer to one look-up.
   size_t LeastNamed = 2; ///< With fewer VMs in the caller's failure domain, its region is named.
@@ -27,11 +29,14 @@
   bool Serving = false;
   bool Stopping = false;
   core::Time HeardAt;
+  bool IsBrief = false; ///< The last report was one to a control VM that does not lead.
+  bool Gone = false;    ///< The leader has found it silent since.
 };
 
 /// A VM that has stopped being live.
 struct LostEntry {
   core::VmId Vm;
+  core::Incarnation Run;
   core::Duration Silent; ///< Since its last report.
 };
 
@@ -45,6 +50,9 @@
   bool report(const core::VmId &vm, core::Incarnation run, const link::EntryReport &report,
               core::Time now);
 
+  /// Takes that the leader has found a VM silent. It is not named until it reports again.
+  void markGone(const link::EntryGone &gone);
+
   /// Returns the VMs that have stopped being live since the last call.
   std::vector<LostEntry> takeLost(core::Time now);
 
--- a/src/control/tests/ControlTest.cpp
+++ b/src/control/tests/ControlTest.cpp
@@ -145,6 +145,29 @@
   cr_assert_eq(registry.takeLost(Time{4100}).size(), 2);
 }
 
+/// Guards against VMs that come and go in the look-ups of control VMs that hear from them less
+/// often than the leader, and against lost VMs that these go on naming.
+Test(EntryRegistry, theLeaderTellsOthersOfLostVms) {
+  EntryRegistry registry;
+  link::EntryReport report;
+  report.Serving = true;
+  report.Sequence = 0;
+  registry.report(VmId("a"), Incarnation(1), report, Time{0});
+  cr_assert_eq(registry.live(Time{2500}).size(), 1);
+  cr_assert_eq(registry.live(Time{3100}).size(), 0);
+  registry.report(VmId("a"), Incarnation(2), report, Time{4000});
+  registry.markGone({VmId("a"), Incarnation(1)});
+  cr_assert_eq(registry.live(Time{4100}).size(), 1, "the next run is another one");
+  registry.markGone({VmId("a"), Incarnation(2)});
+  cr_assert_eq(registry.live(Time{4100}).size(), 0);
+  registry.report(VmId("a"), Incarnation(2), report, Time{5000});
+  cr_assert_eq(registry.live(Time{5100}).size(), 1);
+  // The leader itself hears from each VM every 400 ms.
+  report.Sequence = 7;
+  registry.report(VmId("a"), Incarnation(2), report, Time{5200});
+  cr_assert_eq(registry.live(Time{6800}).size(), 0);
+}
+
 /// Guards against a process that ends because a VM is lost and forgotten at once, after its own
 /// host was suspended for long.
 Test(EntryRegistry, aLongPauseLosesEverythingAtOnce) {
@@ -288,6 +311,11 @@
   cr_assert_gt(second.Shares[0].Permille, 0);
   cr_assert(second.CatalogDelta.empty());
   cr_assert(second.Entries.empty());
+  // What changes slowly goes to a VM once in a while, and at once to a process that starts.
+  cr_assert(answers.takeSlowDue(vm, Incarnation(1), Time{5000}));
+  cr_assert_not(answers.takeSlowDue(vm, Incarnation(1), Time{5400}));
+  cr_assert(answers.takeSlowDue(vm, Incarnation(1), Time{5800}));
+  cr_assert(answers.takeSlowDue(vm, Incarnation(2), Time{5900}));
   // What has not arrived after its time is sent again.
   cr_assert_not(ask(true, 9000).CatalogDelta.empty());
 }
@@ -335,9 +363,9 @@
     return state >> 33;
   };
   auto report = [&](size_t vm, int64_t ms) {
-    std::set<uint64_t> seen;
+    std::set<uint32_t> seen;
     while (seen.size() < 80)
-      seen.insert(hash64(std::to_string(random() % 800)));
+      seen.insert(static_cast<uint32_t>(hash64(std::to_string(random() % 800)) >> 32));
     link::ServiceSample sample{"s", {seen.begin(), seen.end()}, 0.5};
     sample.Smallest.resize(link::SampleSize);
     census.report(VmId("vm" + std::to_string(vm)), RegionId("r"), {&sample, 1}, Time{ms});
@@ -348,10 +376,15 @@
   cr_assert_eq(counts.size(), 1);
   cr_assert_float_eq(counts[0].Objects, 800, 200);
   cr_assert_float_eq(counts[0].Slots, 13.5, 1e-6);
+  // Between the samples of objects the demand alone is told.
+  link::ServiceSample slots{"s", {}, 0.5};
+  for (size_t vm = 0; vm < 27; ++vm)
+    census.report(VmId("vm" + std::to_string(vm)), RegionId("r"), {&slots, 1}, Time{1500});
+  cr_assert_float_eq(census.demand(Time{2000})[0].Objects, 800, 200);
   // A single VM that is left is known whole only below the size of a sample.
   link::ServiceSample few{"s", {1, 2, 3}, 0.25};
-  census.report(VmId("vm0"), RegionId("r"), {&few, 1}, Time{6000});
-  counts = census.demand(Time{6010});
+  census.report(VmId("vm0"), RegionId("r"), {&few, 1}, Time{6600});
+  counts = census.demand(Time{6610});
   cr_assert_eq(counts.size(), 1);
   cr_assert_eq(counts[0].Objects, 3);
   cr_assert_float_eq(counts[0].Slots, 0.25, 1e-6);
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -15,10 +15,13 @@
 /// Reports whose answers may still come; older ones are forgotten.
 constexpr size_t MaxOpenReports = 16;
 
-/// Samples of what callers ask of the services are reported this often: 600 bytes a service, while
-/// a report may take 1.6 KB/s.
+/// Samples of what callers ask of the services are reported this often.
 constexpr core::Duration SampleInterval{1000};
 
+/// Samples of the objects, 330 bytes a service, are reported this often; their number changes more
+/// slowly than the demand.
+constexpr core::Duration ObjectSampleInterval{3000};
+
 /// Probes sent in one sweep.
 constexpr int ProbesPerSweep = 4;
 
@@ -140,10 +143,18 @@
   std::string briefBytes = encode(brief);
   std::string fullBytes = encode(full);
   bool knowsLeader = !Leader.empty() && !LeaderLost;
+  std::pair<bool, bool> state{isServing(), Stopping};
+  bool isBriefDue = std::exchange(BriefState, state) != state;
+  if (++ReportsSinceBrief >= Settings.BriefEvery)
+    isBriefDue = true;
+  if (isBriefDue)
+    ReportsSinceBrief = 0;
   for (const core::VmId &vm : Controls) {
     Peers.setAddress(vm, {vm.Value, Settings.PeerPort});
-    bool isLeader = !knowsLeader || vm == Leader;
-    Peers.send(vm, link::kind::Report, isLeader ? fullBytes : briefBytes);
+    if (!knowsLeader || vm == Leader)
+      Peers.send(vm, link::kind::Report, fullBytes);
+    else if (isBriefDue)
+      Peers.send(vm, link::kind::Report, briefBytes);
   }
   ReportTimer.expires_after(
       chronoMs(isServing() ? Settings.ReportInterval : Settings.FirstReportInterval));
@@ -179,7 +190,10 @@
     report.Loads = All.Targets.takeLoads();
     if (now - SampledAt >= SampleInterval) {
       SampledAt = now;
-      report.Services = All.Targets.serviceSamples(now);
+      bool withObjects = now - ObjectsSampledAt >= ObjectSampleInterval;
+      if (withObjects)
+        ObjectsSampledAt = now;
+      report.Services = All.Targets.serviceSamples(now, withObjects);
     }
     balance::CrashReport crashes = All.Crashes.report(now);
     if (!crashes.Entries.empty())
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -35,11 +35,13 @@
   std::vector<core::VmId> Seeds;           ///< Control VMs to start from; ids are IP addresses.
   core::Duration ReportInterval{400};      ///< Far below the validity of rate shares, 3 s.
   core::Duration FirstReportInterval{100}; ///< While there is no configuration to serve from.
-  core::Duration SweepInterval{200};       ///< Of idle connections, probes and logs.
-  core::Duration ControlTimeout{1000};     ///< Without a leader's answer for so long it is lost.
-  core::Duration StopAccept{2500}; ///< After a stop signal callers are served this long, while
-                                   ///< they learn of other VMs; look-ups are cached for 2 s.
-  core::Duration StopLimit{5500};  ///< The process ends at the latest then.
+  uint32_t BriefEvery = 3; ///< Control VMs that do not lead get each such report, and those that
+                           ///< tell of a change of this VM's state.
+  core::Duration SweepInterval{200};   ///< Of idle connections, probes and logs.
+  core::Duration ControlTimeout{1000}; ///< Without a leader's answer for so long it is lost.
+  core::Duration StopAccept{2500};     ///< After a stop signal callers are served this long, while
+                                       ///< they learn of other VMs; look-ups are cached for 2 s.
+  core::Duration StopLimit{5500};      ///< The process ends at the latest then.
   http::HeaderNames Names;
   TargetTableSettings Choice;
 };
@@ -99,8 +101,11 @@
   asio::steady_timer SweepTimer;
   asio::steady_timer RateTimer; ///< Runs while holders are asked.
   bool RateTimerRuns = false;
-  core::Time SampledAt;       ///< Last sample of what callers ask of the services.
-  uint64_t EntriesDigest = 0; ///< Of the list of entry VMs that is held here.
+  core::Time SampledAt;        ///< Last sample of what callers ask of the services.
+  core::Time ObjectsSampledAt; ///< Last one with the hashes of the objects.
+  uint32_t ReportsSinceBrief = 0;
+  std::pair<bool, bool> BriefState; ///< Serving and stopping, as all control VMs were told.
+  uint64_t EntriesDigest = 0;       ///< Of the list of entry VMs that is held here.
   std::unordered_set<std::shared_ptr<CallerSession>> Sessions;
   std::set<core::VmId> Controls; ///< All control VMs that are known.
   std::vector<core::VmId> Seeds;
--- a/src/entry/ObjectHomes.cpp
+++ b/src/entry/ObjectHomes.cpp
@@ -122,13 +122,13 @@
   it.Remembered = std::clamp(remembered, Settings.LeastRemembered, Settings.MostRemembered);
 }
 
-std::vector<link::ServiceSample> ObjectHomes::samples(core::Time now) const {
+std::vector<link::ServiceSample> ObjectHomes::samples(core::Time now, bool withObjects) const {
   std::vector<link::ServiceSample> out;
   for (const auto &[name, service] : Services) {
     link::ServiceSample sample{name, {}, slots(service, now)};
-    sample.Smallest.reserve(service.LastAsked.size());
-    for (const auto &[object, at] : service.LastAsked)
-      sample.Smallest.push_back(object);
+    if (withObjects)
+      for (const auto &[object, at] : service.LastAsked)
+        sample.Smallest.push_back(static_cast<uint32_t>(object >> 32));
     size_t n = std::min(sample.Smallest.size(), link::SampleSize);
     auto end = sample.Smallest.begin() + static_cast<std::ptrdiff_t>(n);
     std::partial_sort(sample.Smallest.begin(), end, sample.Smallest.end());
--- a/src/entry/ObjectHomes.h
+++ b/src/entry/ObjectHomes.h
@@ -64,8 +64,8 @@
   /// because its target is the object's home, was.
   void recordHit(const std::string &service, bool wasFast);
 
-  /// Returns what this VM's callers ask of each service.
-  std::vector<link::ServiceSample> samples(core::Time now) const;
+  /// Returns what this VM's callers ask of each service, with hashes of the objects or without.
+  std::vector<link::ServiceSample> samples(core::Time now, bool withObjects) const;
 
   /// Takes what the callers of all regions ask for.
   void setDemand(absl::Span<const link::ServiceDemand> demand);
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -35,7 +35,7 @@
 /// Connections to one target are shared by all entry VMs; part of the limit that they use.
 constexpr double ConnectionPart = 0.7;
 
-/// Loads in one report to the leader, 8 bytes each; a VM with a tenth of a core gets 10 answers in
+/// Loads in one report to the leader, 6 bytes each; a VM with a tenth of a core gets 10 answers in
 /// the time between two reports.
 constexpr size_t MaxReportedLoads = 128;
 
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -138,8 +138,8 @@
   void setEntries(absl::Span<const link::EntryPlace> entries);
 
   /// Returns what this VM's callers ask of each service, for the leader's sum.
-  std::vector<link::ServiceSample> serviceSamples(core::Time now) const {
-    return Homes.samples(now);
+  std::vector<link::ServiceSample> serviceSamples(core::Time now, bool withObjects) const {
+    return Homes.samples(now, withObjects);
   }
 
   /// Takes what the callers of all regions ask of each service.
--- a/src/entry/tests/ObjectHomesTest.cpp
+++ b/src/entry/tests/ObjectHomesTest.cpp
@@ -46,8 +46,8 @@
 Test(ObjectHomes, samplesAreTheSmallestHashes) {
   ObjectHomes homes;
   for (uint64_t i = 200; i > 0; --i)
-    homes.note("s", i, {100, 100}, Time{0});
-  std::vector<link::ServiceSample> samples = homes.samples(Time{0});
+    homes.note("s", i << 32, {100, 100}, Time{0});
+  std::vector<link::ServiceSample> samples = homes.samples(Time{0}, /*withObjects=*/true);
   cr_assert_eq(samples.size(), 1);
   cr_assert_eq(samples[0].Smallest.size(), link::SampleSize);
   for (size_t i = 0; i < link::SampleSize; ++i)
@@ -66,12 +66,12 @@
   Time now{0};
   for (; now < Time{1000}; now = now + Duration{20})
     homes.note("s", 1, time, now);
-  cr_assert_float_eq(homes.samples(now)[0].Slots, 50 * 0.8, 4);
+  cr_assert_float_eq(homes.samples(now, false)[0].Slots, 50 * 0.8, 4);
   for (; now < Time{10'000}; now = now + Duration{20}) {
     homes.note("s", 1, time, now);
     homes.recordHit("s", true);
   }
-  cr_assert_float_eq(homes.samples(now)[0].Slots, 50 * 0.2, 1);
+  cr_assert_float_eq(homes.samples(now, false)[0].Slots, 50 * 0.2, 1);
 }
 
 /// Guards against a region that teaches its few targets all objects before the demand is known, to
--- a/src/link/Messages.cpp
+++ b/src/link/Messages.cpp
@@ -3,6 +3,7 @@
 #include "core/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace briarspar::link {
 
@@ -23,6 +24,43 @@
   return {bytes.begin(), bytes.end()};
 }
 
+/// Measured figures travel as whole tenths, in 1 to 5 bytes instead of 9; none of them is known
+/// better than that.
+uint64_t toTenths(double value) {
+  return static_cast<uint64_t>(std::llround(std::max(0.0, value) * 10));
+}
+
+/// Loads travel as a byte string, six bytes each: the key and the requests, low byte first.
+constexpr size_t KeyBytes = 4;
+constexpr size_t LoadBytes = KeyBytes + 2;
+constexpr uint32_t MostRequests = 0xffff;
+
+Json packLoads(absl::Span<const TargetLoad> loads) {
+  std::vector<uint8_t> bytes;
+  bytes.reserve(loads.size() * LoadBytes);
+  for (const TargetLoad &it : loads) {
+    uint64_t packed = it.Target | uint64_t{std::min(it.Requests, MostRequests)} << (8 * KeyBytes);
+    for (size_t i = 0; i < LoadBytes; ++i)
+      bytes.push_back(static_cast<uint8_t>(packed >> (8 * i)));
+  }
+  return Json::binary(std::move(bytes));
+}
+
+/// A last entry that is not whole is left out.
+std::vector<TargetLoad> unpackLoads(const Json &j) {
+  const auto &bytes = j.get_binary();
+  std::vector<TargetLoad> out;
+  for (size_t at = 0; at + LoadBytes <= bytes.size(); at += LoadBytes) {
+    uint64_t packed = 0;
+    for (size_t i = 0; i < LoadBytes; ++i)
+      packed |= uint64_t{bytes[at + i]} << (8 * i);
+    out.push_back({static_cast<uint32_t>(packed), static_cast<uint32_t>(packed >> (8 * KeyBytes))});
+  }
+  return out;
+}
+
+double fromTenths(const Json &j) { return static_cast<double>(j.get<uint64_t>()) / 10; }
+
 } // namespace
 
 void to_json(Json &j, const JoinRequest &it) { j = {it.Vm, it.Data}; }
@@ -33,12 +71,12 @@
 }
 
 void to_json(Json &j, const CustomerUse &it) {
-  j = {it.Customer, it.ArrivalsPerS, it.SharePermille, it.Holds};
+  j = {it.Customer, toTenths(it.ArrivalsPerS), it.SharePermille, it.Holds};
 }
 
 void from_json(const Json &j, CustomerUse &it) {
   j.at(0).get_to(it.Customer);
-  j.at(1).get_to(it.ArrivalsPerS);
+  it.ArrivalsPerS = fromTenths(j.at(1));
   j.at(2).get_to(it.SharePermille);
   j.at(3).get_to(it.Holds);
 }
@@ -56,68 +94,51 @@
   j.at(5).get_to(it.LatencyMs);
 }
 
-void to_json(Json &j, const ServiceSample &it) { j = {it.Service, it.Smallest, it.Slots}; }
+void to_json(Json &j, const ServiceSample &it) {
+  j = {it.Service, it.Smallest, toTenths(it.Slots)};
+}
 
 void from_json(const Json &j, ServiceSample &it) {
   j.at(0).get_to(it.Service);
   j.at(1).get_to(it.Smallest);
-  j.at(2).get_to(it.Slots);
+  it.Slots = fromTenths(j.at(2));
 }
 
 void to_json(Json &j, const ServiceDemand &it) {
-  j = {it.Region, it.Service, it.Objects, it.Slots};
+  j = {it.Region, it.Service, toTenths(it.Objects), toTenths(it.Slots)};
 }
 
 void from_json(const Json &j, ServiceDemand &it) {
   j.at(0).get_to(it.Region);
   j.at(1).get_to(it.Service);
-  j.at(2).get_to(it.Objects);
-  j.at(3).get_to(it.Slots);
-}
-
-void to_json(Json &j, const TargetLoad &it) { j = {it.Target, it.Requests}; }
-
-void from_json(const Json &j, TargetLoad &it) {
-  j.at(0).get_to(it.Target);
-  j.at(1).get_to(it.Requests);
+  it.Objects = fromTenths(j.at(2));
+  it.Slots = fromTenths(j.at(3));
 }
 
 void to_json(Json &j, const EntryReport &it) {
-  j = {{"n", it.Sequence},
-       {"region", it.Region},
-       {"domain", it.Domain},
-       {"address", it.Address},
-       {"serving", it.Serving},
-       {"stopping", it.Stopping},
-       {"term", it.LeaderTerm},
-       {"catalog", it.Catalog},
-       {"epoch", it.ListEpoch},
-       {"list", it.ListSequence},
-       {"entries", it.EntriesDigest},
-       {"uses", it.Uses},
-       {"versions", it.Versions},
-       {"services", it.Services},
-       {"loads", it.Loads},
-       {"crashes", binary(it.Crashes)}};
+  j = {it.Sequence,  it.Region,       it.Domain,           it.Address,
+       it.Serving,   it.Stopping,     it.LeaderTerm,       it.Catalog,
+       it.ListEpoch, it.ListSequence, it.EntriesDigest,    it.Uses,
+       it.Versions,  it.Services,     packLoads(it.Loads), binary(it.Crashes)};
 }
 
 void from_json(const Json &j, EntryReport &it) {
-  j.at("n").get_to(it.Sequence);
-  j.at("region").get_to(it.Region);
-  j.at("domain").get_to(it.Domain);
-  j.at("address").get_to(it.Address);
-  j.at("serving").get_to(it.Serving);
-  j.at("stopping").get_to(it.Stopping);
-  j.at("term").get_to(it.LeaderTerm);
-  j.at("catalog").get_to(it.Catalog);
-  j.at("epoch").get_to(it.ListEpoch);
-  j.at("list").get_to(it.ListSequence);
-  j.at("entries").get_to(it.EntriesDigest);
-  j.at("uses").get_to(it.Uses);
-  j.at("versions").get_to(it.Versions);
-  j.at("services").get_to(it.Services);
-  j.at("loads").get_to(it.Loads);
-  it.Crashes = fromBinary(j.at("crashes"));
+  j.at(0).get_to(it.Sequence);
+  j.at(1).get_to(it.Region);
+  j.at(2).get_to(it.Domain);
+  j.at(3).get_to(it.Address);
+  j.at(4).get_to(it.Serving);
+  j.at(5).get_to(it.Stopping);
+  j.at(6).get_to(it.LeaderTerm);
+  j.at(7).get_to(it.Catalog);
+  j.at(8).get_to(it.ListEpoch);
+  j.at(9).get_to(it.ListSequence);
+  j.at(10).get_to(it.EntriesDigest);
+  j.at(11).get_to(it.Uses);
+  j.at(12).get_to(it.Versions);
+  j.at(13).get_to(it.Services);
+  it.Loads = unpackLoads(j.at(14));
+  it.Crashes = fromBinary(j.at(15));
 }
 
 void to_json(Json &j, const RateShare &it) { j = {it.Customer, it.Permille}; }
@@ -150,31 +171,30 @@
 }
 
 void to_json(Json &j, const ControlAnswer &it) {
-  j = {{"n", it.Sequence},
-       {"term", it.LeaderTerm},
-       {"leads", it.Leads},
-       {"members", it.Members},
-       {"catalog", binary(it.CatalogDelta)},
-       {"list", binary(it.ListDelta)},
-       {"shares", it.Shares},
-       {"entries", it.Entries},
-       {"demand", it.Demand},
-       {"busy", it.Busy},
-       {"crashes", binary(it.Crashes)}};
+  j = {it.Sequence,          it.LeaderTerm, it.Leads,   it.Members, binary(it.CatalogDelta),
+       binary(it.ListDelta), it.Shares,     it.Entries, it.Demand,  packLoads(it.Busy),
+       binary(it.Crashes)};
 }
 
 void from_json(const Json &j, ControlAnswer &it) {
-  j.at("n").get_to(it.Sequence);
-  j.at("term").get_to(it.LeaderTerm);
-  j.at("leads").get_to(it.Leads);
-  j.at("members").get_to(it.Members);
-  it.CatalogDelta = fromBinary(j.at("catalog"));
-  it.ListDelta = fromBinary(j.at("list"));
-  j.at("shares").get_to(it.Shares);
-  j.at("entries").get_to(it.Entries);
-  j.at("demand").get_to(it.Demand);
-  j.at("busy").get_to(it.Busy);
-  it.Crashes = fromBinary(j.at("crashes"));
+  j.at(0).get_to(it.Sequence);
+  j.at(1).get_to(it.LeaderTerm);
+  j.at(2).get_to(it.Leads);
+  j.at(3).get_to(it.Members);
+  it.CatalogDelta = fromBinary(j.at(4));
+  it.ListDelta = fromBinary(j.at(5));
+  j.at(6).get_to(it.Shares);
+  j.at(7).get_to(it.Entries);
+  j.at(8).get_to(it.Demand);
+  it.Busy = unpackLoads(j.at(9));
+  it.Crashes = fromBinary(j.at(10));
+}
+
+void to_json(Json &j, const EntryGone &it) { j = {it.Vm, it.Run}; }
+
+void from_json(const Json &j, EntryGone &it) {
+  j.at(0).get_to(it.Vm);
+  j.at(1).get_to(it.Run);
 }
 
 std::string encode(const JoinRequest &it) { return core::encodeCbor(it); }
@@ -182,6 +202,7 @@
 std::string encode(const ControlAnswer &it) { return core::encodeCbor(it); }
 std::string encode(const RateAsk &it) { return core::encodeCbor(it); }
 std::string encode(const RatePermit &it) { return core::encodeCbor(it); }
+std::string encode(const EntryGone &it) { return core::encodeCbor(it); }
 
 uint32_t targetKey(const core::TargetId &id) {
   return static_cast<uint32_t>(core::hash64(id.Value, TargetKeySeed));
@@ -215,4 +236,8 @@
   return core::decodeCborAs<RatePermit>(bytes);
 }
 
+absl::StatusOr<EntryGone> decodeEntryGone(std::string_view bytes) {
+  return core::decodeCborAs<EntryGone>(bytes);
+}
+
 } // namespace briarspar::link
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -21,9 +21,10 @@
 constexpr std::string_view Answer = "answer";    ///< ControlAnswer, control VM to entry VM.
 constexpr std::string_view RateAsk = "rate-ask"; ///< RateAsk, entry VM to entry VM.
 constexpr std::string_view RatePermit = "rate-permit"; ///< RatePermit, entry VM to entry VM.
+constexpr std::string_view EntryGone = "entry-gone";   ///< EntryGone, leader to other control VMs.
 
 /// All kinds; the position of a kind is its number on the wire. New kinds go to the end.
-inline constexpr std::array All{Raft, Join, Report, Answer, RateAsk, RatePermit};
+inline constexpr std::array All{Raft, Join, Report, Answer, RateAsk, RatePermit, EntryGone};
 } // namespace kind
 
 /// A control VM with a new data folder asks the leader to add it to the group.
@@ -57,8 +58,9 @@
 /// What a VM's callers have lately asked of a service.
 struct ServiceSample {
   std::string Service;
-  std::vector<uint64_t> Smallest; ///< Smallest hashes of the objects, in rising order.
-  double Slots = 0;               ///< Slots that their requests take when targets know the objects.
+  std::vector<uint32_t> Smallest; ///< Smallest upper halves of the hashes of the objects, in rising
+                                  ///< order; empty when they have not been sampled anew.
+  double Slots = 0; ///< Slots that their requests take when targets know the objects.
 };
 
 /// What the callers of a region have lately asked of a service.
@@ -133,22 +135,30 @@
   uint64_t Sequence = 0;           ///< Of the report that is answered; 0 when it comes unasked.
   core::Term LeaderTerm;           ///< Of the leader that answers.
   bool Leads = false;              ///< The rest but Members counts only from a leader.
-  std::vector<core::VmId> Members; ///< Control VMs of the group.
+  std::vector<core::VmId> Members; ///< Control VMs of the group; empty in most answers.
   std::string CatalogDelta;        ///< Encoded Catalog::deltaSince(); empty when nothing changed.
   std::string ListDelta;         ///< Encoded TargetList::deltaSince(); empty when nothing changed.
   std::vector<RateShare> Shares; ///< Replace all earlier ones; for answers to reports.
   std::vector<EntryPlace> Entries; ///< Live entry VMs in the order of their ids; empty when the VM
                                    ///< holds the same list already.
-  std::vector<ServiceDemand> Demand; ///< Of all regions; empty while the leader does not know it.
+  std::vector<ServiceDemand> Demand; ///< Of all regions; empty in most answers.
   std::vector<TargetLoad> Busy;      ///< Targets with the most requests a slot.
   std::string Crashes;               ///< Encoded balance::CrashReport; may be empty.
 };
 
+/// The leader tells the other control VMs that an entry VM has fallen silent, as they hear from it
+/// less often.
+struct EntryGone {
+  core::VmId Vm;
+  core::Incarnation Run; ///< Of the process that was heard last.
+};
+
 std::string encode(const JoinRequest &it);
 std::string encode(const EntryReport &it);
 std::string encode(const ControlAnswer &it);
 std::string encode(const RateAsk &it);
 std::string encode(const RatePermit &it);
+std::string encode(const EntryGone &it);
 
 /// The decoders return InvalidArgument for malformed bytes.
 absl::StatusOr<JoinRequest> decodeJoinRequest(std::string_view bytes);
@@ -156,5 +166,6 @@
 absl::StatusOr<ControlAnswer> decodeControlAnswer(std::string_view bytes);
 absl::StatusOr<RateAsk> decodeRateAsk(std::string_view bytes);
 absl::StatusOr<RatePermit> decodeRatePermit(std::string_view bytes);
+absl::StatusOr<EntryGone> decodeEntryGone(std::string_view bytes);
 
 } // namespace briarspar::link
--- /dev/null
+++ b/src/link/tests/MessagesTest.cpp
@@ -0,0 +1,117 @@
+#include "link/Messages.h"
+#include "core/Codec.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+using namespace briarspar;
+using namespace briarspar::core;
+using namespace briarspar::link;
+
+namespace {
+
+/// Report of one of 80 entry VMs before three services, with 25 customers that it serves.
+EntryReport fullReport(bool withSamples) {
+  EntryReport it;
+  it.Sequence = 12'345;
+  it.Region = RegionId("region");
+  it.Domain = DomainId("domain-a");
+  it.Address = "10.5.0.16:8443";
+  it.Serving = true;
+  it.LeaderTerm = Term(7);
+  it.Catalog = LogIndex(120);
+  it.ListEpoch = 7;
+  it.ListSequence = 40;
+  it.EntriesDigest = 0x1234567890abcdef;
+  for (int i = 0; i < 25; ++i)
+    it.Uses.push_back({"customer" + std::to_string(i), 3.4 + i, 12, true});
+  for (uint32_t i = 0; i < 10; ++i)
+    it.Loads.push_back({0x9000'0000 + i, 7});
+  for (int i = 0; withSamples && i < 3; ++i)
+    it.Services.push_back(
+        {"service" + std::to_string(i), std::vector<uint32_t>(SampleSize, 1U << 30), 4.2});
+  return it;
+}
+
+ControlAnswer answer(bool withSlowParts) {
+  ControlAnswer it;
+  it.Sequence = 12'345;
+  it.LeaderTerm = Term(7);
+  it.Leads = true;
+  for (int i = 0; i < 25; ++i)
+    it.Shares.push_back({"customer" + std::to_string(i), 12});
+  for (uint32_t i = 0; i < 40; ++i)
+    it.Busy.push_back({0x9000'0000 + i, 9});
+  if (withSlowParts) {
+    it.Members = {VmId("10.1.0.4"), VmId("10.2.0.4"), VmId("10.3.0.4"), VmId("10.4.0.4")};
+    for (int i = 0; i < 9; ++i)
+      it.Demand.push_back({RegionId("region"), "service" + std::to_string(i % 3), 412, 120.5});
+  }
+  return it;
+}
+
+} // namespace
+
+/// Guards against a field that is lost or changes its place on the way.
+Test(Messages, whatIsSentArrives) {
+  EntryReport report = fullReport(true);
+  report.Versions = {{"service0", "v2", "route", 100, 3, 4500}};
+  report.Crashes = "crash report";
+  absl::StatusOr<EntryReport> read = decodeEntryReport(encode(report));
+  cr_assert(read.ok());
+  cr_assert(encode(*read) == encode(report));
+  cr_assert_eq(read->Address, report.Address);
+  cr_assert_eq(read->ListSequence, 40);
+  cr_assert_eq(read->EntriesDigest, report.EntriesDigest);
+  cr_assert_float_eq(read->Uses[1].ArrivalsPerS, 4.4, 1e-9);
+  cr_assert_eq(read->Versions[0].LatencyMs, 4500);
+  cr_assert_eq(read->Services[2].Smallest.size(), SampleSize);
+  cr_assert_eq(read->Loads[9].Target, 0x9000'0009);
+  cr_assert_eq(read->Crashes, "crash report");
+
+  ControlAnswer sent = answer(true);
+  sent.CatalogDelta = "catalog";
+  sent.ListDelta = "list";
+  sent.Entries = {{VmId("a"), RegionId("r"), DomainId("d")}};
+  sent.Crashes = "crash report";
+  absl::StatusOr<ControlAnswer> got = decodeControlAnswer(encode(sent));
+  cr_assert(got.ok());
+  cr_assert(encode(*got) == encode(sent));
+  cr_assert_eq(got->CatalogDelta, "catalog");
+  cr_assert_eq(got->ListDelta, "list");
+  cr_assert_eq(got->Members[3].Value, "10.4.0.4");
+  cr_assert_float_eq(got->Demand[8].Slots, 120.5, 1e-9);
+  cr_assert_eq(got->Busy[39].Requests, 9);
+
+  absl::StatusOr<EntryGone> gone = decodeEntryGone(encode(EntryGone{VmId("a"), Incarnation(3)}));
+  cr_assert(gone.ok());
+  cr_assert_eq(gone->Run.Value, 3);
+}
+
+/// Guards against bytes of another program that end the process.
+Test(Messages, malformedBytesAreAnError) {
+  for (const std::string &bytes : {std::string(), std::string("no cbor"), encodeCbor(Json::array()),
+                                   encodeCbor(Json{{"n", 1}}), encodeCbor(Json{1, "a", 2})}) {
+    cr_assert_not(decodeEntryReport(bytes).ok());
+    cr_assert_not(decodeControlAnswer(bytes).ok());
+    cr_assert_not(decodeEntryGone(bytes).ok());
+  }
+}
+
+/// Guards against control messages that take more than the 4 KB/s a node that the users allow: a
+/// full report each 400 ms, a brief one to each of four others every 1,200 ms, and the answers.
+Test(Messages, controlOfAVmTakesLessThan4KbPerSecond) {
+  EntryReport brief = fullReport(false);
+  brief.Uses.clear();
+  brief.Loads.clear();
+  // The objects are sampled every 3 s.
+  double reports = (2.5 - 1 / 3.0) * static_cast<double>(encode(fullReport(false)).size()) +
+                   1 / 3.0 * static_cast<double>(encode(fullReport(true)).size());
+  double briefs = 4 / 1.2 * static_cast<double>(encode(brief).size());
+  double answers =
+      1.25 * static_cast<double>(encode(answer(false)).size() + encode(answer(true)).size());
+  cr_log_info("reports %.0f, brief reports %.0f, answers %.0f bytes/s", reports, briefs, answers);
+  cr_assert_leq(reports + briefs + answers, 4000, "%.0f + %.0f + %.0f", reports, briefs, answers);
+}
