--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -60,7 +60,7 @@
   std::string Service;
   std::vector<uint32_t> Smallest; ///< Smallest upper halves of the hashes of the objects, in rising
                                   ///< order; empty when they have not been sampled anew.
-  double Slots = 0; ///< Slots that their requests take when targets know the objects.
+  double Slots = 0;               ///< Slots that their requests take when targets know the objects.
 };
 
 /// What the callers of a region have lately asked of a service.
