Bound the moves of homes between regions, and those of spilled requests apart from them

A VM gets 12 to 25 requests a second; the regions of their homes follow each other at random, so that a credit of two requests in each region is used up again and again although the sum over the region's VMs does not move. Ruled out: a larger credit alone. Change: RegionWeights gives each object a region by weighted rendezvous hashing; the weights move by 0.03 a second and are alike on all VMs, so that they bound what moves without counting one VM's requests. RegionShift bounds only requests that leave the region of their home, at 0.025 a second; a request whose home is free is not refused for it. A refusal for want of a target logs what was known (NoTargetChosen). Tests: RegionShift/sharesMoveSlowly asks for 0.09 instead of 0.15, as homes may take the rest, and gives the slower shares more time; aQuietTimeMovesLittle is unchanged.

--- a/src/core/EventCatalogue.h
+++ b/src/core/EventCatalogue.h
@@ -59,6 +59,7 @@
   X(1309, TargetListApplied, "changes of the target list applied")                                 \
   X(1310, RateHolderSilent, "holder of a customer's rate gave no permit in time")                  \
   X(1311, ConnectionNotAccepted, "connection could not be accepted")                               \
+  X(1312, NoTargetChosen, "no target is worth a request")                                          \
   /* control */                                                                                    \
   X(1400, ItemsChanged, "operator order carried out")                                              \
   X(1401, OrderRefused, "operator order refused")                                                  \
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -204,6 +204,7 @@
   if (request.Left > All.Settings.LeastSend)
     pick = All.Targets.pick(request, now);
   if (!pick) {
+    logNoTarget(request);
     if (MayHaveRun)
       answerOwn({502, "no other target can answer in time"}, now);
     else
@@ -213,6 +214,22 @@
   send(*pick, now);
 }
 
+void Exchange::logNoTarget(const PickRequest &request) const {
+  const PickFailure &why = All.Targets.lastFailure();
+  log(core::EventId::NoTargetChosen, {{"service", request.Service},
+                                      {"left_ms", request.Left},
+                                      {"object", Object.value_or(0)},
+                                      {"usable", why.Usable},
+                                      {"cold", why.Cold},
+                                      {"full", why.Full},
+                                      {"late", why.Late},
+                                      {"region_bound", why.RegionBound},
+                                      {"value", std::round(why.Value * 100) / 100},
+                                      {"expected_ms", std::round(why.Expected)},
+                                      {"load", std::round(why.Load * 10) / 10},
+                                      {"list", All.ListVersion}});
+}
+
 void Exchange::send(const Pick &pick, core::Time now) {
   Target = pick;
   Tried.push_back(pick.Id);
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -133,6 +133,7 @@
   void recordOutcome(TargetOutcome outcome, core::Time now);
   core::Duration busyWait() const;
   uint64_t fingerprint() const;
+  void logNoTarget(const PickRequest &request) const;
   std::string rateHolder(core::Time now) const;
   void log(core::EventId id, core::Json details) const;
 
--- a/src/entry/ObjectHomes.cpp
+++ b/src/entry/ObjectHomes.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace briarspar::entry {
@@ -21,9 +22,6 @@
 
 constexpr core::Duration PruneInterval{1000};
 
-/// Separates the choice of a home from the choice of the objects that it keeps.
-constexpr uint64_t KeepSeed = 0x6b6565;
-
 /// Returns a number from 0 to 1 that is the same on all VMs.
 double unitHash(const core::TargetId &id, uint64_t seed) {
   return static_cast<double>(core::hash64(id.Value, seed) >> 11) * 0x1.0p-53;
@@ -71,40 +69,31 @@
 }
 
 void ObjectHomes::markHomes(const std::string &service, uint64_t object,
-                            const core::RegionId &region,
-                            absl::Span<HomeCandidate> candidates) const {
-  auto known = Services.find(service);
-  const Service nothing;
-  const Room room = findRoom(known == Services.end() ? nothing : known->second, region, candidates);
-  Best local;
-  Best remote;
-  for (HomeCandidate &it : candidates) {
-    if (*it.Region == region)
-      local.offer(it, unitHash(*it.Id, object));
-    else if (room.Free.empty() || room.Free.count(*it.Region) != 0)
-      remote.offer(it, unitHash(*it.Id, object));
-  }
-  auto keeps = [&](const Best &best) {
-    if (best.First == nullptr)
-      return false;
-    double each = std::max(1.0, objects(service, region)) / static_cast<double>(best.Members);
-    double part = std::min({1.0, remembered(service) / each, room.Kept});
-    return part >= 1 || unitHash(*best.First->Id, object ^ KeepSeed) < part;
-  };
-  if (keeps(local) || remote.First == nullptr) {
-    if (local.First != nullptr)
-      local.First->IsHome = true;
-    if (local.Second != nullptr)
-      local.Second->IsSpare = true;
-    if (remote.First != nullptr)
-      remote.First->IsSpare = true;
-  } else {
-    remote.First->IsHome = true;
-    if (remote.Second != nullptr)
-      remote.Second->IsSpare = true;
-    if (local.First != nullptr)
-      local.First->IsSpare = true;
+                            const core::RegionId &region, absl::Span<HomeCandidate> candidates,
+                            const HomeAim &aim) {
+  Service &it = Services[service];
+  std::map<core::RegionId, Best> best;
+  std::set<core::RegionId> regions;
+  for (HomeCandidate &candidate : candidates) {
+    best[*candidate.Region].offer(candidate, unitHash(*candidate.Id, object));
+    regions.insert(*candidate.Region);
   }
+  if (regions.empty())
+    return;
+  // What restricts one request says nothing about the others.
+  if (aim.IsWhole || it.Weights.isEmpty())
+    it.Weights.aim(aimedParts(service, region, candidates), aim.AtOnce, aim.Now);
+  auto home = best.find(it.Weights.regionOf(object, regions).value_or(*regions.begin()));
+  home->second.First->IsHome = true;
+  if (home->second.Second != nullptr)
+    home->second.Second->IsSpare = true;
+  // The next one is the caller's own region, or the one that would serve the object without it.
+  regions.erase(home->first);
+  auto next = best.find(regions.count(region) != 0
+                            ? region
+                            : it.Weights.regionOf(object, regions).value_or(core::RegionId()));
+  if (next != best.end())
+    next->second.First->IsSpare = true;
 }
 
 void ObjectHomes::recordHit(const std::string &service, bool wasFast) {
@@ -167,50 +156,61 @@
   return agedSlots(service, now) / part;
 }
 
-/// Finds the regions with free slots, and the part of the region's own requests that stay in it, so
-/// that its targets have slots for them and the others for what leaves.
-ObjectHomes::Room ObjectHomes::findRoom(const Service &service, const core::RegionId &region,
-                                        absl::Span<const HomeCandidate> candidates) const {
-  std::map<core::RegionId, double> free;
+/// Returns the parts of the region's objects that should have their homes in each region: as many
+/// stay in it as its targets have slots and memory for, as far as others have room for the rest.
+std::map<core::RegionId, double>
+ObjectHomes::aimedParts(const std::string &name, const core::RegionId &region,
+                        absl::Span<const HomeCandidate> candidates) const {
+  const Service &service = Services.at(name);
+  std::map<core::RegionId, double> slots;
   double offered = 0;
+  size_t members = 0;
   for (const HomeCandidate &it : candidates) {
-    free[*it.Region] += it.Slots;
+    slots[*it.Region] += it.Slots;
     offered += it.Slots;
+    members += *it.Region == region ? 1 : 0;
   }
+  // Until the demand is known, the callers of all regions are taken to ask alike.
+  double fair = offered / static_cast<double>(slots.size());
   double asked = 0;
-  for (const auto &[name, demand] : service.Demand)
+  for (const auto &[id, demand] : service.Demand)
     asked += demand.Slots;
   // In an overload of all regions each takes a part of it that fits its targets.
   double usable = std::max(Settings.UsableSlots, offered == 0 ? 0 : asked / offered);
-  for (auto &[name, slots] : free) {
-    slots *= usable;
-    if (auto it = service.Demand.find(name); it != service.Demand.end())
-      slots -= it->second.Slots;
-  }
-  Room room;
-  if (service.Demand.empty()) {
-    // Until the demand is known, the callers of all regions are taken to ask alike.
-    double fair = 0;
-    for (const auto &[name, slots] : free)
-      fair += slots / static_cast<double>(free.size());
-    for (const auto &[name, slots] : free)
-      if (slots >= fair)
-        room.Free.insert(name);
-    room.Kept = fair == 0 ? 1 : std::min(1.0, free[region] / fair);
-    return room;
-  }
+  auto freeSlots = [&](const core::RegionId &id) {
+    if (service.Demand.empty())
+      return slots[id] - fair;
+    auto demand = service.Demand.find(id);
+    return slots[id] * usable - (demand == service.Demand.end() ? 0 : demand->second.Slots);
+  };
   double all = 0;
-  for (const auto &[name, slots] : free) {
-    if (name == region || slots <= 0)
+  std::map<core::RegionId, double> parts;
+  for (const auto &[id, n] : slots) {
+    if (id == region)
       continue;
-    room.Free.insert(name);
-    all += slots;
+    parts[id] = std::max(0.0, freeSlots(id));
+    all += parts[id];
   }
   auto own = service.Demand.find(region);
-  double excess = -free[region];
-  if (own != service.Demand.end() && own->second.Slots > 0 && excess > 0)
-    room.Kept = 1 - std::min({excess, all, own->second.Slots}) / own->second.Slots;
-  return room;
+  double taken = service.Demand.empty()        ? fair
+                 : own == service.Demand.end() ? 0
+                                               : own->second.Slots;
+  double kept = 1;
+  if (taken > 0)
+    kept = 1 - std::clamp(-freeSlots(region), 0.0, std::min(all, taken)) / taken;
+  if (members != 0) {
+    double each = std::max(1.0, objects(name, region)) / static_cast<double>(members);
+    kept = std::min(kept, remembered(name) / each);
+  } else {
+    kept = 0;
+  }
+  if (parts.empty())
+    return {{region, 1.0}};
+  // Without room anywhere, what the region cannot hold goes where most targets are.
+  for (auto &[id, part] : parts)
+    part = (1 - kept) * (all > 0 ? part / all : slots[id] / std::max(1.0, offered - slots[region]));
+  parts[region] = kept;
+  return parts;
 }
 
 double ObjectHomes::remembered(const std::string &service) const {
--- a/src/entry/ObjectHomes.h
+++ b/src/entry/ObjectHomes.h
@@ -3,13 +3,13 @@
 #include "absl/types/span.h"
 #include "core/Clock.h"
 #include "core/Ids.h"
+#include "entry/RegionWeights.h"
 #include "entry/WorkTimes.h"
 #include "link/Messages.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -40,6 +40,13 @@
   bool IsSpare = false; ///< Set by markHomes(): serves the object when its home is full.
 };
 
+/// How a request bears on the parts of the regions.
+struct HomeAim {
+  core::Time Now;
+  bool IsWhole = true; ///< The candidates are all targets that may serve the service's requests.
+  bool AtOnce = false; ///< Targets have failed: parts move without a bound on their speed.
+};
+
 /// Decides which target serves an object, alike on all entry VMs of a region without a message
 /// between them, so that a target keeps meeting the objects that it remembers. Rendezvous hashing
 /// picks one target of the region, and two spare ones for times when it is full: the next target of
@@ -58,7 +65,7 @@
 
   /// Marks the candidates that are home and spares of the object for callers of a region.
   void markHomes(const std::string &service, uint64_t object, const core::RegionId &region,
-                 absl::Span<HomeCandidate> candidates) const;
+                 absl::Span<HomeCandidate> candidates, const HomeAim &aim);
 
   /// Learns how many objects a target remembers: whether an answer that was expected to be fast,
   /// because its target is the object's home, was.
@@ -84,22 +91,17 @@
     double Slots = 0; ///< Taken by the requests of this VM at DemandAt, exponentially aged.
     core::Time DemandAt;
     core::Time DemandFrom; ///< First request.
+    RegionWeights Weights; ///< Of the objects of this VM's callers.
     double KnownShare = 0; ///< Part of the requests whose home knew the object, exponentially aged.
     uint64_t Hits = 0;     ///< Answers of homes, fast or not.
     double Remembered = 0;
     double HitShare = 0.75; ///< Exponentially aged; starts between the two thresholds.
   };
 
-  /// Where a region's requests find slots.
-  struct Room {
-    std::set<core::RegionId> Free; ///< Other regions with slots that their own callers leave free.
-    double Kept = 1;               ///< Part of the requests that stay in their region.
-  };
-
   double agedSlots(const Service &service, core::Time now) const;
   double slots(const Service &service, core::Time now) const;
-  Room findRoom(const Service &service, const core::RegionId &region,
-                absl::Span<const HomeCandidate> candidates) const;
+  std::map<core::RegionId, double> aimedParts(const std::string &name, const core::RegionId &region,
+                                              absl::Span<const HomeCandidate> candidates) const;
 
   const ObjectHomesSettings Settings;
   std::map<std::string, Service> Services;
--- a/src/entry/RegionShift.h
+++ b/src/entry/RegionShift.h
@@ -8,18 +8,19 @@
 namespace briarspar::entry {
 
 struct RegionShiftSettings {
-  double MaxMovePerS = 0.055; ///< Part of the requests that may change their region in a second.
-                              ///< The platform allows 0.15 from one window of 2 s to the next.
+  double MaxMovePerS = 0.025; ///< Part of the requests that may change their region in a second.
+                              ///< The platform allows 0.15 from one window of 2 s to the next,
+                              ///< together with the homes that move by RegionWeights.
   double MaxMovePerRequest = 0.01; ///< So that a few requests in a quiet time move little.
   double MaxOverdraft = 2;         ///< Requests by which a region may be ahead of its share.
   core::Duration WishWindow{700};  ///< Time constant of the wished shares.
   core::Duration Idle{2000};       ///< After so long without a request, shares start anew.
 };
 
-/// Bounds how fast the requests of this VM move between regions, in either direction: each region
-/// has a planned share that follows what the requests wish at a bounded speed, and requests keep to
-/// the plan. A bound on the share of the last second alone swings: the requests held back arrive
-/// together. Not thread-safe.
+/// Bounds how fast the requests of this VM that are not served in the region of their homes move
+/// between regions, in either direction: each region has a planned share that follows what the
+/// requests wish at a bounded speed, and requests keep to the plan. A bound on the share of the
+/// last second alone swings: the requests held back arrive together. Not thread-safe.
 class RegionShift {
 public:
   explicit RegionShift(const RegionShiftSettings &settings = {});
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -17,9 +17,6 @@
 /// A time up to this factor of what was expected is explained by the spread of work.
 constexpr double ExplainedTime = 1.6;
 
-/// Utilization of the targets from which the shares of regions start.
-constexpr double StartUtilization = 1;
-
 /// Spread of the time of an answer around what is expected, as a part of the latency goal.
 constexpr double GoalSpread = 0.1;
 
@@ -74,7 +71,6 @@
     ByService[info.Service].push_back(id);
     ByKey[link::targetKey(id)] = &state;
   }
-  updateRoom();
   for (const auto &[service, ids] : ByService) {
     if (Baseline.count(service) != 0)
       continue;
@@ -87,30 +83,6 @@
   }
 }
 
-/// Each region has the same number of callers as far as this VM knows, so that its targets have
-/// room for more or less than its own requests.
-void TargetTable::updateRoom() {
-  std::map<core::RegionId, double> slots;
-  double all = 0;
-  for (const auto &[id, state] : Targets) {
-    slots[state.Region] += state.Info.Slots;
-    all += state.Info.Slots;
-  }
-  Room.clear();
-  if (all == 0)
-    return;
-  std::set<core::RegionId> regions;
-  for (const auto &[domain, region] : Own.Regions)
-    regions.insert(region);
-  double local = std::min(1.0, slots[Own.Region] / all * static_cast<double>(regions.size()) /
-                                   StartUtilization);
-  double others = all - slots[Own.Region];
-  for (const auto &[region, n] : slots)
-    if (region != Own.Region)
-      Room[region] = others == 0 ? 0 : (1 - local) * n / others;
-  Room[Own.Region] = others == 0 ? 1 : local;
-}
-
 void TargetTable::setCatalog(const catalog::Catalog &catalog, core::Time now) {
   std::map<std::string, bool> before = Evacuated;
   Services.clear();
@@ -158,7 +130,7 @@
     chosen = pickForRollout(rollout->second, request, now);
   } else {
     core::VersionId baseline = Baseline[request.Service];
-    chosen = best(ofVersion(request.Service, &baseline, nullptr), request, now);
+    chosen = best(ofVersion(request.Service, &baseline, nullptr), request, Versions::Usual, now);
   }
   if (!chosen)
     return std::nullopt;
@@ -168,7 +140,7 @@
     state.ColdNext = now + Cold.interval(coldRate(state));
   if (request.Object)
     noteServed(state, *request.Object, now);
-  Shift.count(state.Region);
+  Shift.count(spillTo(state.Region));
   return chosen->What;
 }
 
@@ -177,7 +149,7 @@
                                                                   core::Time now) {
   core::VersionId target(rollout.Target);
   if (rollout.State == catalog::RolloutState::Completed)
-    return best(ofVersion(request.Service, &target, nullptr), request, now);
+    return best(ofVersion(request.Service, &target, nullptr), request, Versions::Usual, now);
   std::vector<State *> old;
   if (rollout.From.empty()) {
     old = ofVersion(request.Service, nullptr, &target);
@@ -186,18 +158,18 @@
     old = ofVersion(request.Service, &from, nullptr);
   }
   if (rollout.State == catalog::RolloutState::RolledBack)
-    return best(old, request, now);
+    return best(old, request, Versions::Usual, now);
   double &credit = RolloutCredit[request.Service];
   credit = std::min(1.0, credit + rollout.SharePermille / 1000.0);
   if (credit >= 1 && request.Tried.empty()) {
     std::optional<Candidate> chosen =
-        best(ofVersion(request.Service, &target, nullptr), request, now);
+        best(ofVersion(request.Service, &target, nullptr), request, Versions::New, now);
     if (chosen) {
       credit -= 1;
       return chosen;
     }
   }
-  return best(old, request, now);
+  return best(old, request, Versions::Usual, now);
 }
 
 std::vector<TargetTable::State *> TargetTable::ofVersion(const std::string &service,
@@ -218,8 +190,10 @@
   return out;
 }
 
-std::optional<TargetTable::Candidate>
-TargetTable::best(absl::Span<State *const> targets, const PickRequest &request, core::Time now) {
+std::optional<TargetTable::Candidate> TargetTable::best(absl::Span<State *const> targets,
+                                                        const PickRequest &request,
+                                                        Versions versions, core::Time now) {
+  LastFailure = {};
   std::vector<HomeCandidate> homes;
   std::vector<State *> usable;
   for (State *state : targets) {
@@ -228,19 +202,35 @@
     usable.push_back(state);
     homes.push_back({&state->Info.Id, &state->Region, static_cast<double>(state->Info.Slots)});
   }
-  if (request.Object)
-    Homes.markHomes(request.Service, *request.Object, Own.Region, absl::MakeSpan(homes));
+  HomeRegion = Own.Region;
+  if (request.Object) {
+    bool isWhole = versions == Versions::Usual && request.HomeRegions.empty() &&
+                   request.CustomerRegions.empty() && request.Tried.empty();
+    Homes.markHomes(request.Service, *request.Object, Own.Region, absl::MakeSpan(homes),
+                    {now, isWhole, isDisturbed(request.Service, now)});
+    for (const HomeCandidate &it : homes)
+      if (it.IsHome)
+        HomeRegion = *it.Region;
+  }
   const WorkTime time = Work.of(*request.Route, request.Service);
   double meanWork = Work.mean(request.Service);
   std::map<core::RegionId, Candidate> bestOf;
   for (size_t i = 0; i < usable.size(); ++i) {
     State &state = *usable[i];
-    if (isCold(state, now) && !mayUseWhileCold(state, now))
+    ++LastFailure.Usable;
+    if (isCold(state, now) && !mayUseWhileCold(state, now)) {
+      ++LastFailure.Cold;
       continue;
+    }
     Candidate it = rate(state, homes[i], request, time, meanWork, now);
-    if (it.What.Load >= state.Info.Slots * Settings.FullQueues ||
-        it.What.Expected > static_cast<double>(request.Left.Ms))
+    if (it.What.Load >= state.Info.Slots * Settings.FullQueues) {
+      ++LastFailure.Full;
       continue;
+    }
+    if (it.What.Expected > static_cast<double>(request.Left.Ms)) {
+      ++LastFailure.Late;
+      continue;
+    }
     auto known = bestOf.find(state.Region);
     if (known == bestOf.end() || it.What.Value > known->second.What.Value)
       bestOf[state.Region] = std::move(it);
@@ -253,12 +243,16 @@
                           const std::string &service, core::Time now) {
   const Candidate *wished = nullptr;
   for (const auto &[region, it] : bestOf)
-    if (it.What.Value >= Settings.LeastValue &&
-        (wished == nullptr || it.What.Value > wished->What.Value))
+    if (wished == nullptr || it.What.Value > wished->What.Value)
       wished = &it;
   if (wished == nullptr)
     return std::nullopt;
-  Shift.wish(wished->What.Region, Room, now);
+  LastFailure.Value = wished->What.Value;
+  LastFailure.Expected = wished->What.Expected;
+  LastFailure.Load = wished->What.Load;
+  if (wished->What.Value < Settings.LeastValue)
+    return std::nullopt;
+  Shift.wish(spillTo(wished->What.Region), {{core::RegionId(), 1.0}}, now);
   // Requests whose targets have failed move at once.
   if (isDisturbed(service, now)) {
     Shift.release();
@@ -266,9 +260,15 @@
   }
   const Candidate *chosen = nullptr;
   for (const auto &[region, it] : bestOf)
-    if (it.What.Value >= Settings.LeastValue && Shift.mayUse(region) &&
+    if (it.What.Value >= Settings.LeastValue && Shift.mayUse(spillTo(region)) &&
         (chosen == nullptr || it.What.Value > chosen->What.Value))
       chosen = &it;
+  // The weights of the regions bound how fast homes move; a request that finds its home free is not
+  // refused for a bound on those that do not.
+  auto home = bestOf.find(HomeRegion);
+  if (chosen == nullptr && home != bestOf.end() && home->second.What.Value >= Settings.LeastValue)
+    chosen = &home->second;
+  LastFailure.RegionBound = chosen == nullptr;
   if (chosen == nullptr)
     return std::nullopt;
   return *chosen;
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -95,6 +95,18 @@
   double Value = 0;
 };
 
+/// Why no target was chosen: what was known of those that might have served the request.
+struct PickFailure {
+  size_t Usable = 0;        ///< Neither draining, ejected, evacuated, tried nor in a wrong region.
+  size_t Cold = 0;          ///< Of these, those that get no more requests while they are cold.
+  size_t Full = 0;          ///< Those with full queues.
+  size_t Late = 0;          ///< Those that would answer after the request is given up.
+  bool RegionBound = false; ///< The best one is in a region that gets no more requests for now.
+  double Value = 0;         ///< Of the best of the others, with its estimates.
+  double Expected = 0;      ///< In ms.
+  double Load = 0;
+};
+
 /// How a request at a target ended.
 enum class TargetOutcome : uint8_t {
   Good,        ///< Any answer that does not blame the target.
@@ -157,6 +169,9 @@
   /// Chooses a target and counts the request as sent to it; nothing when it has no value at any.
   std::optional<Pick> pick(const PickRequest &request, core::Time now);
 
+  /// Returns why the last call of pick() returned nothing.
+  const PickFailure &lastFailure() const { return LastFailure; }
+
   /// Takes the end of a request that was sent to a pick. `latency` and `bytes` count for good
   /// answers.
   void record(const Pick &pick, const catalog::Route &route, TargetOutcome outcome,
@@ -227,12 +242,24 @@
     Pick What;
   };
 
+  /// Which versions of a service the targets of a choice have.
+  enum class Versions : uint8_t {
+    Usual, ///< Those that serve most requests.
+    New,   ///< The one that a rollout brings.
+  };
+
   bool mayUse(const State &state, const PickRequest &request) const;
+
+  /// Names the region of a request for the bound on those that leave their homes: no name for the
+  /// region of the home.
+  core::RegionId spillTo(const core::RegionId &region) const {
+    return region == HomeRegion ? core::RegionId() : region;
+  }
   bool mayUseWhileCold(const State &state, core::Time now) const;
   bool isCold(const State &state, core::Time now) const;
   double coldRate(const State &state) const;
   std::optional<Candidate> best(absl::Span<State *const> targets, const PickRequest &request,
-                                core::Time now);
+                                Versions versions, core::Time now);
   std::optional<Candidate> chooseRegion(const std::map<core::RegionId, Candidate> &bestOf,
                                         const std::string &service, core::Time now);
   Candidate rate(State &state, const HomeCandidate &home, const PickRequest &request,
@@ -246,7 +273,6 @@
   void learnTime(State &state, const Pick &pick, const catalog::Route &route,
                  core::Duration latency, core::Time now);
   void eject(State &state, core::Time now);
-  void updateRoom();
   bool isDisturbed(const std::string &service, core::Time now) const;
   std::vector<State *> ofVersion(const std::string &service, const core::VersionId *wanted,
                                  const core::VersionId *unwanted);
@@ -264,11 +290,12 @@
   std::map<std::string, catalog::Rollout> Rollouts;
   std::map<std::string, bool> Evacuated;
   std::map<std::string, core::Time> DisturbedAt; ///< A target of the service failed.
+  PickFailure LastFailure;
   WorkTimes Work;
   ObjectHomes Homes;
   ColdLimit Cold;
   RegionShift Shift;
-  std::map<core::RegionId, double> Room; ///< Part of the requests that each region has room for.
+  core::RegionId HomeRegion; ///< Of the request that is being placed.
   std::vector<Ejection> JustEjected;
   std::map<core::DomainId, double> RoundTrip; ///< Measured, in ms.
   std::map<std::string, double> RolloutCredit;
--- a/src/entry/tests/LimitsTest.cpp
+++ b/src/entry/tests/LimitsTest.cpp
@@ -366,12 +366,13 @@
   cr_assert_leq(own, 65);
 }
 
-/// Guards against requests that leap between regions when load changes at once, either way.
+/// Guards against requests that leap between regions when load changes at once, either way. Of the
+/// 0.15 that the platform allows, homes that move take 0.06.
 Test(RegionShift, sharesMoveSlowly) {
   RegionShift shift;
   std::vector<std::pair<int64_t, bool>> sent;
-  for (int64_t ms = 0; ms < 20'000; ms += 20) {
-    bool wantsRemote = ms > 4000 && ms < 12'000;
+  for (int64_t ms = 0; ms < 30'000; ms += 20) {
+    bool wantsRemote = ms > 4000 && ms < 18'000;
     Time now{ms};
     RegionId wanted(wantsRemote ? "remote" : "own");
     RegionId other(wantsRemote ? "own" : "remote");
@@ -391,8 +392,8 @@
     return remote / all;
   };
   double most = 0;
-  for (int64_t from = 0; from + 4000 <= 20'000; from += 100)
+  for (int64_t from = 0; from + 4000 <= 30'000; from += 100)
     most = std::max(most, std::abs(share(from + 2000) - share(from)));
-  cr_assert_leq(most, 0.15, "%f", most);
-  cr_assert_geq(share(10'000), 0.2);
+  cr_assert_leq(most, 0.15 - 0.06, "%f", most);
+  cr_assert_geq(share(16'000), 0.2);
 }
--- a/src/entry/tests/ObjectHomesTest.cpp
+++ b/src/entry/tests/ObjectHomesTest.cpp
@@ -33,7 +33,7 @@
     std::vector<HomeCandidate> candidates;
     for (size_t i = 0; i < ids.size(); ++i)
       candidates.push_back({&ids[i], i < 20 ? &own : &far, 6});
-    homes.markHomes("s", object, own, absl::MakeSpan(candidates));
+    homes.markHomes("s", object, own, absl::MakeSpan(candidates), {Time{0}});
     for (size_t i = 0; i < 20; ++i)
       local += candidates[i].IsHome ? 1 : 0;
   }
@@ -92,7 +92,7 @@
     std::vector<HomeCandidate> candidates;
     for (size_t i = 0; i < ids.size(); ++i)
       candidates.push_back({&ids[i], regions[i / 20], 6});
-    homes.markHomes("s", hash64(std::to_string(k)), own, absl::MakeSpan(candidates));
+    homes.markHomes("s", hash64(std::to_string(k)), own, absl::MakeSpan(candidates), {Time{0}});
     for (const HomeCandidate &it : candidates)
       local += it.IsHome && *it.Region == own ? 1 : 0;
   }
@@ -134,7 +134,7 @@
       std::vector<HomeCandidate> candidates;
       for (size_t i = 0; i < ids.size(); ++i)
         candidates.push_back({&ids[i], regions[i / 20], 6});
-      homes.markHomes("s", hash64(std::to_string(k)), own, absl::MakeSpan(candidates));
+      homes.markHomes("s", hash64(std::to_string(k)), own, absl::MakeSpan(candidates), {Time{0}});
       for (const HomeCandidate &it : candidates)
         count[*it.Region] += it.IsHome ? 1 : 0;
     }
