Read the target list once before a control VM leads

Cause: after a final fault of the whole system entry VMs got the configuration 0.2 s after the election, but served 0.5 s later: the new leader reads eight pages of the list first. Change: each control VM reads the list once when its process starts; as leader it starts from that reading when it is younger than 1.5 s.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -179,10 +179,14 @@
     if (isLeading(now))
       tellGone(it);
   }
-  if (isLeading(now))
+  if (isLeading(now)) {
     lead(now);
-  else
+  } else {
     Leading = false;
+    // A group that has lost all its processes has a list as soon as it has a leader.
+    if (!FirstReading)
+      readList(now);
+  }
   join(now);
   TickTimer.expires_after(std::chrono::milliseconds(Settings.Tick.Ms));
   TickTimer.async_wait([this](const asio::error_code &ec) {
@@ -209,6 +213,7 @@
     Judge.becomeLeader();
     RolloutPending.clear();
     Targets.startEpoch(Log->term().Value);
+    useFirstReading(now);
     Reader.restart(now);
     LastVoterCheck = now;
     for (auto &[vm, at] : HeardFrom)
@@ -424,7 +429,11 @@
     Events.emit({core::EventId::ListFailed, {{"reason", std::string(reading.status().message())}}});
     return;
   }
-  if (!*reading || !isLeading(now))
+  if (!*reading)
+    return;
+  if (!FirstReading)
+    FirstReading = {**reading, now};
+  if (!isLeading(now))
     return;
   size_t before = Targets.targets().size();
   if (!Targets.update(**reading, now))
@@ -437,6 +446,12 @@
   pushToEntries();
 }
 
+void ControlNode::useFirstReading(core::Time now) {
+  if (!FirstReading || now - FirstReading->At > Settings.FirstReadingAge)
+    return;
+  Targets.update(FirstReading->What, now);
+}
+
 void ControlNode::judgeRollouts(core::Time now) {
   for (const auto &[service, rollout] : Machine.catalog().rollouts()) {
     if (RolloutPending[service])
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -23,6 +23,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -41,11 +42,13 @@
   std::string ListHost;   ///< The platform's list of targets.
   uint16_t ListPort = 0;
   agreement::GroupId Group{"main"};
-  core::Duration Tick{25};           ///< Of the agreement group; elections take 600 ms or more.
-  core::Duration JoinInterval{500};  ///< Between two requests to be added to the group.
-  core::Duration VoterSilence{6000}; ///< A voter that is silent for so long may be replaced; a
-                                     ///< restart takes a second, a cut mostly less than this.
-  core::Duration LookupTtl{2000};    ///< Callers cache a look-up for this long.
+  core::Duration Tick{25};              ///< Of the agreement group; elections take 600 ms or more.
+  core::Duration JoinInterval{500};     ///< Between two requests to be added to the group.
+  core::Duration VoterSilence{6000};    ///< A voter that is silent for so long may be replaced; a
+                                        ///< restart takes a second, a cut mostly less than this.
+  core::Duration LookupTtl{2000};       ///< Callers cache a look-up for this long.
+  core::Duration FirstReadingAge{1500}; ///< A list read before the process led counts for so long:
+                                        ///< a target may leave within 3 s of its notice.
   core::Duration RetryAfterNoLeader{300}; ///< About half an election.
   discovery::ListReaderSettings List;
   agreement::ReplicaSettings Replica = quickElections();
@@ -93,6 +96,7 @@
   void join(core::Time now);
   void judgeRollouts(core::Time now);
   void readList(core::Time now);
+  void useFirstReading(core::Time now);
   void onListPage(int status, const std::string &body);
   void rejectMessage(const core::VmId &peer, const absl::Status &status);
   void onReport(const transport::PeerMessage &message);
@@ -129,7 +133,13 @@
   discovery::TargetList Targets;
   EntryRegistry Entries;
   EntryAnswers Answers;
+  struct DatedReading {
+    std::vector<discovery::Target> What;
+    core::Time At;
+  };
+
   discovery::ListReader Reader;
+  std::optional<DatedReading> FirstReading; ///< Since the start of the process.
   std::shared_ptr<ListFetch> Fetch;
 
   bool Leading = false;
