Choose the times at which refused callers return

After a final fault VMs without a configuration told all callers to come back in 300 ms, while the group needs 1.7 s; callers try again once. Those refused while shares of the rates were being made came back after 250 to 650 ms and were refused again. Change: ReturnTimes, without I/O: without a known leader callers return when a group that starts at once has usually started, spread over 600 ms; while shares settle, when they have; otherwise as before.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -88,6 +88,8 @@
                                        [this](const core::VmId &to, const link::RateAsk &ask) {
                                          sendRateAsk(to, ask);
                                        }),
+                              ReturnTimes(clock.now()),
+                              false,
                               RetryAllowance(),
                               TargetTable(settings.Own, settings.Choice),
                               balance::CrashGuard(core::hash64(
@@ -221,6 +223,7 @@
   probe();
   if (!LeaderLost && now - LeaderHeard > Settings.ControlTimeout) {
     LeaderLost = true;
+    All.KnowsLeader = false;
     Events.emit(
         {core::EventId::ControlLost, {{"leader", Leader}, {"silent_ms", now - LeaderHeard}}});
   }
@@ -315,6 +318,7 @@
     return;
   Leader = leader;
   LeaderLost = false;
+  All.KnowsLeader = true;
   Events.emit({core::EventId::LeaderChanged, {{"leader", leader}}});
 }
 
@@ -342,6 +346,8 @@
   auto sent = SentAt.find(answer.Sequence);
   if (sent != SentAt.end()) {
     All.Rates.setShares(answer.Shares, sent->second, now);
+    if (!answer.Shares.empty())
+      All.Returns.noteShares(now);
     SentAt.erase(SentAt.begin(), std::next(sent));
   }
   if (!answer.Crashes.empty()) {
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -60,7 +60,9 @@
 
 bool Exchange::admit(core::Time now) {
   if (!All.Routes) {
-    refuse({503, "no configuration yet", {300}}, now);
+    refuse(
+        {503, "no configuration yet", All.Returns.afterNoConfiguration(Id, All.KnowsLeader, now)},
+        now);
     return false;
   }
   if (Request.count("host") != 1) {
@@ -93,7 +95,7 @@
 bool Exchange::takeRate(bool granted, core::Time now) {
   Spent = granted;
   if (!granted)
-    refuse({429, "over the customer's rate", busyWait()}, now);
+    refuse({429, "over the customer's rate", All.Returns.afterRate(Id, now)}, now);
   return granted;
 }
 
@@ -208,7 +210,7 @@
     if (MayHaveRun)
       answerOwn({502, "no other target can answer in time"}, now);
     else
-      refuse({503, "no target can answer in time", busyWait()}, now);
+      refuse({503, "no target can answer in time", All.Returns.afterBusy(Id)}, now);
     return;
   }
   send(*pick, now);
@@ -364,7 +366,7 @@
     else if (MayHaveRun)
       answerOwn({502, "the last target did not run it"}, now);
     else
-      refuse({503, "the target did not run it", busyWait()}, now);
+      refuse({503, "the target did not run it", All.Returns.afterBusy(Id)}, now);
     return;
   }
   bool failed = Answer.Status >= 500;
@@ -407,7 +409,7 @@
     else if (MayHaveRun)
       answerOwn({502, "the last target could not be reached"}, now);
     else
-      refuse({503, "the target could not be reached", busyWait()}, now);
+      refuse({503, "the target could not be reached", All.Returns.afterBusy(Id)}, now);
     return;
   }
   MayHaveRun = true;
@@ -425,7 +427,8 @@
     return;
   if (State == Receiving) {
     if (BodyEnded)
-      refuse({503, "no decision about the customer's rate in time", busyWait()}, now);
+      refuse({503, "no decision about the customer's rate in time", All.Returns.afterBusy(Id)},
+             now);
     else
       refuse({408, "the body did not arrive in time", {0}}, now);
     return;
@@ -458,13 +461,6 @@
   dispatch(now);
 }
 
-core::Duration Exchange::busyWait() const {
-  // The id is drawn by the caller, so its hash spreads the callers' returns.
-  int64_t spread = static_cast<int64_t>(core::hash64(Id) %
-                                        static_cast<uint64_t>(All.Settings.RetryAfterSpread.Ms));
-  return All.Settings.RetryAfterBusy + core::Duration{spread};
-}
-
 void Exchange::refuse(const OwnAnswer &answer, core::Time now) {
   if (Spent)
     All.Rates.giveBack(Customer->Name, now);
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -4,6 +4,7 @@
 #include "core/Event.h"
 #include "entry/RateDesk.h"
 #include "entry/RetryAllowance.h"
+#include "entry/ReturnTimes.h"
 #include "entry/RouteTable.h"
 #include "entry/TargetTable.h"
 #include "http/ClientConnection.h"
@@ -28,8 +29,6 @@
                                    ///< up, to reach it in time.
   core::Duration TargetGrace{60}; ///< Time beyond its deadline for a target's own answer to arrive.
   core::Duration LeastSend{20};   ///< With less time left a request is not sent any more.
-  core::Duration RetryAfterBusy{250};   ///< Shortest wait that a refusal asks for.
-  core::Duration RetryAfterSpread{400}; ///< Added at random, so that callers do not return at once.
 };
 
 /// What this VM holds and decides with, shared by all exchanges.
@@ -39,6 +38,8 @@
   std::shared_ptr<const RouteTable> Routes; ///< Null until a configuration has arrived.
   catalog::CallerLimits Limits;
   RateDesk Rates;
+  ReturnTimes Returns;
+  bool KnowsLeader = false; ///< Of the control group.
   RetryAllowance Retries;
   TargetTable Targets;
   balance::CrashGuard Crashes;
@@ -131,7 +132,6 @@
   void answerOwn(const OwnAnswer &answer, core::Time now);
   void finish(const char *result, int status, core::Time now);
   void recordOutcome(TargetOutcome outcome, core::Time now);
-  core::Duration busyWait() const;
   uint64_t fingerprint() const;
   void logNoTarget(const PickRequest &request) const;
   std::string rateHolder(core::Time now) const;
--- /dev/null
+++ b/src/entry/ReturnTimes.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/Clock.h"
+
+#include <optional>
+#include <string_view>
+
+namespace briarspar::entry {
+
+struct ReturnTimesSettings {
+  core::Duration Busy{250}; ///< Shortest wait; a queue of a few requests is worked off by then.
+  core::Duration BusySpread{400};  ///< Added at random, so that callers do not return at once.
+  core::Duration LeastStart{300};  ///< Wait for a configuration that is on its way.
+  core::Duration UsualStart{2000}; ///< From the start of all processes to shares of the rates: 1.1
+                                   ///< s to the election and 0.7 s after it on the users' bench.
+  core::Duration StartSpread{600}; ///< Added at random to waits for a start; those who were refused
+                                   ///< meanwhile return in a third of the time.
+  core::Duration SharesSettle{700}; ///< From the first share of a rate until it has admitted what
+                                    ///< waits: shares start without tokens.
+};
+
+/// When callers that are refused should come back. The load it answers: callers try once more at
+/// most, so that a wait that is too short costs them the answer, and one that is too long makes it
+/// late; and all callers that were refused at one moment must not return at one moment. Not
+/// thread-safe.
+class ReturnTimes {
+public:
+  explicit ReturnTimes(core::Time start, const ReturnTimesSettings &settings = {})
+      : Settings(settings), Start(start) {}
+
+  /// Takes that this VM has got shares of rates.
+  void noteShares(core::Time now);
+
+  /// After a refusal because targets are full, or a customer's rate is. `id` is drawn by the
+  /// caller.
+  core::Duration afterBusy(std::string_view id) const;
+
+  /// After a refusal because the customer's rate has no room.
+  core::Duration afterRate(std::string_view id, core::Time now) const;
+
+  /// After a refusal because there is no configuration. It is on its way when the leader is known;
+  /// otherwise the whole group may be starting.
+  core::Duration afterNoConfiguration(std::string_view id, bool knowsLeader, core::Time now) const;
+
+private:
+  const ReturnTimesSettings Settings;
+  const core::Time Start; ///< Of the process.
+  std::optional<core::Time> SharesAt;
+};
+
+} // namespace briarspar::entry
--- a/src/entry/tests/ExchangeTest.cpp
+++ b/src/entry/tests/ExchangeTest.cpp
@@ -122,6 +122,8 @@
       nullptr,
       {},
       RateDesk(VmId("vm"), [](const VmId &, const link::RateAsk &) {}),
+      ReturnTimes(Time{0}),
+      false,
       RetryAllowance(),
       TargetTable({VmId("vm"), RegionId("r"), DomainId("z"), {{DomainId("z"), RegionId("r")}}}),
       balance::CrashGuard(1),
