Explain a request from the logs of all VMs

Cause: OPERATIONS.md led from an id to a cause by hand, through the logs of the VM and of all others. Change: briarsparctl explain REQUEST-ID FILE... prints the request's lines, what the VMs that handled it believed then, what others found out about its targets, and the cause for refusals by rate, lost targets, late answers and requests without a target.

--- a/src/ctl/Program.cpp
+++ b/src/ctl/Program.cpp
@@ -1,6 +1,7 @@
 #include "ctl/Program.h"
 
 #include "ctl/Completion.h"
+#include "ctl/Explain.h"
 #include "operator_language/Help.h"
 
 #include <CLI/CLI.hpp>
@@ -47,7 +48,9 @@
                  "file of client blocks, PREFIX REGION or PREFIX - a line");
   app.add_flag("--json", options.Json, "print JSON");
   app.add_option("statement", options.Words, "one statement; without it and --file, a prompt");
-  app.footer("Statements:\n" + operator_language::helpText());
+  app.footer(
+      "explain REQUEST-ID FILE... tells from log files what became of a request.\n\nStatements:\n" +
+      operator_language::helpText());
 }
 
 absl::StatusOr<std::string> readKey(const std::string &path) {
@@ -79,12 +82,28 @@
   return tool.runPrompt(streams.In);
 }
 
+int explain(const Options &options, const ProgramStreams &streams) {
+  if (options.Words.size() < 3)
+    return usageError(streams, "give a request id and log files: explain REQUEST-ID FILE...");
+  Explanation explanation(options.Words[1]);
+  for (size_t i = 2; i < options.Words.size(); ++i) {
+    std::ifstream log(options.Words[i]);
+    if (!log)
+      return usageError(streams, "cannot read " + options.Words[i]);
+    explanation.read(log);
+  }
+  streams.Out << explanation.text();
+  return codeOf(explanation.hasRequest() ? ExitCode::Ok : ExitCode::Rejected);
+}
+
 int runParsed(const Options &options, const ProgramStreams &streams) {
   std::string statement = joined(options.Words);
   if (statement == "completion bash") {
     streams.Out << bashCompletion();
     return codeOf(ExitCode::Ok);
   }
+  if (!options.Words.empty() && options.Words[0] == "explain")
+    return explain(options, streams);
   bool isHelp = !options.Words.empty() && options.Words[0] == "help";
   if (options.Servers.empty() && !isHelp)
     return usageError(streams, "--server HOST:PORT is missing");
