--- a/src/entry/ObjectHomes.cpp
+++ b/src/entry/ObjectHomes.cpp
@@ -22,6 +22,9 @@
 
 constexpr core::Duration PruneInterval{1000};
 
+/// The parts of the regions are aimed at anew this often; they move by 0.003 meanwhile.
+constexpr core::Duration AimInterval{100};
+
 /// Returns a number from 0 to 1 that is the same on all VMs.
 double unitHash(const core::TargetId &id, uint64_t seed) {
   return static_cast<double>(core::hash64(id.Value, seed) >> 11) * 0x1.0p-53;
@@ -72,26 +75,37 @@
                             const core::RegionId &region, absl::Span<HomeCandidate> candidates,
                             const HomeAim &aim) {
   Service &it = Services[service];
-  std::map<core::RegionId, Best> best;
-  std::set<core::RegionId> regions;
+  // A few regions and hundreds of candidates: a list is searched faster than a map.
+  std::vector<std::pair<const core::RegionId *, Best>> best;
+  auto bestIn = [&best](const core::RegionId &id) {
+    return std::find_if(best.begin(), best.end(), [&](const auto &b) { return *b.first == id; });
+  };
   for (HomeCandidate &candidate : candidates) {
-    best[*candidate.Region].offer(candidate, unitHash(*candidate.Id, object));
-    regions.insert(*candidate.Region);
+    auto known = bestIn(*candidate.Region);
+    if (known == best.end())
+      known = best.insert(best.end(), {candidate.Region, Best()});
+    known->second.offer(candidate, unitHash(*candidate.Id, object));
   }
-  if (regions.empty())
+  if (best.empty())
     return;
+  std::set<core::RegionId> regions;
+  for (const auto &[id, of] : best)
+    regions.insert(*id);
   // What restricts one request says nothing about the others.
-  if (aim.IsWhole || it.Weights.isEmpty())
+  if (it.Weights.isEmpty() ||
+      (aim.IsWhole && (aim.AtOnce || aim.Now - it.AimedAt >= AimInterval))) {
+    it.AimedAt = aim.Now;
     it.Weights.aim(aimedParts(service, region, candidates), aim.AtOnce, aim.Now);
-  auto home = best.find(it.Weights.regionOf(object, regions).value_or(*regions.begin()));
+  }
+  auto home = bestIn(it.Weights.regionOf(object, regions).value_or(*regions.begin()));
   home->second.First->IsHome = true;
   if (home->second.Second != nullptr)
     home->second.Second->IsSpare = true;
   // The next one is the caller's own region, or the one that would serve the object without it.
-  regions.erase(home->first);
-  auto next = best.find(regions.count(region) != 0
-                            ? region
-                            : it.Weights.regionOf(object, regions).value_or(core::RegionId()));
+  regions.erase(*home->first);
+  auto next = bestIn(regions.count(region) != 0
+                         ? region
+                         : it.Weights.regionOf(object, regions).value_or(core::RegionId()));
   if (next != best.end())
     next->second.First->IsSpare = true;
 }
--- a/src/entry/ObjectHomes.h
+++ b/src/entry/ObjectHomes.h
@@ -92,6 +92,7 @@
     core::Time DemandAt;
     core::Time DemandFrom; ///< First request.
     RegionWeights Weights; ///< Of the objects of this VM's callers.
+    core::Time AimedAt;
     double KnownShare = 0; ///< Part of the requests whose home knew the object, exponentially aged.
     uint64_t Hits = 0;     ///< Answers of homes, fast or not.
     double Remembered = 0;
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -68,15 +68,15 @@
     state.Region = region == Own.Regions.end() ? core::RegionId() : region->second;
     if (info.ColdUntil > now)
       state.ColdUntil = info.ColdUntil;
-    ByService[info.Service].push_back(id);
+    ByService[info.Service].push_back(&state);
     ByKey[link::targetKey(id)] = &state;
   }
-  for (const auto &[service, ids] : ByService) {
+  for (const auto &[service, states] : ByService) {
     if (Baseline.count(service) != 0)
       continue;
     std::map<core::VersionId, size_t> versions;
-    for (const core::TargetId &id : ids)
-      ++versions[Targets[id].Info.Version];
+    for (const State *state : states)
+      ++versions[state->Info.Version];
     auto most = std::max_element(versions.begin(), versions.end(),
                                  [](const auto &a, const auto &b) { return a.second < b.second; });
     Baseline[service] = most->first;
@@ -95,7 +95,7 @@
     if (it.Active)
       Evacuated[domain] = true;
   if (Evacuated != before)
-    for (const auto &[service, ids] : ByService)
+    for (const auto &[service, states] : ByService)
       DisturbedAt[service] = now;
 }
 
@@ -141,7 +141,25 @@
   if (request.Object)
     noteServed(state, *request.Object, now);
   Shift.count(spillTo(state.Region));
-  return chosen->What;
+  return toPick(*chosen, request.Service);
+}
+
+Pick TargetTable::toPick(const Candidate &candidate, const std::string &service) {
+  const State &state = *candidate.Target;
+  Pick pick;
+  pick.Id = state.Info.Id;
+  pick.Host = state.Info.Host;
+  pick.Port = state.Info.Port;
+  pick.Service = service;
+  pick.Version = state.Info.Version;
+  pick.Region = state.Region;
+  pick.Familiar = candidate.Familiar;
+  pick.Expected = candidate.Expected;
+  pick.Network = candidate.Network;
+  pick.Slowness = candidate.Slowness;
+  pick.Load = candidate.Load;
+  pick.Value = candidate.Value;
+  return pick;
 }
 
 std::optional<TargetTable::Candidate> TargetTable::pickForRollout(const catalog::Rollout &rollout,
@@ -176,16 +194,16 @@
                                                          const core::VersionId *wanted,
                                                          const core::VersionId *unwanted) {
   std::vector<State *> out;
-  auto ids = ByService.find(service);
-  if (ids == ByService.end())
+  auto states = ByService.find(service);
+  if (states == ByService.end())
     return out;
-  for (const core::TargetId &id : ids->second) {
-    State &state = Targets[id];
-    if (wanted != nullptr && state.Info.Version != *wanted)
+  out.reserve(states->second.size());
+  for (State *state : states->second) {
+    if (wanted != nullptr && state->Info.Version != *wanted)
       continue;
-    if (unwanted != nullptr && state.Info.Version == *unwanted)
+    if (unwanted != nullptr && state->Info.Version == *unwanted)
       continue;
-    out.push_back(&state);
+    out.push_back(state);
   }
   return out;
 }
@@ -196,6 +214,8 @@
   LastFailure = {};
   std::vector<HomeCandidate> homes;
   std::vector<State *> usable;
+  homes.reserve(targets.size());
+  usable.reserve(targets.size());
   for (State *state : targets) {
     if (!mayUse(*state, request))
       continue;
@@ -223,17 +243,17 @@
       continue;
     }
     Candidate it = rate(state, homes[i], request, time, meanWork, now);
-    if (it.What.Load >= state.Info.Slots * Settings.FullQueues) {
+    if (it.Load >= state.Info.Slots * Settings.FullQueues) {
       ++LastFailure.Full;
       continue;
     }
-    if (it.What.Expected > static_cast<double>(request.Left.Ms)) {
+    if (it.Expected > static_cast<double>(request.Left.Ms)) {
       ++LastFailure.Late;
       continue;
     }
     auto known = bestOf.find(state.Region);
-    if (known == bestOf.end() || it.What.Value > known->second.What.Value)
-      bestOf[state.Region] = std::move(it);
+    if (known == bestOf.end() || it.Value > known->second.Value)
+      bestOf[state.Region] = it;
   }
   return chooseRegion(bestOf, request.Service, now);
 }
@@ -243,16 +263,16 @@
                           const std::string &service, core::Time now) {
   const Candidate *wished = nullptr;
   for (const auto &[region, it] : bestOf)
-    if (wished == nullptr || it.What.Value > wished->What.Value)
+    if (wished == nullptr || it.Value > wished->Value)
       wished = &it;
   if (wished == nullptr)
     return std::nullopt;
-  LastFailure.Value = wished->What.Value;
-  LastFailure.Expected = wished->What.Expected;
-  LastFailure.Load = wished->What.Load;
-  if (wished->What.Value < Settings.LeastValue)
+  LastFailure.Value = wished->Value;
+  LastFailure.Expected = wished->Expected;
+  LastFailure.Load = wished->Load;
+  if (wished->Value < Settings.LeastValue)
     return std::nullopt;
-  Shift.wish(spillTo(wished->What.Region), {{core::RegionId(), 1.0}}, now);
+  Shift.wish(spillTo(wished->Target->Region), {{core::RegionId(), 1.0}}, now);
   // Requests whose targets have failed move at once.
   if (isDisturbed(service, now)) {
     Shift.release();
@@ -260,13 +280,13 @@
   }
   const Candidate *chosen = nullptr;
   for (const auto &[region, it] : bestOf)
-    if (it.What.Value >= Settings.LeastValue && Shift.mayUse(spillTo(region)) &&
-        (chosen == nullptr || it.What.Value > chosen->What.Value))
+    if (it.Value >= Settings.LeastValue && Shift.mayUse(spillTo(region)) &&
+        (chosen == nullptr || it.Value > chosen->Value))
       chosen = &it;
   // The weights of the regions bound how fast homes move; a request that finds its home free is not
   // refused for a bound on those that do not.
   auto home = bestOf.find(HomeRegion);
-  if (chosen == nullptr && home != bestOf.end() && home->second.What.Value >= Settings.LeastValue)
+  if (chosen == nullptr && home != bestOf.end() && home->second.Value >= Settings.LeastValue)
     chosen = &home->second;
   LastFailure.RegionBound = chosen == nullptr;
   if (chosen == nullptr)
@@ -277,40 +297,35 @@
 TargetTable::Candidate TargetTable::rate(State &state, const HomeCandidate &home,
                                          const PickRequest &request, const WorkTime &time,
                                          double meanWork, core::Time now) const {
-  Pick pick;
-  pick.Id = state.Info.Id;
-  pick.Host = state.Info.Host;
-  pick.Port = state.Info.Port;
-  pick.Service = request.Service;
-  pick.Version = state.Info.Version;
-  pick.Region = state.Region;
-  pick.Load = load(state, now);
-  pick.Network = network(state);
-  pick.Slowness = slowness(state, now);
-  pick.Familiar = home.IsHome || (request.Object && remembers(state, *request.Object, now));
+  Candidate it;
+  it.Target = &state;
+  it.Load = load(state, now);
+  it.Network = network(state);
+  it.Slowness = slowness(state, now);
+  it.Familiar = home.IsHome || (request.Object && remembers(state, *request.Object, now));
   double slots = state.Info.Slots;
-  double work = (pick.Familiar ? time.Warm : time.Cold) * pick.Slowness;
+  double work = (it.Familiar ? time.Warm : time.Cold) * it.Slowness;
   if (isCold(state, now))
     work += time.Cold;
-  double wait = pick.Load < slots ? 0 : (pick.Load - slots + 1) / slots * meanWork * pick.Slowness;
-  pick.Expected = pick.Network + wait + work;
+  double wait = it.Load < slots ? 0 : (it.Load - slots + 1) / slots * meanWork * it.Slowness;
+  it.Expected = it.Network + wait + work;
 
   double goal = static_cast<double>((request.Route->LatencyGoal - request.Waited).Ms);
   double spread = std::max(1.0, static_cast<double>(request.Route->LatencyGoal.Ms) * GoalSpread);
-  double inGoal = 1 / (1 + std::exp((pick.Expected - goal) / spread));
+  double inGoal = 1 / (1 + std::exp((it.Expected - goal) / spread));
   double weight = 1 + Settings.PriorityStep * (static_cast<double>(Settings.NormalPriority) -
                                                static_cast<double>(request.Priority));
   double answer = Settings.LateValue + (1 - Settings.LateValue) * inGoal;
-  bool learns = home.IsSpare && !pick.Familiar;
-  double displaced = std::max(0.0, pick.Load / slots - Settings.FreeLoad) * Settings.LoadCost *
+  bool learns = home.IsSpare && !it.Familiar;
+  double displaced = std::max(0.0, it.Load / slots - Settings.FreeLoad) * Settings.LoadCost *
                      (learns ? time.Warm : work) / std::max(1.0, meanWork);
-  pick.Value = std::max(0.1, weight) * answer * (1 - state.FailureShare) - displaced -
-               bytesCost(state, *request.Route);
-  if (request.Object && !pick.Familiar)
-    pick.Value -= home.IsSpare ? Settings.SpareCost : Settings.ForgetCost;
+  it.Value = std::max(0.1, weight) * answer * (1 - state.FailureShare) - displaced -
+             bytesCost(state, *request.Route);
+  if (request.Object && !it.Familiar)
+    it.Value -= home.IsSpare ? Settings.SpareCost : Settings.ForgetCost;
   // Among equals the less loaded one; too little to outweigh anything else.
-  pick.Value -= pick.Load / slots * EvenLoad;
-  return {&state, std::move(pick)};
+  it.Value -= it.Load / slots * EvenLoad;
+  return it;
 }
 
 double TargetTable::bytesCost(const State &state, const catalog::Route &route) const {
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -237,9 +237,16 @@
     std::unordered_map<uint64_t, core::Time> Served; ///< Objects that this VM has sent there.
   };
 
+  /// A target with the estimates that Pick explains. One is made for each target that may serve a
+  /// request, hundreds of them, so it holds no text.
   struct Candidate {
     State *Target = nullptr;
-    Pick What;
+    bool Familiar = false;
+    double Expected = 0;
+    double Network = 0;
+    double Slowness = 1;
+    double Load = 0;
+    double Value = 0;
   };
 
   /// Which versions of a service the targets of a choice have.
@@ -248,6 +255,7 @@
     New,   ///< The one that a rollout brings.
   };
 
+  static Pick toPick(const Candidate &candidate, const std::string &service);
   bool mayUse(const State &state, const PickRequest &request) const;
 
   /// Names the region of a request for the bound on those that leave their homes: no name for the
@@ -282,7 +290,7 @@
   const Place Own;
   const TargetTableSettings Settings;
   std::map<core::TargetId, State> Targets;
-  std::map<std::string, std::vector<core::TargetId>> ByService;
+  std::map<std::string, std::vector<State *>> ByService;
   std::unordered_map<uint32_t, State *> ByKey;     ///< By link::targetKey() of their ids.
   std::map<uint32_t, uint32_t> JustReported;       ///< Requests at targets, by the same keys.
   std::map<std::string, core::VersionId> Baseline; ///< Version of a service before any rollout.
