Find targets after a request that came before the first list

Change: the look-up does not insert; a control VM that starts to lead goes on with its first reading instead of starting anew. Test: aRequestBeforeTheListChangesNothing, which failed before.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -214,7 +214,9 @@
     RolloutPending.clear();
     Targets.startEpoch(Log->term().Value);
     useFirstReading(now);
-    Reader.restart(now);
+    // A first reading that is under way is as new as another one, and done earlier.
+    if (FirstReading)
+      Reader.restart(now);
     LastVoterCheck = now;
     for (auto &[vm, at] : HeardFrom)
       at = now;
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -124,13 +124,17 @@
 std::optional<Pick> TargetTable::pick(const PickRequest &request, core::Time now) {
   if (request.Tried.empty())
     Homes.note(request.Service, request.Object, Work.of(*request.Route, request.Service), now);
+  LastFailure = {};
   std::optional<Candidate> chosen;
   auto rollout = Rollouts.find(request.Service);
   if (rollout != Rollouts.end()) {
     chosen = pickForRollout(rollout->second, request, now);
   } else {
-    core::VersionId baseline = Baseline[request.Service];
-    chosen = best(ofVersion(request.Service, &baseline, nullptr), request, Versions::Usual, now);
+    // Before the first list a service has no version, which must not be taken for its usual one.
+    auto baseline = Baseline.find(request.Service);
+    if (baseline != Baseline.end())
+      chosen = best(ofVersion(request.Service, &baseline->second, nullptr), request,
+                    Versions::Usual, now);
   }
   if (!chosen)
     return std::nullopt;
--- a/src/entry/tests/TargetTableTest.cpp
+++ b/src/entry/tests/TargetTableTest.cpp
@@ -118,6 +118,30 @@
   }
 }
 
+/// Guards against requests that come before the first list and make the VM take the service to have
+/// no version, so that it finds no target from then on: after a restart of the whole system the
+/// configuration arrives before the list.
+Test(TargetTable, aRequestBeforeTheListChangesNothing) {
+  World world;
+  TargetTable table({VmId("vm"), RegionId("z"), DomainId("z"), {{DomainId("z"), RegionId("z")}}});
+  PickRequest request;
+  request.Route = &world.Route;
+  request.Service = "s";
+  request.Left = Duration{1000};
+  cr_assert_not(table.pick(request, Time{0}).has_value());
+  discovery::TargetList list;
+  list.startEpoch(1);
+  discovery::Target target;
+  target.Id = TargetId("t");
+  target.Service = "s";
+  target.Domain = DomainId("z");
+  target.Version = VersionId("v1");
+  target.Slots = 4;
+  list.update({target}, Time{10});
+  table.setTargets(list, Time{10});
+  cr_assert(table.pick(request, Time{20}).has_value());
+}
+
 /// Guards against a silent target that goes on getting requests.
 Test(TargetTable, timeoutsOfAnIdleTargetEject) {
   World world;
