Pass requests to join on to the leader

The closing fault at 44 s took two more disks, so that two of five voters were left. Ruled out: the removal of the silent voter (it waits for a sixth voter), the cut (healed before). Change: a voter that does not lead passes such a request on to the leader that it knows, once.

--- a/src/agreement/Admission.cpp
+++ b/src/agreement/Admission.cpp
@@ -29,4 +29,11 @@
   return leader.removeVoter(VoterId(*older), now);
 }
 
+std::optional<core::VmId> passJoinTo(const std::optional<VoterId> &leader, const core::VmId &own,
+                                     const core::VmId &from, const core::VmId &joiner) {
+  if (!leader || leader->Vm == own || leader->Vm == joiner || from != joiner)
+    return std::nullopt;
+  return leader->Vm;
+}
+
 } // namespace briarspar::agreement
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -307,8 +307,13 @@
       rejectMessage(message.From, request.status());
       return;
     }
-    if (!isLeading(now))
+    if (!isLeading(now)) {
+      std::optional<core::VmId> to =
+          agreement::passJoinTo(Log->leaderHint(), Settings.Vm, message.From, request->Vm);
+      if (to)
+        Peers.send(*to, link::kind::Join, message.Body);
       return;
+    }
     agreement::VoterId id{request->Vm, request->Data};
     if (Log->configuration().contains(id))
       return;
