--- a/src/entry/ObjectHomes.h
+++ b/src/entry/ObjectHomes.h
@@ -49,11 +49,12 @@
 
 /// Decides which target serves an object, alike on all entry VMs of a region without a message
 /// between them, so that a target keeps meeting the objects that it remembers. Rendezvous hashing
-/// picks one target of the region, and two spare ones for times when it is full: the next target of
-/// the region and one of the other regions. Of the objects beyond what the region's targets
-/// remember, or what their slots can serve while other regions have slots free, a fixed part has
-/// its home in one of those regions instead. One home a failure domain was measured too: each
-/// further home costs one slow answer an object, more than the bytes it saves.
+/// picks a region by RegionWeights and one target there, and two spare ones for times when it is
+/// full: the next target of that region and the best of the caller's region or of another one. Of
+/// the objects beyond what the region's targets remember, or what their slots can serve while other
+/// regions have slots free, a part has its home in one of those regions instead. One home a failure
+/// domain was measured too: each further home costs one slow answer an object, more than the bytes
+/// it saves.
 class ObjectHomes {
 public:
   explicit ObjectHomes(const ObjectHomesSettings &settings = {});
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -60,7 +60,7 @@
   std::string Service;
   std::vector<uint32_t> Smallest; ///< Smallest upper halves of the hashes of the objects, in rising
                                   ///< order; empty when they have not been sampled anew.
-  double Slots = 0;               ///< Slots that their requests take when targets know the objects.
+  double Slots = 0; ///< Slots that their requests take as targets know the objects now.
 };
 
 /// What the callers of a region have lately asked of a service.
@@ -68,7 +68,7 @@
   core::RegionId Region;
   std::string Service;
   double Objects = 0; ///< Different ones.
-  double Slots = 0;   ///< Slots that the requests take when targets know the objects.
+  double Slots = 0;   ///< Slots that the requests take as targets know the objects now.
 };
 
 /// Requests that run or wait at a target.
