--- a/tests/fleet/test_promises.py
+++ b/tests/fleet/test_promises.py
@@ -204,6 +204,17 @@
         self.assertEqual([it["name"] for it in self.fleet.show("customers", vm=rest[0])], ["shop"])
 
 
+class CrashingRequest(FleetTest):
+    def test_crashing_request_ends_at_most_two_targets(self):
+        """Guards against a request that ends every target while its caller resends it through every VM."""
+        self.serve(targets=4)
+        for vm in self.vm_list() * 2:
+            request(vm.caller_port, "POST", "/read/x", self.key, "poison", {"X-Standin-Crash": "1"})
+        alive = [it for it in self.fleet.targets.values() if it.process.running()]
+        self.assertGreaterEqual(len(alive), 2)
+        self.assertEqual(request(self.vm_list()[0].caller_port, "GET", "/read/y", self.key).status, 200)
+
+
 class Targets(FleetTest):
     def test_slots_are_never_exceeded(self):
         """Guards against VMs that together send a target more than its slots."""
@@ -223,15 +234,6 @@
         for target in self.fleet.targets.values():
             self.assertLessEqual(target.stats()["max_in_flight"], 3)
 
-    def test_crashing_request_ends_at_most_two_targets(self):
-        """Guards against a request that ends every target while its caller resends it through every VM."""
-        self.serve(targets=4)
-        for vm in self.vm_list() * 2:
-            request(vm.caller_port, "POST", "/read/x", self.key, "poison", {"X-Standin-Crash": "1"})
-        alive = [it for it in self.fleet.targets.values() if it.process.running()]
-        self.assertGreaterEqual(len(alive), 2)
-        self.assertEqual(request(self.vm_list()[0].caller_port, "GET", "/read/y", self.key).status, 200)
-
     def test_drained_target_gets_no_work_and_nothing_is_cut(self):
         """Guards against work for a leaving target and against requests cut by its drain."""
         self.serve(targets=2, service_ms=20)
