Mend three places that the read-through of the homes and of the returns found

Cause, each with a test that failed before: - Weights of regions started anew after two seconds without a request. In a large fleet most VMs get a request of a service less often, so that the bound on moves between regions would have held for none of them. The bound now counts the time that has passed. - Shares of nothing, with which a new leader answers until it knows those of the last one, counted as the first shares of the rates; callers were told to come back before the rates admit them. - A VM without a list of targets took a request from its customer's rate before it refused it, and blamed the targets. It refuses it with the reason, and callers come back when a list is usually there. ReturnTimes alone knows whether the leader is known; it was held in two places. Ruled out: a start anew only for weights that are far off (it leaps the same way).

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -89,7 +89,6 @@
                                          sendRateAsk(to, ask);
                                        }),
                               ReturnTimes(clock.now()),
-                              false,
                               RetryAllowance(),
                               TargetTable(settings.Own, settings.Choice),
                               balance::CrashGuard(core::hash64(
@@ -223,7 +222,7 @@
   probe();
   if (!LeaderLost && now - LeaderHeard > Settings.ControlTimeout) {
     LeaderLost = true;
-    All.KnowsLeader = false;
+    All.Returns.noteLeader(false);
     Events.emit(
         {core::EventId::ControlLost, {{"leader", Leader}, {"silent_ms", now - LeaderHeard}}});
   }
@@ -318,7 +317,7 @@
     return;
   Leader = leader;
   LeaderLost = false;
-  All.KnowsLeader = true;
+  All.Returns.noteLeader(true);
   Events.emit({core::EventId::LeaderChanged, {{"leader", leader}}});
 }
 
@@ -346,8 +345,7 @@
   auto sent = SentAt.find(answer.Sequence);
   if (sent != SentAt.end()) {
     All.Rates.setShares(answer.Shares, sent->second, now);
-    if (!answer.Shares.empty())
-      All.Returns.noteShares(now);
+    All.Returns.noteShares(answer.Shares, now);
     SentAt.erase(SentAt.begin(), std::next(sent));
   }
   if (!answer.Crashes.empty()) {
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -60,9 +60,7 @@
 
 bool Exchange::admit(core::Time now) {
   if (!All.Routes) {
-    refuse(
-        {503, "no configuration yet", All.Returns.afterNoConfiguration(Id, All.KnowsLeader, now)},
-        now);
+    refuse({503, "no configuration yet", All.Returns.afterStarting(Id, now)}, now);
     return false;
   }
   if (Request.count("host") != 1) {
@@ -80,6 +78,10 @@
   }
   if (!authenticate(now))
     return false;
+  if (!All.Targets.hasTargets()) {
+    refuse({503, "no list of targets yet", All.Returns.afterStarting(Id, now)}, now);
+    return false;
+  }
   GiveUpAt = std::min(GiveUpAt, ArrivedAt + Route->Timeout);
   WakeAt = GiveUpAt;
   if (Route->Sticky)
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -39,7 +39,6 @@
   catalog::CallerLimits Limits;
   RateDesk Rates;
   ReturnTimes Returns;
-  bool KnowsLeader = false; ///< Of the control group.
   RetryAllowance Retries;
   TargetTable Targets;
   balance::CrashGuard Crashes;
--- a/src/entry/RegionWeights.cpp
+++ b/src/entry/RegionWeights.cpp
@@ -22,9 +22,8 @@
 void RegionWeights::aim(const std::map<core::RegionId, double> &parts, bool atOnce,
                         core::Time now) {
   core::Duration span = now - MovedAt;
-  bool starts = Weights.empty() || span > Settings.Idle;
   MovedAt = now;
-  if (starts || atOnce) {
+  if (Weights.empty() || atOnce) {
     Weights = parts;
     return;
   }
--- a/src/entry/RegionWeights.h
+++ b/src/entry/RegionWeights.h
@@ -14,7 +14,6 @@
   double MaxMovePerS = 0.03; ///< Part of the objects that may move to or from a region in a second.
                              ///< The platform allows 0.15 of the requests from one window of 2 s to
                              ///< the next, together with those of RegionShift.
-  core::Duration Idle{2000}; ///< After so long without a request, the weights start anew.
 };
 
 /// The parts of a service's objects that have their homes in each region, for the callers of one
--- a/src/entry/ReturnTimes.cpp
+++ b/src/entry/ReturnTimes.cpp
@@ -15,8 +15,10 @@
 
 } // namespace
 
-void ReturnTimes::noteShares(core::Time now) {
-  if (!SharesAt)
+void ReturnTimes::noteShares(absl::Span<const link::RateShare> shares, core::Time now) {
+  bool any = std::any_of(shares.begin(), shares.end(),
+                         [](const link::RateShare &it) { return it.Permille > 0; });
+  if (any && !SharesAt)
     SharesAt = now;
 }
 
@@ -32,9 +34,8 @@
   return left + spread(id, Settings.StartSpread);
 }
 
-core::Duration ReturnTimes::afterNoConfiguration(std::string_view id, bool knowsLeader,
-                                                 core::Time now) const {
-  if (knowsLeader)
+core::Duration ReturnTimes::afterStarting(std::string_view id, core::Time now) const {
+  if (KnowsLeader)
     return Settings.LeastStart + spread(id, Settings.BusySpread);
   core::Duration left = Settings.UsualStart - (now - Start);
   return std::max(Settings.LeastStart, left) + spread(id, Settings.StartSpread);
--- a/src/entry/ReturnTimes.h
+++ b/src/entry/ReturnTimes.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "absl/types/span.h"
 #include "core/Clock.h"
+#include "link/Messages.h"
 
 #include <optional>
 #include <string_view>
@@ -10,7 +12,7 @@
 struct ReturnTimesSettings {
   core::Duration Busy{250}; ///< Shortest wait; a queue of a few requests is worked off by then.
   core::Duration BusySpread{400};  ///< Added at random, so that callers do not return at once.
-  core::Duration LeastStart{300};  ///< Wait for a configuration that is on its way.
+  core::Duration LeastStart{300};  ///< Wait for a configuration or a list on its way.
   core::Duration UsualStart{2000}; ///< From the start of all processes to shares of the rates: 1.1
                                    ///< s to the election and 0.7 s after it on the users' bench.
   core::Duration StartSpread{600}; ///< Added at random to waits for a start; those who were refused
@@ -28,24 +30,27 @@
   explicit ReturnTimes(core::Time start, const ReturnTimesSettings &settings = {})
       : Settings(settings), Start(start) {}
 
-  /// Takes that this VM has got shares of rates.
-  void noteShares(core::Time now);
+  /// Takes whether the leader of the control group is known.
+  void noteLeader(bool known) { KnowsLeader = known; }
 
-  /// After a refusal because targets are full, or a customer's rate is. `id` is drawn by the
-  /// caller.
+  /// Takes the shares of rates that an answer of the leader brings.
+  void noteShares(absl::Span<const link::RateShare> shares, core::Time now);
+
+  /// After a refusal because targets are full or were lost. `id` is drawn by the caller.
   core::Duration afterBusy(std::string_view id) const;
 
   /// After a refusal because the customer's rate has no room.
   core::Duration afterRate(std::string_view id, core::Time now) const;
 
-  /// After a refusal because there is no configuration. It is on its way when the leader is known;
-  /// otherwise the whole group may be starting.
-  core::Duration afterNoConfiguration(std::string_view id, bool knowsLeader, core::Time now) const;
+  /// After a refusal because the configuration or the list of targets has not arrived. They are on
+  /// their way when the leader is known; otherwise the whole group may be starting.
+  core::Duration afterStarting(std::string_view id, core::Time now) const;
 
 private:
   const ReturnTimesSettings Settings;
   const core::Time Start; ///< Of the process.
-  std::optional<core::Time> SharesAt;
+  bool KnowsLeader = false;
+  std::optional<core::Time> SharesAt; ///< First share of any rate.
 };
 
 } // namespace briarspar::entry
--- a/src/entry/tests/ExchangeTest.cpp
+++ b/src/entry/tests/ExchangeTest.cpp
@@ -123,7 +123,6 @@
       {},
       RateDesk(VmId("vm"), [](const VmId &, const link::RateAsk &) {}),
       ReturnTimes(Time{0}),
-      false,
       RetryAllowance(),
       TargetTable({VmId("vm"), RegionId("r"), DomainId("z"), {{DomainId("z"), RegionId("r")}}}),
       balance::CrashGuard(1),
@@ -135,6 +134,18 @@
 
 } // namespace
 
+/// Guards against a request that takes from its customer's rate while the VM knows no target, and
+/// against a refusal that blames the targets.
+Test(Exchange, withoutAListNothingIsTakenFromTheRate) {
+  World world;
+  world.All.Targets.setTargets(discovery::TargetList(), Time{0});
+  world.Out.RateAnswer = std::nullopt;
+  auto exchange = world.open("/read/a");
+  cr_assert_eq(world.Out.Answers.size(), 1);
+  cr_assert_eq(world.Out.Answers[0].Status, 503);
+  cr_assert(world.Out.Answers[0].find("Retry-After").has_value());
+}
+
 /// Guards against a request that is sent before its customer's rate is decided, twice after it, or
 /// after its caller has gone.
 Test(Exchange, waitsForTheDecisionAboutTheRate) {
--- a/src/entry/tests/RegionWeightsTest.cpp
+++ b/src/entry/tests/RegionWeightsTest.cpp
@@ -73,6 +73,20 @@
   cr_assert_leq(last, 0.45);
 }
 
+/// Guards against homes that leap at VMs which get a request of a service every few seconds only,
+/// as most of a large fleet do: together they would move all objects at once.
+Test(RegionWeights, rareRequestsMoveNoFaster) {
+  RegionWeights weights;
+  weights.aim({{Own, 1}, {Far, 0}}, false, Time{0});
+  double last = 1;
+  for (int64_t ms = 2500; ms <= 10'000; ms += 2500) {
+    weights.aim({{Own, 0}, {Far, 1}}, false, Time{ms});
+    double own = part(regions(weights), Own);
+    cr_assert_leq(last - own, 0.15 * 2.5 / 2, "%.3f after %.3f", own, last);
+    last = own;
+  }
+}
+
 /// Guards against homes in regions that have failed, while the bound holds.
 Test(RegionWeights, failuresMoveAtOnce) {
   RegionWeights weights;
--- a/src/entry/tests/ReturnTimesTest.cpp
+++ b/src/entry/tests/ReturnTimesTest.cpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 using namespace briarspar;
 using namespace briarspar::core;
@@ -44,7 +45,7 @@
 Test(ReturnTimes, callersReturnWhenTheGroupHasStarted) {
   ReturnTimes times(Time{10'000});
   Returns returns = play(Time{10'200}, Time{11'700}, [&](const std::string &id, Time now) {
-    return times.afterNoConfiguration(id, /*knowsLeader=*/false, now);
+    return times.afterStarting(id, now);
   });
   cr_assert_eq(returns.Early, 0);
   cr_assert_leq(returns.Peak, 3.5, "%.1f", returns.Peak);
@@ -54,17 +55,21 @@
 /// and at one that has been without a group for long.
 Test(ReturnTimes, callersOfAVmThatStartsAloneReturnSoon) {
   ReturnTimes times(Time{10'000});
-  cr_assert_lt(times.afterNoConfiguration("a", /*knowsLeader=*/true, Time{10'100}).Ms, 700);
-  cr_assert_lt(times.afterNoConfiguration("a", /*knowsLeader=*/false, Time{15'000}).Ms, 900);
+  cr_assert_geq(times.afterStarting("a", Time{10'100}).Ms, 1900);
+  times.noteLeader(true);
+  cr_assert_lt(times.afterStarting("a", Time{10'100}).Ms, 700);
+  times.noteLeader(false);
+  cr_assert_lt(times.afterStarting("a", Time{15'000}).Ms, 900);
 }
 
 /// Guards against callers that return while shares of the rates are being made. The load: shares
-/// come at 400 ms and admit what waits after 1,000 ms.
+/// come at 400 ms and admit what waits after 1,000 ms. Until a new leader knows the shares of the
+/// last one it answers with shares of nothing.
 Test(ReturnTimes, callersReturnWhenSharesHaveSettled) {
   ReturnTimes times(Time{0});
   Returns returns = play(Time{0}, Time{1100}, [&](const std::string &id, Time now) {
-    if (now >= Time{400})
-      times.noteShares(now);
+    const std::vector<link::RateShare> shares{{"c", now >= Time{400} ? 20U : 0U}};
+    times.noteShares(shares, now);
     return times.afterRate(id, now);
   });
   // Those that ask before the shares come cannot know when they do.
