Part the list of targets from the wiring of a control VM

Two faults showed while it was moved: a page that came between an election and the next tick would have been spread under the epoch of the last leader, and ListRead told of unreadable entries only when they stood on the last page. A first reading that is too old is dropped. Ruled out: leaving the list with discovery (readings before the election are a matter of the control group).

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -52,54 +52,6 @@
   std::mt19937_64 Engine{std::random_device{}()};
 };
 
-/// Reads pages of the list, one at a time, over one kept connection.
-class ControlNode::ListFetch final : public http::AnswerListener {
-public:
-  ListFetch(ControlNode &node) : Node(node) {}
-  ~ListFetch() override { close(); }
-
-  void request(const std::string &target) {
-    if (!Connection || !Connection->mayReuse(Node.Clock.now(), false)) {
-      close();
-      Connection = std::make_shared<http::ClientConnection>(
-          Node.Io, Node.Clock, Node.Settings.ListHost, Node.Settings.ListPort,
-          http::ClientConnectionSettings{});
-    }
-    http::Head head;
-    head.Method = "GET";
-    head.Target = target;
-    head.add("Host", absl::StrCat(Node.Settings.ListHost, ":", Node.Settings.ListPort));
-    Connection->start(head, "", *this);
-    Connection->finishRequest();
-  }
-
-  void close() {
-    if (Connection)
-      Connection->close();
-    Connection.reset();
-  }
-
-  void onAnswerHead(http::Head head) override {
-    Status = head.Status;
-    Body.clear();
-  }
-
-  void onAnswerBody(std::string_view bytes) override { Body.append(bytes); }
-
-  void onAnswerEnd() override { Node.onListPage(Status, Body); }
-
-  void onConnectionLost(http::ConnectionLoss) override {
-    Node.Events.emit({core::EventId::ListFailed, {{"reason", "the connection was lost"}}});
-    Node.Reader.onFailure(Node.Clock.now());
-  }
-
-private:
-  ControlNode &Node;
-  std::shared_ptr<http::ClientConnection> Connection;
-  int Status = 0;
-  std::string Body;
-};
-
 ControlNode::ControlNode(asio::io_context &io, const core::Clock &clock, core::EventSink &events,
                          transport::Transport &transport, const OperatorFormat &format,
                          const discovery::ListFormat &listFormat,
@@ -114,9 +66,16 @@
                    [this](const http::WholeRequest &request, const Responder &respond) {
                      onHttp(request, respond);
                    }),
-      TickTimer(io),
-      Answers(Machine.catalog(), Targets, Entries, core::hash64(settings.Vm.Value, wallClockMs())),
-      Reader(listFormat, settings.List), Fetch(std::make_shared<ListFetch>(*this)) {}
+      TickTimer(io), Targets(listFormat, settings.Targets),
+      Answers(Machine.catalog(), Targets.targets(), Entries,
+              core::hash64(settings.Vm.Value, wallClockMs())),
+      Fetch(
+          io, clock, settings.ListHost, settings.ListPort,
+          [this](int status, const std::string &body) { onListPage(status, body); },
+          [this] {
+            Events.emit({core::EventId::ListFailed, {{"reason", "the connection was lost"}}});
+            Targets.onFailure(Clock.now());
+          }) {}
 
 ControlNode::~ControlNode() = default;
 
@@ -167,7 +126,7 @@
   OperatorServer.stop();
   LookupServer.stop();
   TickTimer.cancel();
-  Fetch->close();
+  Fetch.close();
 }
 
 void ControlNode::tick() {
@@ -179,14 +138,11 @@
     if (isLeading(now))
       tellGone(it);
   }
-  if (isLeading(now)) {
+  if (isLeading(now))
     lead(now);
-  } else {
+  else
     Leading = false;
-    // A group that has lost all its processes has a list as soon as it has a leader.
-    if (!FirstReading)
-      readList(now);
-  }
+  readList(now);
   join(now);
   TickTimer.expires_after(std::chrono::milliseconds(Settings.Tick.Ms));
   TickTimer.async_wait([this](const asio::error_code &ec) {
@@ -206,24 +162,22 @@
   return Log->isLeader() && Log->canRead(now).ok();
 }
 
+/// Between the election and the next tick a leader has not taken over yet.
+bool ControlNode::leads(core::Time now) const { return Leading && isLeading(now); }
+
 void ControlNode::lead(core::Time now) {
   if (!Leading) {
     Leading = true;
     Answers.becomeLeader(Log->term(), Machine.entries(), now);
     Judge.becomeLeader();
     RolloutPending.clear();
-    Targets.startEpoch(Log->term().Value);
-    useFirstReading(now);
-    // A first reading that is under way is as new as another one, and done earlier.
-    if (FirstReading)
-      Reader.restart(now);
+    Targets.becomeLeader(Log->term(), now);
     LastVoterCheck = now;
     for (auto &[vm, at] : HeardFrom)
       at = now;
   }
   checkVoters(now);
   forgetEntries(now);
-  readList(now);
   judgeRollouts(now);
 }
 
@@ -423,62 +377,34 @@
 }
 
 void ControlNode::readList(core::Time now) {
-  if (std::optional<std::string> target = Reader.next(now))
-    Fetch->request(*target);
+  if (std::optional<std::string> target = Targets.next(leads(now), now))
+    Fetch.request(*target);
 }
 
 void ControlNode::onListPage(int status, const std::string &body) {
   core::Time now = Clock.now();
-  uint64_t leftOut = Reader.entriesLeftOut();
-  absl::StatusOr<std::optional<std::vector<discovery::Target>>> reading =
-      Reader.onPage(status, body, now);
-  if (!reading.ok()) {
-    Events.emit({core::EventId::ListFailed, {{"reason", std::string(reading.status().message())}}});
+  absl::StatusOr<std::optional<ListChange>> change = Targets.onPage(status, body, leads(now), now);
+  if (!change.ok()) {
+    Events.emit({core::EventId::ListFailed, {{"reason", std::string(change.status().message())}}});
     return;
   }
-  if (!*reading) {
-    tellDraining(now);
-    return;
-  }
-  if (!FirstReading)
-    FirstReading = {**reading, now};
-  if (!isLeading(now))
-    return;
-  size_t before = Targets.targets().size();
-  if (!Targets.update(**reading, now))
+  if (!*change)
     return;
   Events.emit({core::EventId::ListRead,
-               {{"sequence", Targets.version().Sequence},
-                {"targets", Targets.targets().size()},
-                {"before", before},
-                {"left_out", Reader.entriesLeftOut() - leftOut}}});
+               {{"sequence", Targets.targets().version().Sequence},
+                {"targets", Targets.targets().targets().size()},
+                {"before", (*change)->Before},
+                {"left_out", (*change)->LeftOut},
+                {"draining_only", (*change)->DrainingOnly}}});
   pushToEntries();
 }
 
-/// A reading of many pages over a distance takes longer than a second; a target that leaves may get
-/// requests for 3 s after its notice.
-void ControlNode::tellDraining(core::Time now) {
-  if (!isLeading(now) || !Targets.updateDraining(Reader.lastPage()))
-    return;
-  Events.emit({core::EventId::ListRead,
-               {{"sequence", Targets.version().Sequence},
-                {"targets", Targets.targets().size()},
-                {"draining_only", true}}});
-  pushToEntries();
-}
-
-void ControlNode::useFirstReading(core::Time now) {
-  if (!FirstReading || now - FirstReading->At > Settings.FirstReadingAge)
-    return;
-  Targets.update(FirstReading->What, now);
-}
-
 void ControlNode::judgeRollouts(core::Time now) {
   for (const auto &[service, rollout] : Machine.catalog().rollouts()) {
     if (RolloutPending[service])
       continue;
     bool hasTargets = false;
-    for (const auto &[id, target] : Targets.targets())
+    for (const auto &[id, target] : Targets.targets().targets())
       hasTargets = hasTargets || (target.Service == service &&
                                   target.Version.Value == rollout.Target && !target.Draining);
     std::optional<RolloutJudge::Step> step = Judge.next(rollout, hasTargets, now);
@@ -511,7 +437,7 @@
 std::string ControlNode::baselineVersion(const std::string &service,
                                          const std::string &except) const {
   std::map<std::string, size_t> counts;
-  for (const auto &[id, target] : Targets.targets())
+  for (const auto &[id, target] : Targets.targets().targets())
     if (target.Service == service && target.Version.Value != except)
       ++counts[target.Version.Value];
   auto most = std::max_element(counts.begin(), counts.end(),
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -9,12 +9,11 @@
 #include "control/ControlMachine.h"
 #include "control/EntryAnswers.h"
 #include "control/EntryRegistry.h"
+#include "control/ListFetch.h"
 #include "control/OperatorCall.h"
 #include "control/RolloutJudge.h"
+#include "control/TargetWatch.h"
 #include "core/Event.h"
-#include "discovery/ListReader.h"
-#include "discovery/TargetList.h"
-#include "http/ClientConnection.h"
 #include "http/SmallServer.h"
 #include "transport/Transport.h"
 
@@ -23,7 +22,6 @@
 
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,15 +40,13 @@
   std::string ListHost;   ///< The platform's list of targets.
   uint16_t ListPort = 0;
   agreement::GroupId Group{"main"};
-  core::Duration Tick{25};              ///< Of the agreement group; elections take 600 ms or more.
-  core::Duration JoinInterval{500};     ///< Between two requests to be added to the group.
-  core::Duration VoterSilence{6000};    ///< A voter that is silent for so long may be replaced; a
-                                        ///< restart takes a second, a cut mostly less than this.
-  core::Duration LookupTtl{2000};       ///< Callers cache a look-up for this long.
-  core::Duration FirstReadingAge{1500}; ///< A list read before the process led counts for so long:
-                                        ///< a target may leave within 3 s of its notice.
+  core::Duration Tick{25};           ///< Of the agreement group; elections take 600 ms or more.
+  core::Duration JoinInterval{500};  ///< Between two requests to be added to the group.
+  core::Duration VoterSilence{6000}; ///< A voter that is silent for so long may be replaced; a
+                                     ///< restart takes a second, a cut mostly less than this.
+  core::Duration LookupTtl{2000};    ///< Callers cache a look-up for this long.
   core::Duration RetryAfterNoLeader{300}; ///< About half an election.
-  discovery::ListReaderSettings List;
+  TargetWatchSettings Targets;
   agreement::ReplicaSettings Replica = quickElections();
 
   /// Elections within a second: a round trip between regions takes 70 ms at most, and a lost packet
@@ -84,7 +80,6 @@
 
 private:
   class Random;
-  class ListFetch;
 
   using Responder = http::SmallServer::Responder;
 
@@ -96,8 +91,6 @@
   void join(core::Time now);
   void judgeRollouts(core::Time now);
   void readList(core::Time now);
-  void tellDraining(core::Time now);
-  void useFirstReading(core::Time now);
   void onListPage(int status, const std::string &body);
   void rejectMessage(const core::VmId &peer, const absl::Status &status);
   void onReport(const transport::PeerMessage &message);
@@ -112,6 +105,7 @@
   std::string baselineVersion(const std::string &service, const std::string &except) const;
   std::set<core::VmId> members() const;
   bool isLeading(core::Time now) const;
+  bool leads(core::Time now) const;
   void tellGone(const LostEntry &lost);
 
   asio::io_context &Io;
@@ -131,17 +125,10 @@
   asio::steady_timer TickTimer;
 
   RolloutJudge Judge;
-  discovery::TargetList Targets;
+  TargetWatch Targets;
   EntryRegistry Entries;
   EntryAnswers Answers;
-  struct DatedReading {
-    std::vector<discovery::Target> What;
-    core::Time At;
-  };
-
-  discovery::ListReader Reader;
-  std::optional<DatedReading> FirstReading; ///< Since the start of the process.
-  std::shared_ptr<ListFetch> Fetch;
+  ListFetch Fetch;
 
   bool Leading = false;
   core::LogIndex Pushed; ///< Newest configuration that was sent to the entry VMs.
--- /dev/null
+++ b/src/control/ListFetch.cpp
@@ -0,0 +1,39 @@
+#include "control/ListFetch.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <utility>
+
+namespace briarspar::control {
+
+ListFetch::ListFetch(asio::io_context &io, const core::Clock &clock, std::string host,
+                     uint16_t port, OnPage onPage, OnLost onLost)
+    : Io(io), Clock(clock), Host(std::move(host)), Port(port), PageDone(std::move(onPage)),
+      Lost(std::move(onLost)) {}
+
+void ListFetch::request(const std::string &target) {
+  if (!Connection || !Connection->mayReuse(Clock.now(), false)) {
+    close();
+    Connection = std::make_shared<http::ClientConnection>(Io, Clock, Host, Port,
+                                                          http::ClientConnectionSettings{});
+  }
+  http::Head head;
+  head.Method = "GET";
+  head.Target = target;
+  head.add("Host", absl::StrCat(Host, ":", Port));
+  Connection->start(head, "", *this);
+  Connection->finishRequest();
+}
+
+void ListFetch::close() {
+  if (Connection)
+    Connection->close();
+  Connection.reset();
+}
+
+void ListFetch::onAnswerHead(http::Head head) {
+  Status = head.Status;
+  Body.clear();
+}
+
+} // namespace briarspar::control
