Split what a newcomer stumbles over

Explain counts only other VMs that found a target unhealthy, and the completion knows the command. A spread of zero no longer divides by it.

--- a/src/ctl/Completion.cpp
+++ b/src/ctl/Completion.cpp
@@ -39,7 +39,7 @@
 
 std::string bashCompletion() {
   std::map<std::string, Words> byFirst;
-  Words first{"help", "completion"};
+  Words first{"help", "completion", "explain"};
   for (const operator_language::StatementHelp &it : operator_language::statements()) {
     std::string verb(it.Syntax.substr(0, it.Syntax.find(' ')));
     byFirst[verb].merge(keywordsOf(it.Syntax.substr(verb.size())));
@@ -56,7 +56,8 @@
   out += "    esac\n"
          "  done\n"
          "  case $verb in\n"
-         "    completion) words=bash ;;\n";
+         "    completion) words=bash ;;\n"
+         "    explain) words= ;;\n";
   for (const auto &[verb, words] : byFirst)
     out += "    " + verb + ") words=\"" + joined(words) + "\" ;;\n";
   out += "    help) words=\"" + joined(first) + "\" ;;\n";
--- a/src/ctl/Explain.cpp
+++ b/src/ctl/Explain.cpp
@@ -16,6 +16,9 @@
 /// VMs that find a target unhealthy at the same moment do so within this time.
 constexpr int64_t SameMomentMs = 2000;
 
+/// An answer after this many times of what was expected needs an explanation; work spreads by less.
+constexpr double LateFactor = 2;
+
 /// A share of a rate ends 3 s after the last answer of a leader; a silent holder is asked again
 /// after less.
 constexpr int64_t RateSpanMs = 3000;
@@ -115,70 +118,87 @@
   }
 }
 
-size_t Explanation::countUnhealthy(const std::string &target, int64_t wallMs) const {
+size_t Explanation::countUnhealthy(const std::string &target, const Line &refusal) const {
   std::set<std::string> nodes;
   for (const Line &it : Beliefs)
-    if (it.Name == "TargetUnhealthy" && textOf(it.Details, "target") == target &&
-        std::abs(it.WallMs - wallMs) <= SameMomentMs)
+    if (it.Name == "TargetUnhealthy" && it.Node != refusal.Node &&
+        textOf(it.Details, "target") == target &&
+        std::abs(it.WallMs - refusal.WallMs) <= SameMomentMs)
       nodes.insert(it.Node);
   return nodes.size();
 }
 
+const Explanation::Line *Explanation::lastOf(std::string_view name) const {
+  const Line *found = nullptr;
+  for (const Line &it : Path)
+    found = it.Name == name ? &it : found;
+  return found;
+}
+
 std::string Explanation::cause() const {
   const Line &last = Path.back();
-  const Line *chosen = nullptr;
-  const Line *noTarget = nullptr;
-  for (const Line &it : Path) {
-    chosen = it.Name == "TargetChosen" ? &it : chosen;
-    noTarget = it.Name == "NoTargetChosen" ? &it : noTarget;
-  }
-  if (last.Name == "RequestRefused") {
-    int status = static_cast<int>(numberOf(last.Details, "status"));
-    if (status == 429) {
-      const Line *silent = lastBefore(last, "RateHolderSilent");
-      if (silent != nullptr && last.WallMs - silent->WallMs <= RateSpanMs)
-        return absl::StrCat("the holder of the rate, ", textOf(silent->Details, "vm"),
-                            ", gave no permit in time");
-      const Line *lost = lastBefore(last, "ControlLost");
-      const Line *leader = lastBefore(last, "LeaderChanged");
-      if (lost != nullptr && (leader == nullptr || leader->WallMs < lost->WallMs))
-        return "the VM had lost the leader, so that its shares of the rates ended";
-      return "the share of the customer's rate that was asked had no room";
-    }
-    if (status == 502 && chosen != nullptr) {
-      std::string target = textOf(chosen->Details, "target");
-      size_t n = countUnhealthy(target, last.WallMs);
-      return absl::StrCat("target ", target, " was lost after the request had been sent; ", n,
-                          n > 1 ? " VMs found it unhealthy: its process had ended"
-                                : " VM found it unhealthy: perhaps one connection alone broke");
-    }
-    if (noTarget != nullptr && textOf(noTarget->Details, "region_bound") == "true")
-      return "the best target's region got no more requests for the bound on moves between regions";
-    if (noTarget != nullptr)
-      return absl::StrCat(
-          "no target was worth it: the best would have answered in ",
-          textOf(noTarget->Details, "expected_ms"), " ms with a load of ",
-          textOf(noTarget->Details, "load"), "; left out ", textOf(noTarget->Details, "cold"),
-          " cold, ", textOf(noTarget->Details, "full"), " full and ",
-          textOf(noTarget->Details, "late"), " late ones of ", textOf(noTarget->Details, "usable"));
-    if (status == 504 && chosen != nullptr)
-      return absl::StrCat("target ", textOf(chosen->Details, "target"),
-                          " gave no answer; it was expected in ",
-                          textOf(chosen->Details, "expected_ms"), " ms");
-    return textOf(last.Details, "reason");
-  }
-  if (last.Name == "RequestFinished" && chosen != nullptr) {
-    double expected = numberOf(chosen->Details, "expected_ms");
-    double took = numberOf(last.Details, "target_ms");
-    bool wasFamiliar = textOf(chosen->Details, "familiar") == "true";
-    if (took > 2 * expected)
-      return absl::StrCat("the target took ", took, " ms instead of ", expected,
-                          wasFamiliar
-                              ? ": it had forgotten the object, or other VMs filled its queue"
-                              : ": other VMs filled its queue, or it is slow");
+  if (last.Name == "RequestFinished")
+    return causeOfTime(last);
+  if (last.Name != "RequestRefused")
+    return "the lines do not show how it ended";
+  int status = static_cast<int>(numberOf(last.Details, "status"));
+  const Line *chosen = lastOf("TargetChosen");
+  if (status == 429)
+    return causeOfRate(last);
+  if (status == 502 && chosen != nullptr)
+    return causeOfLoss(last, *chosen);
+  if (const Line *it = lastOf("NoTargetChosen"))
+    return causeOfNoTarget(*it);
+  if (status == 504 && chosen != nullptr)
+    return absl::StrCat("target ", textOf(chosen->Details, "target"),
+                        " gave no answer; it was expected in ",
+                        textOf(chosen->Details, "expected_ms"), " ms");
+  return textOf(last.Details, "reason");
+}
+
+std::string Explanation::causeOfRate(const Line &refusal) const {
+  const Line *silent = lastBefore(refusal, "RateHolderSilent");
+  if (silent != nullptr && refusal.WallMs - silent->WallMs <= RateSpanMs)
+    return absl::StrCat("the holder of the rate, ", textOf(silent->Details, "vm"),
+                        ", gave no permit in time");
+  const Line *lost = lastBefore(refusal, "ControlLost");
+  const Line *leader = lastBefore(refusal, "LeaderChanged");
+  if (lost != nullptr && (leader == nullptr || leader->WallMs < lost->WallMs))
+    return "the VM had lost the leader, so that its shares of the rates ended";
+  return "the share of the customer's rate that was asked had no room";
+}
+
+std::string Explanation::causeOfLoss(const Line &refusal, const Line &chosen) const {
+  std::string target = textOf(chosen.Details, "target");
+  size_t n = countUnhealthy(target, refusal);
+  return absl::StrCat(
+      "target ", target, " was lost after the request had been sent; ",
+      n > 0 ? absl::StrCat(n, " of the other VMs found it unhealthy: its process had ended")
+            : "no other VM found it unhealthy: perhaps one connection alone broke");
+}
+
+std::string Explanation::causeOfNoTarget(const Line &failure) const {
+  const core::Json &why = failure.Details;
+  if (textOf(why, "region_bound") == "true")
+    return "the best target's region got no more requests for the bound on moves between regions";
+  return absl::StrCat("no target was worth it: the best would have answered in ",
+                      textOf(why, "expected_ms"), " ms with a load of ", textOf(why, "load"),
+                      "; left out ", textOf(why, "cold"), " cold, ", textOf(why, "full"),
+                      " full and ", textOf(why, "late"), " late ones of ", textOf(why, "usable"));
+}
+
+std::string Explanation::causeOfTime(const Line &finish) const {
+  const Line *chosen = lastOf("TargetChosen");
+  if (chosen == nullptr)
+    return "the lines do not name its target";
+  double expected = numberOf(chosen->Details, "expected_ms");
+  double took = numberOf(finish.Details, "target_ms");
+  if (took <= LateFactor * expected)
     return absl::StrCat("answered as expected, in ", took, " ms at the target");
-  }
-  return "the lines do not show how it ended";
+  return absl::StrCat("the target took ", took, " ms instead of ", expected,
+                      textOf(chosen->Details, "familiar") == "true"
+                          ? ": it had forgotten the object, or other VMs filled its queue"
+                          : ": other VMs filled its queue, or it is slow");
 }
 
 std::string Explanation::text() const {
--- a/src/ctl/Explain.h
+++ b/src/ctl/Explain.h
@@ -41,8 +41,13 @@
   const Line *lastBefore(const Line &of, std::string_view name) const;
   void addBeliefs(std::string &out, const Line &of) const;
   void addTargets(std::string &out) const;
+  const Line *lastOf(std::string_view name) const;
   std::string cause() const;
-  size_t countUnhealthy(const std::string &target, int64_t wallMs) const;
+  std::string causeOfRate(const Line &refusal) const;
+  std::string causeOfLoss(const Line &refusal, const Line &chosen) const;
+  std::string causeOfNoTarget(const Line &failure) const;
+  std::string causeOfTime(const Line &finish) const;
+  size_t countUnhealthy(const std::string &target, const Line &refusal) const;
 
   const std::string Request;
   std::vector<Line> Path;    ///< Lines of the request.
--- a/src/entry/RateDesk.h
+++ b/src/entry/RateDesk.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace briarspar::entry {
--- a/src/entry/RegionShift.cpp
+++ b/src/entry/RegionShift.cpp
@@ -7,11 +7,11 @@
 
 RegionShift::RegionShift(const RegionShiftSettings &settings) : Settings(settings) {}
 
-void RegionShift::wish(const core::RegionId &region, const std::map<core::RegionId, double> &room,
+void RegionShift::wish(const core::RegionId &region, const std::map<core::RegionId, double> &first,
                        core::Time now) {
   core::Duration span = now - LastWish;
   if (!Started || span > Settings.Idle)
-    start(room);
+    start(first);
   LastWish = now;
   Shares[region];
   double seconds = static_cast<double>(span.Ms) / 1000;
@@ -50,10 +50,10 @@
   }
 }
 
-void RegionShift::start(const std::map<core::RegionId, double> &room) {
+void RegionShift::start(const std::map<core::RegionId, double> &first) {
   Started = true;
   Shares.clear();
-  for (const auto &[region, part] : room)
+  for (const auto &[region, part] : first)
     Shares[region] = {part, part, 0};
 }
 
--- a/src/entry/RegionShift.h
+++ b/src/entry/RegionShift.h
@@ -25,9 +25,9 @@
 public:
   explicit RegionShift(const RegionShiftSettings &settings = {});
 
-  /// Counts the region that suits a request best. `room` gives the shares to start from after a
-  /// pause: the part of the requests for which each region has room.
-  void wish(const core::RegionId &region, const std::map<core::RegionId, double> &room,
+  /// Counts the region that suits a request best. `first` gives the shares to start from after a
+  /// pause.
+  void wish(const core::RegionId &region, const std::map<core::RegionId, double> &first,
             core::Time now);
 
   /// True when a request may run in the region.
@@ -46,7 +46,7 @@
     double Credit = 0; ///< Requests that the region is behind its plan.
   };
 
-  void start(const std::map<core::RegionId, double> &room);
+  void start(const std::map<core::RegionId, double> &first);
 
   const RegionShiftSettings Settings;
   std::map<core::RegionId, Share> Shares;
--- a/src/entry/ReturnTimes.cpp
+++ b/src/entry/ReturnTimes.cpp
@@ -10,6 +10,8 @@
 
 /// Returns a time from 0 up to `span`. The id is drawn by the caller, so its hash spreads them.
 core::Duration spread(std::string_view id, core::Duration span) {
+  if (span.Ms <= 0)
+    return {0};
   return {static_cast<int64_t>(core::hash64(id) % static_cast<uint64_t>(span.Ms))};
 }
 
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -101,7 +101,7 @@
   size_t Cold = 0;          ///< Of these, those that get no more requests while they are cold.
   size_t Full = 0;          ///< Those with full queues.
   size_t Late = 0;          ///< Those that would answer after the request is given up.
-  bool RegionBound = false; ///< The best one is in a region that gets no more requests for now.
+  bool RegionBound = false; ///< The best one is in a region whose share of the requests is used up.
   double Value = 0;         ///< Of the best of the others, with its estimates.
   double Expected = 0;      ///< In ms.
   double Load = 0;
