Acknowledge a crash only when all serving VMs know it

An acknowledgement of an earlier report was also taken for that of a later one. Ruled out: the probe, which sees a refused connection once a process has ended, and retries within one request, which the budget of a fresh process forbids. Change: VMs confirm notices (CrashNotices); the acknowledgement names the crashes that it covers. A malformed command result or renewal response no longer ends the process.

--- a/src/balance/CrashGuard.cpp
+++ b/src/balance/CrashGuard.cpp
@@ -94,10 +94,12 @@
          now >= it->second.latest() + Settings.Quarantine;
 }
 
-bool CrashGuard::hasCrashed(uint64_t fingerprint) const {
+bool CrashGuard::hasCrashed(uint64_t fingerprint) const { return count(fingerprint) > 0; }
+
+size_t CrashGuard::count(uint64_t fingerprint) const {
   std::lock_guard<std::mutex> lock(Mutex);
   auto it = Entries.find(fingerprint);
-  return it != Entries.end() && it->second.count() > 0;
+  return it == Entries.end() ? 0 : it->second.count();
 }
 
 uint32_t CrashGuard::recordCrash(uint64_t fingerprint, const TargetId &target,
@@ -109,9 +111,7 @@
         return c.second.Target == target && now < c.second.At + Settings.CrashMergeWindow;
       });
   if (!isKnown) {
-    const uint64_t crashNumber = ++LastCrash;
-    const std::string_view bytes(reinterpret_cast<const char *>(&crashNumber), sizeof crashNumber);
-    add(record, core::hash64(bytes, Origin), {target, now, false});
+    add(record, idOf(++LastCrash), {target, now, false});
   }
   trim(now);
 
@@ -192,6 +192,29 @@
   trim(now);
 }
 
+uint64_t CrashGuard::lastCrash() const {
+  std::lock_guard<std::mutex> lock(Mutex);
+  return LastCrash;
+}
+
+uint64_t CrashGuard::lastOwnCrash(const CrashReport &report) const {
+  std::lock_guard<std::mutex> lock(Mutex);
+  std::set<uint64_t> ids;
+  for (const CrashReport::Entry &entry : report.Entries)
+    for (const CrashReport::Crash &c : entry.Crashes)
+      ids.insert(c.Id);
+  const uint64_t first = LastCrash - std::min<uint64_t>(LastCrash, Settings.MaxEntries);
+  for (uint64_t crash = LastCrash; crash > first; --crash)
+    if (ids.count(idOf(crash)) != 0)
+      return crash;
+  return 0;
+}
+
+uint64_t CrashGuard::idOf(uint64_t crashNumber) const {
+  const std::string_view bytes(reinterpret_cast<const char *>(&crashNumber), sizeof crashNumber);
+  return core::hash64(bytes, Origin);
+}
+
 void CrashGuard::add(Record &record, uint64_t id, const Crash &crash) {
   auto known = record.Crashes.find(id);
   if (known == record.Crashes.end()) {
--- a/src/balance/CrashGuard.h
+++ b/src/balance/CrashGuard.h
@@ -64,6 +64,9 @@
   /// Returns true if the request has crashed a target process and has not been cleared since.
   bool hasCrashed(uint64_t fingerprint) const;
 
+  /// Returns the number of target processes that the request has crashed.
+  size_t count(uint64_t fingerprint) const;
+
   /// Records that a target process crashed while it ran a request. Returns the number of crash
   /// outcomes to count against the version now: 0 below the threshold of unrelated crashes; the
   /// crash that reaches the threshold also releases those withheld before. Crashes with a request
@@ -81,6 +84,12 @@
   /// Merges a report of another VM or of the leader.
   void merge(const CrashReport &report, core::Time now);
 
+  /// Returns the number of the last crash recorded here that was not known before. 0: none.
+  uint64_t lastCrash() const;
+
+  /// Returns the highest number of a crash recorded here that the report contains. 0: none.
+  uint64_t lastOwnCrash(const CrashReport &report) const;
+
   size_t size() const;
 
 private:
@@ -107,6 +116,7 @@
   };
   using EventList = std::vector<Event>;
 
+  uint64_t idOf(uint64_t crashNumber) const;
   static void add(Record &record, uint64_t id, const Crash &crash);
   void trim(core::Time now);
   Event &eventOf(EventList &events, const core::TargetId &target, core::Time now) const;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -153,7 +153,7 @@
   ListenerPorts ports() const { return {Callers->port(), Operators->port(), Peers->port()}; }
 
   void onGrants() override { Pipeline->grants().signal(); }
-  void onCrashAck() override { Pipeline->crashAcks().signal(); }
+  void onCrashAck(uint64_t crash) override { Pipeline->crashAcks().raiseTo(crash); }
   void onClaimAction(const idempotency::ClaimAction &action) override { Claims->onAction(action); }
   void onSlots() override {
     // The VM agent publishes its initial, empty state before the traffic objects exist.
--- a/src/daemon/EventCounter.h
+++ b/src/daemon/EventCounter.h
@@ -23,6 +23,15 @@
     Changed.notify_all();
   }
 
+  /// Raises the count to `count` if it is lower.
+  void raiseTo(uint64_t count) {
+    std::lock_guard<std::mutex> lock(Mutex);
+    if (count <= Count)
+      return;
+    Count = count;
+    Changed.notify_all();
+  }
+
   /// Blocks until the count exceeds `seen` or `limit` has elapsed. Returns false on timeout.
   bool waitAfter(uint64_t seen, core::Duration limit) {
     std::unique_lock<std::mutex> lock(Mutex);
--- a/src/daemon/GroupLeader.cpp
+++ b/src/daemon/GroupLeader.cpp
@@ -43,12 +43,13 @@
 
 bool GroupLeader::receive(const core::VmId &from, std::string_view kind, std::string_view bytes,
                           core::Time now) {
-  static const std::array<std::pair<std::string_view, Handler>, 7> handlers{{
+  static const std::array<std::pair<std::string_view, Handler>, 8> handlers{{
       {kind::Renewal, &GroupLeader::onRenewalMessage},
       {kind::Grant, &GroupLeader::onGrant},
       {kind::Slots, &GroupLeader::onSlots},
       {kind::Claim, &GroupLeader::onClaim},
       {kind::Crash, &GroupLeader::onCrash},
+      {kind::CrashNoticeAck, &GroupLeader::onCrashNoticeAck},
       {kind::Command, &GroupLeader::onCommand},
       {kind::Join, &GroupLeader::onJoin},
   }};
@@ -250,12 +251,26 @@
     return;
   Crashes.merge(*report, now);
   std::string merged = balance::encode(Crashes.report(now));
-  // All other VMs are notified of a crash before the reporter responds to its caller, because the
-  // caller may retry the request through any of them. Crashes are rare, so a broadcast is cheap.
+  // All other VMs must know a crash before the reporter responds to its caller, because the caller
+  // may retry the request through any of them. Crashes are rare, so a broadcast is cheap.
+  std::set<core::VmId> recipients;
   for (const auto &[vm, run] : Serving)
     if (vm != from)
-      Send(vm, kind::CrashNotice, merged);
-  Send(from, kind::CrashAck, merged);
+      recipients.insert(vm);
+  for (const core::VmId &vm : recipients)
+    Send(vm, kind::CrashNotice, merged);
+  sendCrashAcks(Notices.sent(from, std::move(merged), std::move(recipients)));
+}
+
+void GroupLeader::onCrashNoticeAck(const core::VmId &from, std::string_view bytes, core::Time now) {
+  absl::StatusOr<uint64_t> notice = decodeCrashNoticeAck(bytes);
+  if (notice.ok() && Leading)
+    sendCrashAcks(Notices.acknowledged(from, *notice));
+}
+
+void GroupLeader::sendCrashAcks(const std::vector<CrashNotices::Ack> &acks) {
+  for (const CrashNotices::Ack &ack : acks)
+    Send(ack.Reporter, kind::CrashAck, ack.Notice);
 }
 
 void GroupLeader::onCommand(const core::VmId &from, std::string_view bytes, core::Time now) {
@@ -307,6 +322,7 @@
                   [](const absl::StatusOr<std::string> &) {});
     LoadReports.erase(vm);
     Events.emit({core::EventId::VmStateChanged, {{"vm", vm.Value}, {"to", "lease-expired"}}});
+    sendCrashAcks(Notices.expired(vm));
     it = Serving.erase(it);
   }
   for (const membership::StateChange &change : Members.takeEvents())
--- a/src/daemon/GroupLeader.h
+++ b/src/daemon/GroupLeader.h
@@ -3,6 +3,7 @@
 #include "balance/CrashGuard.h"
 #include "balance/SlotLedger.h"
 #include "core/Event.h"
+#include "daemon/CrashNotices.h"
 #include "daemon/GroupVoter.h"
 #include "daemon/Messages.h"
 #include "daemon/RegionMonitor.h"
@@ -64,6 +65,7 @@
   void onSlots(const core::VmId &from, std::string_view bytes, core::Time now);
   void onClaim(const core::VmId &from, std::string_view bytes, core::Time now);
   void onCrash(const core::VmId &from, std::string_view bytes, core::Time now);
+  void onCrashNoticeAck(const core::VmId &from, std::string_view bytes, core::Time now);
   void onCommand(const core::VmId &from, std::string_view bytes, core::Time now);
   void onJoin(const core::VmId &from, std::string_view bytes, core::Time now);
 
@@ -82,6 +84,7 @@
   std::optional<uint64_t> observeReport(const lease::Renewal &renewal, core::Time now);
   void observeLoads(core::Time now);
   void handleExpiredVms(core::Time now);
+  void sendCrashAcks(const std::vector<CrashNotices::Ack> &acks);
   void advanceMoves(core::Time now);
   void proposeRegion(const config::SetRegionFailure &change, core::ConfigVersion expected,
                      core::Term term, core::Time now);
@@ -98,6 +101,7 @@
   quota::QuotaOwner Quota;
   balance::SlotLedger Slots;
   balance::CrashGuard Crashes;
+  CrashNotices Notices;
   moves::MoveController Moves;
   RegionMonitor Regions;
 
--- a/src/daemon/LeaderAdoption.cpp
+++ b/src/daemon/LeaderAdoption.cpp
@@ -21,6 +21,7 @@
   Quota.becomeOwner(now, term);
   Slots.becomeLeader(term, now);
   Serving.clear();
+  Notices.clear();
   LoadReports.clear();
   HasAdopted = false;
   adoptMoves(now);
--- a/src/daemon/Messages.h
+++ b/src/daemon/Messages.h
@@ -30,12 +30,13 @@
 constexpr std::string_view Events = "events";                ///< Requests the events of a VM.
 constexpr std::string_view EventsResponse = "events-answer"; ///< The events of a VM.
 constexpr std::string_view Batch = "batch";                  ///< Several messages in one frame.
+constexpr std::string_view CrashNoticeAck = "crash-notice-ack"; ///< VM to leader.
 
 /// All kinds. The index of a kind is its number on the wire, so new kinds must be appended.
 inline constexpr std::array All{
     Raft,  Renewal,     RenewalResponse, Grant,    GrantResponse, Slots,   SlotsResponse,
     Claim, ClaimResult, Crash,           CrashAck, CrashNotice,   Command, CommandResult,
-    Join,  Events,      EventsResponse,  Batch};
+    Join,  Events,      EventsResponse,  Batch,    CrashNoticeAck};
 } // namespace kind
 
 /// Sends a message to another process or to this one. Delivery is not guaranteed.
--- a/src/daemon/RequestDispatch.cpp
+++ b/src/daemon/RequestDispatch.cpp
@@ -269,10 +269,9 @@
   if (mayBeStaleConnection(result.Answer) &&
       forwarding::acceptsConnections(result.Address, CrashProbeTimeout))
     return std::nullopt;
-  uint64_t seen = CrashAcks.current();
   uint32_t errors =
       Agent.crashes().recordCrash(exchange.Fingerprint, choice.Target, choice.Version, Clock.now());
-  bool acknowledged = reportCrash(seen, exchange.Deadline);
+  bool acknowledged = reportCrash(Agent.crashes().lastCrash(), exchange.Deadline);
   Events.emit({core::EventId::TargetEnded,
                {{"target", choice.Target.Value},
                 {"route", exchange.Route->Record.Id.Value},
@@ -280,12 +279,14 @@
   return errors;
 }
 
-/// Repeats the report until the leader acknowledges it. The caller is answered only after that,
-/// because a retry through another VM must find the crash record.
-bool RequestPipeline::reportCrash(uint64_t seen, core::Time deadline) {
+/// Repeats the report until the leader acknowledges the crash with this number. The caller is
+/// answered only after that, because a retry through another VM must find the crash record.
+bool RequestPipeline::reportCrash(uint64_t crash, core::Time deadline) {
+  if (crash == 0)
+    return true; // Another VM has reported this crash.
   for (core::Duration waited; waited < CrashAckTimeout; waited = waited + CrashReportInterval) {
     RequestCrashReport();
-    if (CrashAcks.waitAfter(seen, CrashReportInterval))
+    if (CrashAcks.waitAfter(crash - 1, CrashReportInterval))
       return true;
     if (Clock.now() >= deadline)
       break;
--- a/src/daemon/RequestPipeline.h
+++ b/src/daemon/RequestPipeline.h
@@ -43,6 +43,7 @@
   void refuseNewRequests() { Refusing = true; }
 
   EventCounter &grants() { return Grants; }
+  /// Counts the recorded crashes of this VM that all serving VMs know.
   EventCounter &crashAcks() { return CrashAcks; }
 
 private:
@@ -114,7 +115,7 @@
                     const AttemptResult &result, core::Duration latency);
   void resendOnFreshConnection(const Exchange &exchange, const forwarding::TargetRequest &request,
                                AttemptResult &result, forwarding::Cancellation *cancellation);
-  bool reportCrash(uint64_t seen, core::Time deadline);
+  bool reportCrash(uint64_t crash, core::Time deadline);
   /// Records and reports a crash if the attempt ended a target process. Returns the number of
   /// errors to count against the version, or nothing if no process ended.
   std::optional<uint32_t> reportIfCrash(const Exchange &exchange, const balance::Choice &choice,
--- a/src/daemon/VmAgent.cpp
+++ b/src/daemon/VmAgent.cpp
@@ -1,6 +1,7 @@
 #include "daemon/VmAgent.h"
 
 #include "core/Hash.h"
+#include "daemon/CrashNotices.h"
 
 #include <array>
 
@@ -107,7 +108,9 @@
   if (!answer.ok())
     return;
   if (answer->Result == lease::RenewalResult::NotLeader) {
-    core::VmId hint(body->value("leader", std::string()));
+    auto leader = body->find("leader");
+    core::VmId hint(leader != body->end() && leader->is_string() ? leader->get<std::string>()
+                                                                 : std::string());
     if (!hint.empty() && hint != from)
       Leader = hint;
     else if (Leader == from)
@@ -221,7 +224,7 @@
     return;
   LeaderTerm = report->Term;
   if (!report->Crashes.empty())
-    onCrashNotice(core::VmId(), report->Crashes, now);
+    mergeCrashes(report->Crashes, now);
   if (!report->Excluded)
     return;
   std::set<core::VmId> excluded(report->Excluded->begin(), report->Excluded->end());
@@ -266,19 +269,28 @@
 }
 
 void VmAgent::onCrashNotice(const core::VmId &from, std::string_view bytes, core::Time now) {
+  mergeCrashes(bytes, now);
+  Send(from, kind::CrashNoticeAck, encodeCrashNoticeAck(bytes));
+}
+
+void VmAgent::mergeCrashes(std::string_view bytes, core::Time now) {
   absl::StatusOr<balance::CrashReport> report = balance::decodeCrashReport(bytes);
   if (report.ok())
     Crashes.merge(*report, now);
 }
 
 void VmAgent::onCrashAck(const core::VmId &from, std::string_view bytes, core::Time now) {
-  onCrashNotice(from, bytes, now);
-  Listener.onCrashAck();
+  absl::StatusOr<balance::CrashReport> report = balance::decodeCrashReport(bytes);
+  if (!report.ok())
+    return;
+  Crashes.merge(*report, now);
+  Listener.onCrashAck(Crashes.lastOwnCrash(*report));
 }
 
 void VmAgent::onCommandResult(const core::VmId &from, std::string_view bytes, core::Time now) {
   absl::StatusOr<core::Json> body = core::decodeCbor(bytes);
-  if (!body.ok() || !body->is_object() || !body->contains("id") || !body->contains("outcome"))
+  if (!body.ok() || !body->is_object() || !body->contains("id") || !body->contains("outcome") ||
+      !(*body)["id"].is_string() || !(*body)["outcome"].is_binary())
     return;
   absl::StatusOr<config::Outcome> outcome = config::decodeOutcome(bytesOf((*body)["outcome"]));
   if (outcome.ok())
--- a/src/daemon/VmAgent.h
+++ b/src/daemon/VmAgent.h
@@ -40,7 +40,8 @@
   virtual void onGrants() {}                                      ///< Rate tokens arrived.
   virtual void onSlots() {}                                       ///< Slots or targets changed.
   virtual void onClaimAction(const idempotency::ClaimAction &) {} ///< Dispatch or Reply.
-  virtual void onCrashAck() {} ///< The leader acknowledged the crash report.
+  /// All serving VMs know the crashes that this VM has recorded, up to and including this number.
+  virtual void onCrashAck(uint64_t crash) {}
 };
 
 /// Represents a VM towards the leader: lease, configuration, rates, slots, claims and reports.
@@ -62,7 +63,8 @@
   void dispatchFinished(uint64_t attempt, const idempotency::DispatchResult &result,
                         core::Time now);
 
-  /// Reports the recorded crashes to the leader, which acknowledges with onCrashAck().
+  /// Reports the recorded crashes to the leader, which acknowledges with onCrashAck() once all
+  /// serving VMs know them.
   void sendCrashReport(core::Time now);
 
   /// Sends an operator's command to the leader, with retries until its outcome is known.
@@ -113,6 +115,7 @@
   void onSlotsResponse(const core::VmId &from, std::string_view bytes, core::Time now);
   void onClaimResult(const core::VmId &from, std::string_view bytes, core::Time now);
   void onCrashNotice(const core::VmId &from, std::string_view bytes, core::Time now);
+  void mergeCrashes(std::string_view bytes, core::Time now);
   void onCrashAck(const core::VmId &from, std::string_view bytes, core::Time now);
   void onCommandResult(const core::VmId &from, std::string_view bytes, core::Time now);
 
--- a/src/daemon/testing/InMemoryFleet.h
+++ b/src/daemon/testing/InMemoryFleet.h
@@ -59,6 +59,9 @@
   core::testing::FaultNetwork<std::pair<std::string, std::string>> &network() { return Network; }
   uint32_t size() const { return Settings.Nodes; }
   ControlNode &node(uint32_t n) { return *Nodes[n].Control; }
+
+  /// Returns the number of the node's last crash that the leader has acknowledged.
+  uint64_t acknowledgedCrash(uint32_t n) const { return Nodes[n].Listener.AcknowledgedCrash; }
   bool isUp(uint32_t n) const { return Nodes[n].Control != nullptr; }
 
   /// Crashes a node: its memory and its unsynced writes are lost.
@@ -140,10 +143,16 @@
     pcg64 Rng;
   };
 
+  class CrashAckRecorder final : public VmAgentListener {
+  public:
+    void onCrashAck(uint64_t crash) override { AcknowledgedCrash = crash; }
+    uint64_t AcknowledgedCrash = 0;
+  };
+
   struct Node {
     std::unique_ptr<agreement::MemoryLogStorage> Storage;
     std::unique_ptr<PcgSource> Random;
-    VmAgentListener Listener;
+    CrashAckRecorder Listener;
     std::unique_ptr<ControlNode> Control;
     uint64_t Incarnations = 0;
   };
--- a/src/daemon/tests/ControlNodeTest.cpp
+++ b/src/daemon/tests/ControlNodeTest.cpp
@@ -2,6 +2,7 @@
 #include "daemon/testing/InMemoryFleet.h"
 #include "transport/Frame.h"
 
+#include <array>
 #include <map>
 #include <string>
 
@@ -103,6 +104,88 @@
 
 namespace {
 
+/// Generates a value that resembles a message body: known member names with members of any type.
+core::Json arbitraryBody(int depth) {
+  static const std::array<const char *, 14> names{"id",   "outcome", "answer",  "leader",  "data",
+                                                  "term", "at",      "version", "crashes", "kind",
+                                                  "vm",   "result",  "attempt", "config"};
+  switch (*rc::gen::inRange(0, depth > 0 ? 8 : 6)) {
+  case 0:
+    return *rc::gen::arbitrary<int64_t>();
+  case 1:
+    return *rc::gen::arbitrary<bool>();
+  case 2:
+    return *rc::gen::arbitrary<double>();
+  case 3:
+    return nullptr;
+  case 4:
+    return "text";
+  case 5:
+    return core::Json::binary(
+        *rc::gen::container<std::vector<uint8_t>>(rc::gen::arbitrary<uint8_t>()));
+  case 6: {
+    core::Json list = core::Json::array();
+    for (int n = *rc::gen::inRange(0, 5); n > 0; --n)
+      list.push_back(arbitraryBody(depth - 1));
+    return list;
+  }
+  default: {
+    core::Json object = core::Json::object();
+    for (int n = *rc::gen::inRange(0, 8); n > 0; --n)
+      object[names[*rc::gen::inRange<size_t>(0, names.size())]] = arbitraryBody(depth - 1);
+    return object;
+  }
+  }
+}
+
+} // namespace
+
+/// Guards against one malformed message that ends the process of a VM or of the leader.
+Test(ControlNode, malformedMessagesAreIgnored) {
+  Fixture f;
+  core::testing::checkProperty("no message of any kind ends a process", [&f] {
+    const uint32_t to = *rc::gen::inRange<uint32_t>(0, f.Fleet.size());
+    const core::VmId from = InMemoryFleet::idOf(*rc::gen::inRange<uint32_t>(0, f.Fleet.size()));
+    std::string body = core::encodeCbor(arbitraryBody(3));
+    if (*rc::gen::inRange(0, 4) == 0)
+      body = *rc::gen::arbitrary<std::string>();
+    for (std::string_view kind : kind::All)
+      f.Fleet.node(to).receive(from, kind, body);
+  });
+  cr_assert(f.Fleet.advanceUntil([&] { return f.allServe(); }, {30'000}));
+}
+
+/// Guards against a crashing request that other VMs execute because the leader acknowledges a crash
+/// while its notice is still on its way to them, or because the acknowledgement of an earlier
+/// report is taken for that of a later one. The report is resent before it can be acknowledged.
+Test(ControlNode, acknowledgedCrashIsKnownToAllServingVms) {
+  core::testing::checkProperty("an acknowledged crash is known to all serving VMs", [] {
+    Fixture f(*rc::gen::inRange<uint64_t>(1, 1000));
+    f.Fleet.network().settings().MaxDelay = {150};
+    f.Fleet.network().settings().DuplicatePermille = *rc::gen::inRange<uint32_t>(0, 300);
+    constexpr uint32_t Reporter = 3;
+    constexpr uint64_t Fingerprint = 42;
+    for (uint64_t crash = 1; crash <= 3; ++crash) {
+      VmAgent &vm = f.Fleet.node(Reporter).vm();
+      core::TargetId target("t" + std::to_string(crash));
+      vm.crashes().recordCrash(Fingerprint, target, core::VersionId("v1"), f.Fleet.clock().now());
+      const core::Time end = f.Fleet.clock().now() + core::Duration{10'000};
+      while (f.Fleet.acknowledgedCrash(Reporter) < crash && f.Fleet.clock().now() < end) {
+        vm.sendCrashReport(f.Fleet.clock().now());
+        f.Fleet.advanceUntil([&] { return f.Fleet.acknowledgedCrash(Reporter) >= crash; }, {100});
+      }
+      RC_ASSERT(f.Fleet.acknowledgedCrash(Reporter) == crash);
+      for (uint32_t n = 0; n < f.Fleet.size(); ++n) {
+        VmAgent &other = f.Fleet.node(n).vm();
+        if (other.mayServe(f.Fleet.clock().now()))
+          RC_ASSERT(other.crashes().count(Fingerprint) == crash);
+      }
+    }
+  });
+}
+
+namespace {
+
 /// Counts the messages and bytes of one node, including the frame and up to 8 bytes of WebSocket
 /// header.
 class NodeTraffic final : public daemon::testing::FleetObserver {
