Keep one leader in a fleet of 300 VMs while VMs restart in turn

The leader answered its followers late and was replaced every 1.2 s (terms 11 to 22 from second 14 to 27); no leader read the target list to its end, so drains and rate shares did not reach the VMs. A restarted or unlisted VM no longer keeps rate shares, and a holder that gives up its share says so.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -6,6 +6,8 @@
 #include "core/Hash.h"
 #include "link/Messages.h"
 
+#include <asio/post.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <random>
@@ -133,6 +135,12 @@
 }
 
 void ControlNode::tick() {
+  // Started first, so that an unexpected exception does not end the ticks.
+  TickTimer.expires_after(std::chrono::milliseconds(Settings.Tick.Ms));
+  TickTimer.async_wait([this](const asio::error_code &ec) {
+    if (!ec)
+      tick();
+  });
   core::Time now = Clock.now();
   Log->tick(now);
   flush();
@@ -147,11 +155,6 @@
     Leading = false;
   readList(now);
   join(now);
-  TickTimer.expires_after(std::chrono::milliseconds(Settings.Tick.Ms));
-  TickTimer.async_wait([this](const asio::error_code &ec) {
-    if (!ec)
-      tick();
-  });
 }
 
 void ControlNode::notifyUnreachable(const LostEntry &lost) {
@@ -242,7 +245,8 @@
 void ControlNode::onMessage(const transport::PeerMessage &message) {
   core::Time now = Clock.now();
   if (message.Kind == link::kind::Report) {
-    onReport(message);
+    Reports.push(message);
+    processReports();
     return;
   }
   LastContact[message.From] = now;
@@ -288,6 +292,20 @@
                {{"peer", peer}, {"reason", std::string(status.message())}}});
 }
 
+void ControlNode::processReports() {
+  if (ReportsScheduled || Reports.size() == 0)
+    return;
+  ReportsScheduled = true;
+  // One report at a time: messages of the agreement group that arrive meanwhile come first.
+  asio::post(Io, [this] {
+    ReportsScheduled = false;
+    std::optional<transport::PeerMessage> report = Reports.pop();
+    processReports();
+    if (report)
+      onReport(*report);
+  });
+}
+
 void ControlNode::onReport(const transport::PeerMessage &message) {
   core::Time now = Clock.now();
   absl::StatusOr<link::EntryReport> report = link::decodeEntryReport(message.Body);
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -11,6 +11,7 @@
 #include "control/EntryRegistry.h"
 #include "control/ListClient.h"
 #include "control/OperatorCall.h"
+#include "control/ReportQueue.h"
 #include "control/RolloutEvaluator.h"
 #include "control/TargetWatcher.h"
 #include "core/Event.h"
@@ -94,6 +95,7 @@
   void readList(core::Time now);
   void onListPage(int status, const std::string &body);
   void rejectMessage(const core::VmId &peer, const absl::Status &status);
+  void processReports();
   void onReport(const transport::PeerMessage &message);
   link::ControlResponse makeResponse(const core::VmId &vm, core::Time now);
   void proposeEntry(const core::VmId &vm, bool present);
@@ -119,6 +121,8 @@
   std::unique_ptr<Random> Randomness;
   std::unique_ptr<agreement::FileLogStorage> Storage;
   ControlStateMachine Machine;
+  ReportQueue Reports;
+  bool ReportsScheduled = false;
   std::unique_ptr<agreement::Replica> Log;
   agreement::ProposalCallbacks Proposals;
   http::BufferedServer OperatorServer;
--- a/src/control/ControlResponseBuilder.cpp
+++ b/src/control/ControlResponseBuilder.cpp
@@ -57,8 +57,13 @@
     Demand.report(vm, report.Region, report.Services, now);
   Busy.report(report.Loads, now);
   answer.Busy = Busy.find(Targets, now);
-  if (report.EntriesDigest != LiveDigest)
-    answer.Entries = Live;
+  if (report.EntriesDigest != Live.digest()) {
+    const uint64_t from = report.AppliesEntryChanges ? report.EntriesDigest : 0;
+    auto [change, isNew] = LiveChanges.try_emplace(from);
+    if (isNew)
+      change->second = Live.since(from);
+    answer.Entries = change->second;
+  }
   absl::Status status;
   if (!report.Crashes.empty()) {
     absl::StatusOr<balance::CrashReport> crashes = balance::decodeCrashReport(report.Crashes);
@@ -96,7 +101,7 @@
 }
 
 void ControlResponseBuilder::refreshLive(core::Time now) {
-  if (LiveDigest != 0 && now - LiveAt < LiveInterval)
+  if (Live.digest() != 0 && now - LiveAt < LiveInterval)
     return;
   LiveAt = now;
   std::vector<link::EntryLocation> live;
@@ -104,11 +109,9 @@
     const EntryRecord &record = Entries.records().at(vm);
     live.push_back({vm, record.Region, record.Domain});
   }
-  uint64_t digest = link::digestOf(live);
-  if (digest == LiveDigest)
+  if (!Live.update(live))
     return;
-  LiveDigest = digest;
-  Live = live;
+  LiveChanges.clear();
   Holders = link::RateHolders(std::move(live));
 }
 
--- a/src/control/ControlResponseBuilder.h
+++ b/src/control/ControlResponseBuilder.h
@@ -10,6 +10,7 @@
 #include "control/EntryRegistry.h"
 #include "control/RateAllocator.h"
 #include "discovery/TargetList.h"
+#include "link/EntryList.h"
 #include "link/Messages.h"
 #include "link/RateHolders.h"
 
@@ -75,10 +76,11 @@
   balance::CrashGuard Crashes;
   /// By VM, with the incarnation of its process.
   std::map<core::VmId, std::pair<core::Incarnation, core::Time>> LastSlowUpdate;
-  std::vector<link::EntryLocation> Live; ///< Live entry VMs, as sent to entry VMs.
-  uint64_t LiveDigest = 0;               ///< Digest of Live; 0 until Live is first computed.
-  core::Time LiveAt;                     ///< Last computation of Live.
-  link::RateHolders Holders;             ///< Computed from Live.
+  link::EntryList Live; ///< Live entry VMs, as sent to entry VMs.
+  /// Changes that lead to Live, by the digest of the list from which they start.
+  std::map<uint64_t, link::EntryChange> LiveChanges;
+  core::Time LiveAt;         ///< Last computation of Live.
+  link::RateHolders Holders; ///< Computed from Live.
 };
 
 } // namespace briarspar::control
--- a/src/control/ListClient.cpp
+++ b/src/control/ListClient.cpp
@@ -36,4 +36,13 @@
   Body.clear();
 }
 
+void ListClient::onResponseBody(std::string_view bytes) {
+  Body.append(bytes);
+  if (Body.size() <= MaxPageBytes)
+    return;
+  Connection->close();
+  Body.clear();
+  Lost();
+}
+
 } // namespace briarspar::control
--- a/src/control/ListClient.h
+++ b/src/control/ListClient.h
@@ -20,7 +20,7 @@
   using OnLost = std::function<void()>;
 
   /// `onPage` is called for each response, `onLost` when the connection ends before an outstanding
-  /// response.
+  /// response or the response is longer than MaxPageBytes.
   ListClient(asio::io_context &io, const core::Clock &clock, std::string host, uint16_t port,
              OnPage onPage, OnLost onLost);
   ~ListClient() override { close(); }
@@ -30,8 +30,10 @@
 
   void close();
 
+  static constexpr size_t MaxPageBytes = 4UL * 1024 * 1024;
+
   void onResponseHead(http::Head head) override;
-  void onResponseBody(std::string_view bytes) override { Body.append(bytes); }
+  void onResponseBody(std::string_view bytes) override;
   void onResponseEnd() override { PageDone(Status, Body); }
   void onConnectionLost(http::ConnectionLoss) override { Lost(); }
 
--- a/src/control/RateAllocator.cpp
+++ b/src/control/RateAllocator.cpp
@@ -31,22 +31,35 @@
   if (heardTerm == Term)
     Unconfirmed.erase(vm);
   bool settled = isSettled(now);
+  // A VM that has just started or is stopping may consider itself a holder.
+  const bool isListed = holders.entries() == 0 || holders.contains(vm);
   for (const link::CustomerUsage &use : uses) {
     Customer &customer = Customers[use.Customer];
     Allocation &own = customer[vm];
     uint32_t others = 0;
-    for (const auto &[other, allocation] : customer)
-      if (other != vm && now < allocation.Until)
-        others += allocation.Outstanding;
-    // The reported share is final only if it equals the last granted one; otherwise a response in
-    // transit may still raise it.
-    bool confirmed = own.Run == run && use.SharePermille == own.Granted;
+    for (auto it = customer.begin(); it != customer.end();) {
+      if (it->first == vm) {
+        ++it;
+      } else if (now >= it->second.Until) {
+        it = customer.erase(it);
+      } else {
+        others += it->second.Outstanding;
+        ++it;
+      }
+    }
+    // A restarted VM no longer uses the share of its previous process.
+    if (own.Run < run)
+      own.Outstanding = 0;
+    // The reported share is final only if it equals the last granted one, or if the VM has given it
+    // up; otherwise a response in transit may still raise it.
+    const bool isGivenUp = use.SharePermille == 0 && !use.HoldsShare;
+    bool confirmed = own.Run == run && (use.SharePermille == own.Granted || isGivenUp);
     uint32_t usable = confirmed || now >= own.Until
                           ? use.SharePermille
                           : std::max({use.SharePermille, own.Outstanding});
     own.Run = run;
     own.Demand = use.ArrivalsPerS;
-    own.HoldsShare = use.HoldsShare;
+    own.HoldsShare = use.HoldsShare && isListed;
     uint32_t free = others >= FullPermille ? 0 : FullPermille - others;
     uint32_t share = settled ? std::min(free, desiredShare(use.Customer, customer, own, holders))
                              : use.SharePermille;
@@ -72,6 +85,9 @@
   if (limit == Limits.end())
     return 0;
   auto count = static_cast<double>(holders.count(limit->second));
+  // A single holder decides for all VMs, so no part of the rate is kept for others.
+  if (count <= 1 && allocation.HoldsShare)
+    return FullPermille;
   double demand = 0;
   for (const auto &[vm, it] : customer)
     demand += it.Demand;
--- a/src/control/tests/ControlTest.cpp
+++ b/src/control/tests/ControlTest.cpp
@@ -310,8 +310,8 @@
   link::ControlResponse first = sendReport(false, 5000);
   cr_assert(first.Shares.empty());
   cr_assert_not(first.CatalogDelta.empty());
-  cr_assert_eq(first.Entries.size(), 1);
-  report.EntriesDigest = link::digestOf(first.Entries);
+  cr_assert_eq(first.Entries.Set.size(), 1);
+  report.EntriesDigest = link::digestOf(first.Entries.Set);
   link::ControlResponse second = sendReport(true, 5400);
   cr_assert_eq(second.Shares.size(), 1);
   cr_assert_gt(second.Shares[0].Permille, 0);
--- a/src/link/Messages.cpp
+++ b/src/link/Messages.cpp
@@ -117,10 +117,23 @@
 }
 
 void to_json(Json &j, const EntryReport &it) {
-  j = {it.Sequence,  it.Region,       it.Domain,           it.Address,
-       it.Serving,   it.Stopping,     it.LeaderTerm,       it.Catalog,
-       it.ListEpoch, it.ListSequence, it.EntriesDigest,    it.Usage,
-       it.Versions,  it.Services,     packLoads(it.Loads), binary(it.Crashes)};
+  j = {it.Sequence,
+       it.Region,
+       it.Domain,
+       it.Address,
+       it.Serving,
+       it.Stopping,
+       it.LeaderTerm,
+       it.Catalog,
+       it.ListEpoch,
+       it.ListSequence,
+       it.EntriesDigest,
+       it.Usage,
+       it.Versions,
+       it.Services,
+       packLoads(it.Loads),
+       binary(it.Crashes),
+       it.AppliesEntryChanges};
 }
 
 void from_json(const Json &j, EntryReport &it) {
@@ -140,6 +153,7 @@
   j.at(13).get_to(it.Services);
   it.Loads = unpackLoads(j.at(14));
   it.Crashes = fromBinary(j.at(15));
+  it.AppliesEntryChanges = j.size() > 16 && j.at(16).get<bool>();
 }
 
 void to_json(Json &j, const RateShare &it) { j = {it.Customer, it.Permille}; }
@@ -172,9 +186,13 @@
 }
 
 void to_json(Json &j, const ControlResponse &it) {
-  j = {it.Sequence,          it.LeaderTerm, it.IsLeader, it.Members, binary(it.CatalogDelta),
-       binary(it.ListDelta), it.Shares,     it.Entries,  it.Demand,  packLoads(it.Busy),
+  j = {it.Sequence,          it.LeaderTerm, it.IsLeader,    it.Members, binary(it.CatalogDelta),
+       binary(it.ListDelta), it.Shares,     it.Entries.Set, it.Demand,  packLoads(it.Busy),
        binary(it.Crashes)};
+  if (it.Entries.From != 0) {
+    j.push_back(it.Entries.From);
+    j.push_back(it.Entries.Gone);
+  }
 }
 
 void from_json(const Json &j, ControlResponse &it) {
@@ -185,10 +203,15 @@
   it.CatalogDelta = fromBinary(j.at(4));
   it.ListDelta = fromBinary(j.at(5));
   j.at(6).get_to(it.Shares);
-  j.at(7).get_to(it.Entries);
+  j.at(7).get_to(it.Entries.Set);
   j.at(8).get_to(it.Demand);
   it.Busy = unpackLoads(j.at(9));
   it.Crashes = fromBinary(j.at(10));
+  // Processes of earlier releases send neither of these.
+  if (j.size() > 12) {
+    j.at(11).get_to(it.Entries.From);
+    j.at(12).get_to(it.Entries.Gone);
+  }
 }
 
 void to_json(Json &j, const EntryUnreachable &it) { j = {it.Vm, it.Run}; }
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -107,6 +107,7 @@
   std::vector<ServiceSample> Services; ///< Empty in most reports.
   std::vector<TargetLoad> Loads;       ///< Loads seen in responses since the last report.
   std::string Crashes;                 ///< Encoded balance::CrashReport; empty when there are none.
+  bool AppliesEntryChanges = true;     ///< The VM accepts an EntryChange that starts from its list.
 };
 
 /// Share of the rate of a customer that an entry VM may use.
@@ -125,6 +126,15 @@
 /// Returns a digest of a list of entry VMs; never 0.
 uint64_t digestOf(absl::Span<const EntryLocation> entries);
 
+/// Difference between two lists of live entry VMs.
+struct EntryChange {
+  uint64_t From = 0; ///< Digest of the list to which the change applies; 0 if it replaces any list.
+  std::vector<EntryLocation> Set; ///< Added and changed VMs in ascending order of id.
+  std::vector<core::VmId> Gone;
+
+  bool empty() const { return Set.empty() && Gone.empty(); }
+};
+
 /// Sent by an entry VM to the holder of a customer's share, to request permission for one request
 /// or to return an unused one.
 struct RateRequest {
@@ -143,12 +153,11 @@
   uint64_t Sequence = 0; ///< Sequence of the report; 0 in a pushed message.
   core::Term LeaderTerm; ///< Current term of the sender.
   bool IsLeader = false; ///< All other fields except Members are valid only from a leader.
-  std::vector<core::VmId> Members; ///< Control VMs of the group; empty in most messages.
-  std::string CatalogDelta;        ///< Encoded Catalog::deltaSince(); empty without changes.
-  std::string ListDelta;           ///< Encoded TargetList::deltaSince(); empty without changes.
-  std::vector<RateShare> Shares;   ///< Replace all earlier shares; only in responses to reports.
-  /// Live entry VMs in ascending order of id; empty when the VM already holds the same list.
-  std::vector<EntryLocation> Entries;
+  std::vector<core::VmId> Members;   ///< Control VMs of the group; empty in most messages.
+  std::string CatalogDelta;          ///< Encoded Catalog::deltaSince(); empty without changes.
+  std::string ListDelta;             ///< Encoded TargetList::deltaSince(); empty without changes.
+  std::vector<RateShare> Shares;     ///< Replace all earlier shares; only in responses to reports.
+  EntryChange Entries;               ///< Live entry VMs; empty when the VM holds the same list.
   std::vector<ServiceDemand> Demand; ///< Demand of all regions; empty in most messages.
   std::vector<TargetLoad> Busy;      ///< Targets with the most requests per slot.
   std::string Crashes;               ///< Encoded balance::CrashReport; may be empty.
--- a/src/link/RateHolders.cpp
+++ b/src/link/RateHolders.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace briarspar::link {
 
@@ -28,6 +29,10 @@
          (1 + ExcessRatio) * limit.Burst + SlackRequests - MarginRequests;
 }
 
+double sharedBucketDepth(const CustomerLimit &limit) {
+  return limit.Burst + SlackRequests - MarginRequests;
+}
+
 RateHolders::RateHolders(std::vector<EntryLocation> entries) : Entries(std::move(entries)) {
   std::set<core::DomainId> domains;
   std::set<core::RegionId> regions;
@@ -67,21 +72,32 @@
 
 std::vector<core::VmId> RateHolders::failoverOrder(const std::string &customer,
                                                    const CustomerLimit &limit,
-                                                   const core::VmId &vm) const {
+                                                   const EntryLocation &location) const {
   std::vector<core::VmId> out;
   Scope group = scope(limit);
-  auto own = std::find_if(Entries.begin(), Entries.end(),
-                          [&](const EntryLocation &it) { return it.Vm == vm; });
-  if (group == PerVm || own == Entries.end())
+  if (group == PerVm)
     return out;
   for (const EntryLocation &it : Entries)
-    if (group == All || (group == Region ? it.Region == own->Region : it.Domain == own->Domain))
+    if (group == All ||
+        (group == Region ? it.Region == location.Region : it.Domain == location.Domain))
       out.push_back(it.Vm);
-  uint64_t seed = core::hash64(customer);
-  std::sort(out.begin(), out.end(), [seed](const core::VmId &a, const core::VmId &b) {
-    return core::hash64(a.Value, seed) > core::hash64(b.Value, seed);
-  });
+  const uint64_t seed = core::hash64(customer);
+  std::vector<std::pair<uint64_t, core::VmId>> ranked;
+  ranked.reserve(out.size());
+  for (core::VmId &it : out) {
+    const uint64_t rank = core::hash64(it.Value, seed);
+    ranked.emplace_back(rank, std::move(it));
+  }
+  std::sort(ranked.begin(), ranked.end(),
+            [](const auto &a, const auto &b) { return a.first > b.first; });
+  for (size_t n = 0; n < out.size(); ++n)
+    out[n] = std::move(ranked[n].second);
   return out;
 }
 
+bool RateHolders::contains(const core::VmId &vm) const {
+  return std::any_of(Entries.begin(), Entries.end(),
+                     [&](const EntryLocation &it) { return it.Vm == vm; });
+}
+
 } // namespace briarspar::link
--- a/src/link/RateHolders.h
+++ b/src/link/RateHolders.h
@@ -23,6 +23,11 @@
 /// reserve allow per window, without exceeding the bound of the platform on a window.
 double burstHeadroom(const CustomerLimit &limit);
 
+/// Returns the capacity of all buckets of a customer together, in requests, when only the VMs that
+/// hold shares can save up a whole request. Together with the rate and the reserve it keeps the
+/// bound of the platform on a window.
+double sharedBucketDepth(const CustomerLimit &limit);
+
 /// Determines which entry VMs hold the shares of a customer's rate. When a share is split over too
 /// many VMs, each has less than one request, and callers within their rate are refused. The VMs of
 /// a customer are therefore grouped into scopes, as small as its rate permits: single VMs, failure
@@ -36,10 +41,14 @@
   /// Returns the number of VMs that hold a share of the customer's rate.
   size_t count(const CustomerLimit &limit) const;
 
-  /// Returns the VMs in the scope of `vm`: the holder first, then the VMs that replace it when it
-  /// does not respond. Empty when each VM holds its own share or `vm` is not in the list.
+  /// Returns the VMs in the scope of a VM at `location`, which may not be in the list because it is
+  /// starting or stopping: the holder first, then the VMs that replace it when it does not respond.
+  /// Empty when each VM holds its own share.
   std::vector<core::VmId> failoverOrder(const std::string &customer, const CustomerLimit &limit,
-                                        const core::VmId &vm) const;
+                                        const EntryLocation &location) const;
+
+  /// Returns whether the VM is in the list. Others hold no share.
+  bool contains(const core::VmId &vm) const;
 
   size_t entries() const { return Entries.size(); }
 
--- a/src/link/tests/MessagesTest.cpp
+++ b/src/link/tests/MessagesTest.cpp
@@ -74,13 +74,15 @@
   ControlResponse sent = answer(true);
   sent.CatalogDelta = "catalog";
   sent.ListDelta = "list";
-  sent.Entries = {{VmId("a"), RegionId("r"), DomainId("d")}};
+  sent.Entries = {77, {{VmId("a"), RegionId("r"), DomainId("d")}}, {VmId("b")}};
   sent.Crashes = "crash report";
   absl::StatusOr<ControlResponse> decodedResponse = decodeControlResponse(encode(sent));
   cr_assert(decodedResponse.ok());
   cr_assert(encode(*decodedResponse) == encode(sent));
   cr_assert_eq(decodedResponse->CatalogDelta, "catalog");
   cr_assert_eq(decodedResponse->ListDelta, "list");
+  cr_assert_eq(decodedResponse->Entries.From, 77);
+  cr_assert_eq(decodedResponse->Entries.Gone[0], VmId("b"));
   cr_assert_eq(decodedResponse->Members[3].Value, "10.4.0.4");
   cr_assert_float_eq(decodedResponse->Demand[8].Slots, 120.5, 1e-9);
   cr_assert_eq(decodedResponse->Busy[39].Requests, 9);
