--- a/src/core/EventCatalogue.h
+++ b/src/core/EventCatalogue.h
@@ -71,4 +71,5 @@
   X(1406, VoterAdmitted, "control VM is added to the group")                                       \
   X(1407, VoterRemoved, "unresponsive control VM is removed from the group")                       \
   X(1408, RolloutJudged, "rollout of a service version was evaluated")                             \
-  X(1409, SettingsReloaded, "settings were reloaded")
+  X(1409, SettingsReloaded, "settings were reloaded")                                              \
+  X(1410, UnexpectedError, "an event handler failed with an exception")
--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -20,6 +20,16 @@
 /// with unread bytes resets the connection, which can destroy the response on its way.
 constexpr core::Duration LingerSpan{1000};
 
+/// While stopping, a connection must be idle for this long before it is closed.
+constexpr core::Duration StopIdleTime{300};
+
+/// Additional time after its deadline for a detached request to end at its target.
+constexpr core::Duration DiscardGrace{1000};
+
+/// After its response, the rest of a request body is read for at most this long, and up to the size
+/// limit of a body.
+constexpr core::Duration MaxDiscardTime{10'000};
+
 } // namespace
 
 /// A request of the connection with its exchange, its target connection and its buffered response.
@@ -117,7 +127,7 @@
 
   void detachTargetRequest() override {
     if (std::shared_ptr<http::ClientConnection> target = std::move(Target))
-      Session.Pool.discardResponse(target);
+      Session.Pool.discardResponse(target, Execution.wakeAt() + DiscardGrace);
   }
 
   void sendResponseHead(const http::Head &head) override {
@@ -236,8 +246,18 @@
 void CallerSession::startStopping(bool closeIdle) {
   Stopping = true;
   CloseIdle = closeIdle;
-  if (CloseIdle && isIdle())
-    close();
+  closeIfIdle();
+}
+
+/// While stopping, closes the connection unless a request has arrived or may be on its way: a
+/// caller that has just connected or received a response sends its next request at once.
+void CallerSession::closeIfIdle() {
+  if (!CloseIdle || Closed || !isIdle() || Clock.now() - LastActivity < StopIdleTime)
+    return;
+  asio::error_code ec;
+  if (Socket.available(ec) > 0 && !ec)
+    return;
+  close();
 }
 
 bool CallerSession::isIdle() const {
@@ -258,11 +278,16 @@
       close();
     return;
   }
+  if (Discarding && (Rejected || now - DiscardingSince > MaxDiscardTime)) {
+    close();
+    return;
+  }
   if (InHead && now - HeadSince > Context.Limits.HeaderTimeout) {
     rejectBytes(absl::DeadlineExceededError("the request head did not arrive in time"));
     return;
   }
-  if (isIdle() && now - LastActivity > Context.Limits.IdleTimeout)
+  closeIfIdle();
+  if (!Closed && isIdle() && now - LastActivity > Context.Limits.IdleTimeout)
     close();
 }
 
@@ -368,14 +393,19 @@
 }
 
 void CallerSession::onBody(std::string_view bytes) {
-  if (!Receiving)
+  if (!Receiving) {
+    DiscardedBody += bytes.size();
+    if (DiscardedBody > Context.Limits.BodyBytes)
+      Rejected = true; // Stops reading; sweep() closes the connection.
     return;
+  }
   Receiving->exchange().onCallerBody(bytes, Clock.now());
   Receiving->schedule();
 }
 
 void CallerSession::onEnd() {
   std::shared_ptr<PendingRequest> request = std::move(Receiving);
+  Discarding = false;
   if (!request || request->exchange().isDone())
     return;
   request->exchange().onCallerEnd(Clock.now());
@@ -396,8 +426,12 @@
   }
   if (finished) {
     CloseAfterWrite = front->CloseAfter;
-    if (Receiving == front)
+    if (Receiving == front) {
       Receiving.reset(); // The rest of the body is read and discarded.
+      Discarding = true;
+      DiscardingSince = Clock.now();
+      DiscardedBody = 0;
+    }
     Requests.pop_front();
   }
   WritePending = true;
@@ -425,8 +459,6 @@
   parse();
   flush();
   read();
-  if (CloseIdle && isIdle())
-    close();
 }
 
 void CallerSession::linger() {
--- a/src/entry/CallerSession.h
+++ b/src/entry/CallerSession.h
@@ -47,6 +47,7 @@
   void close();
 
   bool isIdle() const;
+  void closeIfIdle();
 
 private:
   class PendingRequest;
@@ -90,6 +91,9 @@
   core::Time LastActivity;
   core::Time HeadSince; ///< Time at which the first byte of the current request head arrived.
   bool InHead = false;
+  bool Discarding = false; ///< The rest of the body of an answered request is being read.
+  core::Time DiscardingSince;
+  size_t DiscardedBody = 0; ///< Bytes.
 };
 
 } // namespace briarspar::entry
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -25,13 +25,17 @@
 /// Maximum number of probes started in one sweep.
 constexpr int ProbesPerSweep = 4;
 
+/// Limits on the response to a health probe.
+constexpr core::Duration ProbeTimeout{3000};
+constexpr size_t MaxProbeBodyBytes = 64UL * 1024;
+
 } // namespace
 
 /// Health probe of an ejected target over a separate connection.
 class EntryNode::Probe final : public http::ResponseListener,
                                public std::enable_shared_from_this<Probe> {
 public:
-  Probe(EntryNode &node, Pick target) : Node(node), Target(std::move(target)) {}
+  Probe(EntryNode &node, Pick target) : Node(node), Target(std::move(target)), Timeout(node.Io) {}
 
   void start() {
     Connection = std::make_shared<http::ClientConnection>(
@@ -42,12 +46,22 @@
     if (head.Target.empty())
       head.Target = "/";
     head.add("Host", absl::StrCat(Target.Host, ":", Target.Port));
+    Timeout.expires_after(chronoMs(ProbeTimeout));
+    Timeout.async_wait([self = weak_from_this()](const asio::error_code &ec) {
+      if (std::shared_ptr<Probe> probe = self.lock(); probe && !ec)
+        probe->end(false, {0});
+    });
     Connection->start(head, "", *this);
     Connection->finishRequest();
   }
 
   void onResponseHead(http::Head head) override { Response = std::move(head); }
-  void onResponseBody(std::string_view) override {}
+
+  void onResponseBody(std::string_view bytes) override {
+    BodyBytes += bytes.size();
+    if (BodyBytes > MaxProbeBodyBytes)
+      end(false, {0});
+  }
 
   void onResponseEnd() override {
     // Without this header the target is not cold.
@@ -63,6 +77,9 @@
 private:
   void end(bool healthy, core::Duration cold) {
     auto self = shared_from_this();
+    if (std::exchange(Ended, true))
+      return;
+    Timeout.cancel();
     Connection->close();
     Node.Context.Targets.recordProbe(Target.Id, healthy, cold, Node.Clock.now());
     if (healthy)
@@ -74,28 +91,32 @@
   EntryNode &Node;
   const Pick Target;
   std::shared_ptr<http::ClientConnection> Connection;
+  asio::steady_timer Timeout;
   http::Head Response;
+  size_t BodyBytes = 0;
+  bool Ended = false;
 };
 
 EntryNode::EntryNode(asio::io_context &io, const core::Clock &clock, core::EventSink &events,
                      transport::Transport &transport, const EntryNodeSettings &settings)
     : Io(io), Clock(clock), Events(events), Peers(transport), Settings(settings),
-      Context{settings.Names,
-              {},
-              nullptr,
-              {},
-              RateLimiter(settings.Location.Vm,
-                          [this](const core::VmId &to, const link::RateRequest &ask) {
-                            sendRateRequest(to, ask);
-                          }),
-              RetryAfterPolicy(clock.now()),
-              RetryBudget(),
-              TargetTable(settings.Location, settings.Selection),
-              balance::CrashGuard(
-                  core::hash64(settings.Location.Vm.Value, static_cast<uint64_t>(clock.now().Ms))),
-              &events,
-              0,
-              0},
+      Context{
+          settings.Names,
+          {},
+          nullptr,
+          {},
+          RateLimiter({settings.Location.Vm, settings.Location.Region, settings.Location.Domain},
+                      [this](const core::VmId &to, const link::RateRequest &ask) {
+                        sendRateRequest(to, ask);
+                      }),
+          RetryAfterPolicy(clock.now()),
+          RetryBudget(),
+          TargetTable(settings.Location, settings.Selection),
+          balance::CrashGuard(
+              core::hash64(settings.Location.Vm.Value, static_cast<uint64_t>(clock.now().Ms))),
+          &events,
+          0,
+          0},
       Pool(io, clock, settings.Names.RequestId),
       ReadyServer(
           io, events,
@@ -106,7 +127,8 @@
           }),
       CallerConnections(io, events,
                         [this](asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); }),
-      ReportTimer(io), SweepTimer(io), RateTimer(io), Seeds(settings.Seeds) {
+      Reports(settings.Location.Vm, settings.Reports), ReportTimer(io), SweepTimer(io),
+      RateTimer(io), Seeds(settings.Seeds) {
   ControlVms.insert(Seeds.begin(), Seeds.end());
 }
 
@@ -140,6 +162,12 @@
 }
 
 void EntryNode::report() {
+  // Started first, so that an unexpected exception does not end the reports.
+  ReportTimer.expires_after(chronoMs(Reports.next(isServing())));
+  ReportTimer.async_wait([this](const asio::error_code &ec) {
+    if (!ec)
+      report();
+  });
   link::EntryReport brief = makeReport(/*full=*/false);
   link::EntryReport full = makeReport(/*full=*/true);
   std::string briefBytes = encode(brief);
@@ -158,8 +186,10 @@
     else if (isBriefDue)
       Peers.send(vm, link::kind::Report, briefBytes);
   }
-  ReportTimer.expires_after(
-      chronoMs(isServing() ? Settings.ReportInterval : Settings.FirstReportInterval));
+}
+
+void EntryNode::reportSoon() {
+  ReportTimer.expires_after(chronoMs(Settings.SoonInterval));
   ReportTimer.async_wait([this](const asio::error_code &ec) {
     if (!ec)
       report();
@@ -185,7 +215,7 @@
   report.Catalog = Catalog.changedAt();
   report.ListEpoch = List.version().Epoch;
   report.ListSequence = List.version().Sequence;
-  report.EntriesDigest = EntriesDigest;
+  report.EntriesDigest = Entries.digest();
   if (full) {
     report.Usage = Context.Rates.uses(now);
     report.Versions = Context.Targets.versionCounts();
@@ -205,6 +235,11 @@
 }
 
 void EntryNode::sweep() {
+  SweepTimer.expires_after(chronoMs(Settings.SweepInterval));
+  SweepTimer.async_wait([this](const asio::error_code &ec) {
+    if (!ec)
+      sweep();
+  });
   core::Time now = Clock.now();
   auto sessions = Sessions;
   for (const std::shared_ptr<CallerSession> &it : sessions)
@@ -219,7 +254,7 @@
                   {"failure_share", it.FailureShare},
                   {"list", Context.ListVersion}}});
   for (const core::VmId &vm : Context.Rates.takeUnresponsive())
-    Events.emit({core::EventId::RateHolderSilent, {{"vm", vm}, {"entries", EntriesDigest}}});
+    Events.emit({core::EventId::RateHolderSilent, {{"vm", vm}, {"entries", Entries.digest()}}});
   probe();
   if (!LeaderLost && now - LeaderHeard > Settings.ControlTimeout) {
     LeaderLost = true;
@@ -229,11 +264,6 @@
   }
   if (Stopping)
     continueStop();
-  SweepTimer.expires_after(chronoMs(Settings.SweepInterval));
-  SweepTimer.async_wait([this](const asio::error_code &ec) {
-    if (!ec)
-      sweep();
-  });
 }
 
 void EntryNode::probe() {
@@ -333,11 +363,12 @@
     applyCatalog(answer.CatalogDelta);
   if (!answer.ListDelta.empty())
     applyList(answer.ListDelta);
-  if (!answer.Entries.empty()) {
-    EntriesDigest = link::digestOf(answer.Entries);
-    Context.Targets.setEntries(answer.Entries);
-    Context.Retries.setEntries(answer.Entries.size());
-    Context.Rates.setEntries(answer.Entries);
+  // A change that starts from another list is ignored; the next report names the list held.
+  if (!answer.Entries.empty() && Entries.apply(answer.Entries)) {
+    Context.Targets.setEntries(Entries.entries());
+    Context.Retries.setEntries(Entries.entries().size());
+    if (Context.Rates.setEntries(Entries.entries(), now))
+      reportSoon();
   }
   // A new leader does not know the demand at first; until then the last known demand is used.
   if (!answer.Demand.empty())
@@ -421,7 +452,7 @@
   core::Duration since = Clock.now() - StopStart;
   if (Accepting && since > Settings.StopAcceptTime) {
     Accepting = false;
-    CallerConnections.stop();
+    CallerConnections.stopAfterPending();
     auto sessions = Sessions;
     for (const std::shared_ptr<CallerSession> &it : sessions)
       it->startStopping(/*closeIdle=*/true);
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -3,9 +3,10 @@
 #include "absl/status/status.h"
 #include "entry/CallerSession.h"
 #include "entry/Exchange.h"
+#include "entry/ReportSchedule.h"
 #include "entry/TargetPool.h"
 #include "http/BufferedServer.h"
-#include "link/Messages.h"
+#include "link/EntryList.h"
 #include "transport/Transport.h"
 
 #include <asio/io_context.hpp>
@@ -30,12 +31,12 @@
   VmLocation Location;
   Address Callers;
   Address Ready;
-  uint16_t PeerPort = 0;              ///< Port of the peer message listener; the same on all VMs.
-  std::vector<core::VmId> Seeds;      ///< Control VMs to contact first. Their ids are IP addresses.
-  core::Duration ReportInterval{400}; ///< Well below the validity of rate shares (3 s), so that a
-                                      ///< lost report does not end a share.
-  /// Used until a configuration and a target list have been received.
-  core::Duration FirstReportInterval{100};
+  uint16_t PeerPort = 0;         ///< Port of the peer message listener; the same on all VMs.
+  std::vector<core::VmId> Seeds; ///< Control VMs to contact first. Their ids are IP addresses.
+  ReportScheduleSettings Reports;
+  /// Time until the next report when this VM has become or ceased to be the holder of a customer's
+  /// share. Until the leader knows, the customer's requests are refused.
+  core::Duration SoonInterval{50};
   /// Control VMs that are not the leader get a brief report this many intervals apart, and whenever
   /// the state of this VM changes.
   uint32_t BriefReportEvery = 3;
@@ -78,6 +79,7 @@
 private:
   void acceptCaller(asio::ip::tcp::socket socket);
   void report();
+  void reportSoon();
   void sweep();
   void probe();
   void onResponse(const link::ControlResponse &answer);
@@ -104,6 +106,7 @@
   TargetPool Pool;
   http::BufferedServer ReadyServer;
   http::Listener CallerConnections;
+  ReportSchedule Reports;
   asio::steady_timer ReportTimer;
   asio::steady_timer SweepTimer;
   asio::steady_timer RateTimer; ///< Runs while rate requests to other VMs are outstanding.
@@ -112,7 +115,7 @@
   core::Time ObjectsSampledAt; ///< Time of the last sample that included object hashes.
   uint32_t ReportsSinceBriefReport = 0;
   std::pair<bool, bool> BriefReportState; ///< Serving and stopping state in the last brief report.
-  uint64_t EntriesDigest = 0;             ///< Digest of the list of entry VMs in use.
+  link::EntryList Entries;                ///< Live entry VMs.
   std::unordered_set<std::shared_ptr<CallerSession>> Sessions;
   std::set<core::VmId> ControlVms; ///< All known control VMs.
   std::vector<core::VmId> Seeds;
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -49,6 +49,7 @@
   if (ms && *ms >= 0 && *ms <= MaxDeadlineMs)
     left = {*ms};
   Deadline = now + left - Context.Settings.ResponseMargin;
+  CallerDeadline = Deadline;
   WakeAt = Deadline;
 }
 
@@ -345,7 +346,7 @@
     return;
   // Too large to buffer: from here on, losing the target truncates the response to the caller.
   State = Streaming;
-  WakeAt = now + Context.Settings.DefaultDeadline;
+  WakeAt = CallerDeadline + Context.Settings.MaxStreamOverrun;
   Actions.sendResponseHead(Response);
   Actions.sendResponseBody(ResponseBytes);
   ResponseBytes.clear();
@@ -440,7 +441,10 @@
     return;
   }
   if (State == Streaming) {
-    WakeAt = now + Context.Settings.DefaultDeadline;
+    recordOutcome(TargetOutcome::TimedOut, now);
+    Actions.cancelTargetRequest();
+    Actions.abortResponse();
+    finish("cut", 0, now);
     return;
   }
   MayHaveRun = true;
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -30,6 +30,8 @@
   core::Duration ResponseMargin{30};
   core::Duration TargetGrace{60}; ///< Additional time after the deadline for the own timeout
                                   ///< response of the target to arrive.
+  /// A response that is being streamed is cut this long after the deadline of the caller.
+  core::Duration MaxStreamOverrun{10'000};
   core::Duration MinSendTime{20}; ///< A request with less time left is not sent to a target.
 };
 
@@ -143,7 +145,8 @@
   ExchangeActions &Actions;
   http::Head Request;
   const core::Time ArrivedAt;
-  core::Time Deadline; ///< Time by which the caller must have a response.
+  core::Time Deadline;       ///< Time by which the caller must have a response.
+  core::Time CallerDeadline; ///< Same, without the timeout of the route.
   core::Time WakeAt;
   StateKind State = Receiving;
   std::string Id;
--- a/src/entry/RateLimiter.cpp
+++ b/src/entry/RateLimiter.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-RateLimiter::RateLimiter(core::VmId own, Send send, const RateLimiterSettings &settings)
+RateLimiter::RateLimiter(link::EntryLocation own, Send send, const RateLimiterSettings &settings)
     : Own(std::move(own)), SendAsk(std::move(send)), Settings(settings) {}
 
 void RateLimiter::setLimits(const catalog::ItemMap<catalog::Customer> &customers, core::Time now) {
@@ -20,23 +20,26 @@
     if (held.Value && held.Value->RatePerS > 0)
       Limits[name] = {held.Value->RatePerS, held.Value->Burst};
   Shares.setLimits(customers, now);
-  rebuildHolderOrders();
+  rebuildHolderOrders(now);
 }
 
-void RateLimiter::setEntries(absl::Span<const link::EntryLocation> entries) {
+bool RateLimiter::setEntries(absl::Span<const link::EntryLocation> entries, core::Time now) {
   Holders = link::RateHolders({entries.begin(), entries.end()});
-  rebuildHolderOrders();
+  return rebuildHolderOrders(now);
 }
 
-void RateLimiter::rebuildHolderOrders() {
+bool RateLimiter::rebuildHolderOrders(core::Time now) {
   HolderOrders.clear();
   std::set<std::string> byOthers;
+  // A VM that is starting or stopping is not in the list. It holds no share, because its share
+  // would be missing at the holders that the other VMs ask.
+  const bool isListed = Holders.entries() == 0 || Holders.contains(Own.Vm);
   for (const auto &[name, limit] : Limits) {
     const std::vector<core::VmId> &order = holderOrder(name);
-    if (!order.empty() && order.front() != Own)
+    if (!isListed || (!order.empty() && order.front() != Own.Vm))
       byOthers.insert(name);
   }
-  Shares.setHeldByOthers(std::move(byOthers));
+  return Shares.setHeldByOthers(std::move(byOthers), now);
 }
 
 void RateLimiter::setShares(absl::Span<const link::RateShare> shares, core::Time sentAt,
@@ -58,14 +61,14 @@
     if (silent == AvoidUntil.end() || now >= silent->second)
       return it;
   }
-  return Own;
+  return Own.Vm;
 }
 
 std::optional<bool> RateLimiter::request(const std::string &customer, core::Time now, Reply reply) {
   if (Limits.count(customer) == 0)
     return true;
   core::VmId holder = holderOf(customer, now);
-  if (holder == Own)
+  if (holder == Own.Vm)
     return Shares.spend(customer, now);
   ask({customer, holder, 1, {}, std::move(reply)}, now);
   return std::nullopt;
@@ -83,7 +86,7 @@
   if (Limits.count(customer) == 0)
     return;
   core::VmId holder = holderOf(customer, now);
-  if (holder == Own)
+  if (holder == Own.Vm)
     Shares.refund(customer, now);
   else
     SendAsk(holder, {0, customer});
@@ -126,7 +129,7 @@
       NewlyUnresponsive.push_back(pending.Holder);
     AvoidUntil[pending.Holder] = now + Settings.HolderBackoff;
     pending.Holder = holderOf(pending.Customer, now);
-    if (pending.Holder == Own || pending.Asked >= Settings.MaxHoldersAsked) {
+    if (pending.Holder == Own.Vm || pending.Asked >= Settings.MaxHoldersAsked) {
       pending.Done(Shares.spend(pending.Customer, now));
     } else {
       ++pending.Asked;
--- a/src/entry/RateLimiter.h
+++ b/src/entry/RateLimiter.h
@@ -32,13 +32,13 @@
   using Send = std::function<void(const core::VmId &to, const link::RateRequest &ask)>;
   using Reply = std::function<void(bool granted)>;
 
-  RateLimiter(core::VmId own, Send send, const RateLimiterSettings &settings = {});
+  RateLimiter(link::EntryLocation own, Send send, const RateLimiterSettings &settings = {});
 
   /// Sets the limits of all customers.
   void setLimits(const catalog::ItemMap<catalog::Customer> &customers, core::Time now);
 
-  /// Sets the live entry VMs.
-  void setEntries(absl::Span<const link::EntryLocation> entries);
+  /// Sets the live entry VMs. Returns whether this VM has become or ceased to be a holder.
+  bool setEntries(absl::Span<const link::EntryLocation> entries, core::Time now);
 
   /// Sets the shares received in reply to a report sent at `sentAt`.
   void setShares(absl::Span<const link::RateShare> shares, core::Time sentAt, core::Time now);
@@ -80,9 +80,9 @@
 
   const std::vector<core::VmId> &holderOrder(const std::string &customer);
   void ask(PendingAsk pending, core::Time now);
-  void rebuildHolderOrders();
+  bool rebuildHolderOrders(core::Time now);
 
-  const core::VmId Own;
+  const link::EntryLocation Own;
   const Send SendAsk;
   const RateLimiterSettings Settings;
   RateShares Shares;
--- a/src/entry/RateShares.cpp
+++ b/src/entry/RateShares.cpp
@@ -51,7 +51,7 @@
     ReserveShare = Settings.ReservePermille / 1000.0 / static_cast<double>(entries);
   for (const link::RateShare &it : shares) {
     auto bucket = Buckets.find(it.Customer);
-    if (bucket == Buckets.end())
+    if (bucket == Buckets.end() || sentAt <= bucket->second.GivenUpAt)
       continue;
     fill(bucket->second, now);
     bucket->second.SharePermille = it.Permille;
@@ -60,6 +60,24 @@
   }
 }
 
+bool RateShares::setHeldByOthers(std::set<std::string> customers, core::Time now) {
+  const bool isChanged = customers != HeldByOthers;
+  for (const std::string &name : customers) {
+    auto it = Buckets.find(name);
+    if (it == Buckets.end() || HeldByOthers.count(name) != 0)
+      continue;
+    Bucket &bucket = it->second;
+    fill(bucket, now);
+    bucket.SharePermille = 0;
+    bucket.ShareUntil = {};
+    bucket.GivenUpAt = now;
+    bucket.ArrivalsPerS = 0;
+    fill(bucket, now);
+  }
+  HeldByOthers = std::move(customers);
+  return isChanged;
+}
+
 bool RateShares::spend(const std::string &customer, core::Time now) {
   auto it = Buckets.find(customer);
   if (it == Buckets.end())
@@ -87,7 +105,9 @@
     countArrivals(bucket, 0, now);
     uint32_t held = now < bucket.ShareUntil ? bucket.SharePermille : 0;
     bool holds = HeldByOthers.count(name) == 0;
-    if (bucket.ArrivalsPerS > IdleRate || held != 0 || holds)
+    // The leader must learn that a share has been given up, or it waits until that share expires.
+    const bool wasGivenUp = bucket.GivenUpAt.Ms != 0 && now - bucket.GivenUpAt < Settings.Validity;
+    if (bucket.ArrivalsPerS > IdleRate || held != 0 || holds || wasGivenUp)
       out.push_back({name, bucket.ArrivalsPerS, held, holds});
   }
   return out;
@@ -101,8 +121,12 @@
 void RateShares::fill(Bucket &bucket, core::Time now) const {
   double fraction = share(bucket, now);
   double seconds = static_cast<double>((now - bucket.FilledAt).Ms) / 1000;
-  double room = link::burstHeadroom({bucket.RatePerS, bucket.Burst}) / Entries;
-  double depth = std::max(fraction * bucket.Burst, std::min(room, MaxGuaranteedDepth));
+  const link::CustomerLimit limit{bucket.RatePerS, bucket.Burst};
+  double room = link::burstHeadroom(limit) / Entries;
+  // With less than one request of room, VMs without a share can admit nothing, so the holders can
+  // use the burst that the platform allows on top of the rate.
+  double depth = room < 1 ? fraction * link::sharedBucketDepth(limit)
+                          : std::max(fraction * bucket.Burst, std::min(room, MaxGuaranteedDepth));
   bucket.Tokens = std::min(depth, bucket.Tokens + seconds * fraction * bucket.RatePerS);
   bucket.FilledAt = now;
 }
--- a/src/entry/RateShares.h
+++ b/src/entry/RateShares.h
@@ -36,9 +36,11 @@
   void setShares(absl::Span<const link::RateShare> shares, size_t entries, core::Time sentAt,
                  core::Time now);
 
-  /// Sets the customers whose share is held by another VM. This VM requests a share of its own for
-  /// them only while it can reach no holder.
-  void setHeldByOthers(std::set<std::string> customers) { HeldByOthers = std::move(customers); }
+  /// Sets the customers whose share is held by another VM. This VM gives up its share of them, and
+  /// ignores shares in replies to earlier reports, so that the leader can grant it to the holder at
+  /// once. It requests a share of its own for them only while it can reach no holder. Returns
+  /// whether this VM has given up or taken over a customer, which the leader should learn soon.
+  bool setHeldByOthers(std::set<std::string> customers, core::Time now);
 
   /// Charges one request to a customer's rate. Returns false when no token is left.
   bool spend(const std::string &customer, core::Time now);
@@ -57,6 +59,7 @@
     double Burst = 0;    ///< Of the customer, over all VMs.
     uint32_t SharePermille = 0;
     core::Time ShareUntil;
+    core::Time GivenUpAt; ///< Replies to reports sent until then are ignored.
     double Tokens = 0;
     core::Time FilledAt;
     double ArrivalsPerS = 0;
--- a/src/entry/TargetPool.cpp
+++ b/src/entry/TargetPool.cpp
@@ -9,11 +9,18 @@
 /// Reads and discards the rest of a response, then returns the connection to the pool.
 class TargetPool::Discarder final : public http::ResponseListener {
 public:
-  Discarder(TargetPool &pool, ConnectionPtr connection)
-      : Pool(pool), Connection(std::move(connection)) {}
+  Discarder(TargetPool &pool, ConnectionPtr connection, core::Time until)
+      : Pool(pool), Connection(std::move(connection)), Until(until) {}
 
   void onResponseHead(http::Head) override {}
-  void onResponseBody(std::string_view) override {}
+
+  void onResponseBody(std::string_view bytes) override {
+    Discarded += bytes.size();
+    if (Discarded <= MaxDiscardedBytes)
+      return;
+    close();
+    end();
+  }
 
   void onResponseEnd() override {
     Pool.release(Connection);
@@ -23,6 +30,7 @@
   void onConnectionLost(http::ConnectionLoss) override { end(); }
 
   void close() { Connection->close(); }
+  core::Time until() const { return Until; }
 
 private:
   /// Deferred, because this object is still in use by the caller of the listener.
@@ -32,6 +40,8 @@
 
   TargetPool &Pool;
   ConnectionPtr Connection;
+  const core::Time Until;
+  size_t Discarded = 0; ///< Body bytes.
 };
 
 TargetPool::TargetPool(asio::io_context &io, const core::Clock &clock, std::string idHeader,
@@ -77,8 +87,8 @@
     connection->close();
 }
 
-void TargetPool::discardResponse(const ConnectionPtr &connection) {
-  auto discarder = std::make_unique<Discarder>(*this, connection);
+void TargetPool::discardResponse(const ConnectionPtr &connection, core::Time until) {
+  auto discarder = std::make_unique<Discarder>(*this, connection, until);
   connection->setListener(*discarder);
   connection->setReading(true);
   Discarders[connection.get()] = std::move(discarder);
@@ -86,6 +96,14 @@
 
 void TargetPool::sweep() {
   core::Time now = Clock.now();
+  for (auto it = Discarders.begin(); it != Discarders.end();) {
+    if (now < it->second->until()) {
+      ++it;
+      continue;
+    }
+    it->second->close();
+    it = Discarders.erase(it);
+  }
   for (auto it = Peers.begin(); it != Peers.end();) {
     std::vector<ConnectionPtr> &idle = it->second.Idle;
     for (const ConnectionPtr &connection : idle)
--- a/src/entry/TargetPool.h
+++ b/src/entry/TargetPool.h
@@ -31,14 +31,20 @@
   void release(const std::shared_ptr<http::ClientConnection> &connection);
 
   /// Takes over a connection whose response is no longer needed and reads the response to its end.
-  void discardResponse(const std::shared_ptr<http::ClientConnection> &connection);
+  /// Closes the connection if the response has not ended by `until` or exceeds MaxDiscardedBytes.
+  void discardResponse(const std::shared_ptr<http::ClientConnection> &connection, core::Time until);
 
-  /// Closes idle connections that can no longer be reused.
+  /// Closes idle connections that can no longer be reused, and discarded responses that take too
+  /// long.
   void sweep();
 
   size_t openConnections() const;
+  size_t discardedResponses() const { return Discarders.size(); }
   uint64_t connectionsOpened() const { return Opened; }
 
+  /// Maximum size of a response body that is read only to reuse its connection.
+  static constexpr size_t MaxDiscardedBytes = 1024UL * 1024;
+
 private:
   class Discarder;
   using Key = std::pair<std::string, uint16_t>;
--- a/src/entry/tests/ExchangeTest.cpp
+++ b/src/entry/tests/ExchangeTest.cpp
@@ -121,7 +121,8 @@
       {},
       nullptr,
       {},
-      RateLimiter(VmId("vm"), [](const VmId &, const link::RateRequest &) {}),
+      RateLimiter({VmId("vm"), RegionId("r"), DomainId("z")},
+                  [](const VmId &, const link::RateRequest &) {}),
       RetryAfterPolicy(Time{0}),
       RetryBudget(),
       TargetTable({VmId("vm"), RegionId("r"), DomainId("z"), {{DomainId("z"), RegionId("r")}}}),
@@ -256,6 +257,25 @@
   cr_assert_eq(fixture.Out.ResponseBody.find("half of"), std::string::npos);
 }
 
+/// Guards against a response body without end that is streamed for as long as the target sends it.
+Test(Exchange, endlessResponseIsCutAfterDeadlineOfCaller) {
+  Fixture f;
+  auto exchange = f.open("/read/a");
+  exchange->onResponseHead(Fixture::answer(200), Time{10});
+  const std::string part(8192, 'x');
+  const int64_t deadline = 5000;
+  const int64_t last = deadline + f.Context.Settings.MaxStreamOverrun.Ms;
+  for (int64_t now = 20; now < last && !exchange->isDone(); now += 10) {
+    exchange->onResponseBody(part, Time{now});
+    exchange->onTimer(Time{now});
+  }
+  cr_assert(f.Out.Responses.size() == 1, "the response was not streamed");
+  exchange->onTimer(Time{last});
+  cr_assert(exchange->isDone());
+  cr_assert_eq(f.Out.Aborted, 1);
+  cr_assert_eq(f.Out.Cancelled, 1);
+}
+
 /// Guards against buffering a large response, and against an unnoticed loss of its target.
 Test(Exchange, streamsLargeResponseAndAbortsOnLoss) {
   Fixture fixture;
--- a/src/entry/tests/LimitsTest.cpp
+++ b/src/entry/tests/LimitsTest.cpp
@@ -3,8 +3,7 @@
 #include "entry/RateLimiter.h"
 #include "entry/RegionShiftLimiter.h"
 #include "entry/RetryBudget.h"
-
-#include "control/RateAllocator.h"
+#include "entry/testing/RateFleet.h"
 
 #include <cmath>
 #include <functional>
@@ -13,154 +12,13 @@
 using namespace briarspar;
 using namespace briarspar::core;
 using namespace briarspar::entry;
-
-namespace {
-
-catalog::ItemMap<catalog::Customer> oneCustomer(double rate, double burst) {
-  catalog::Customer it;
-  it.Name = "c";
-  it.RatePerS = rate;
-  it.Burst = burst;
-  catalog::ItemMap<catalog::Customer> shelf;
-  shelf["c"] = {catalog::ItemVersion(1), LogIndex(1), it, ""};
-  return shelf;
-}
-
-/// Entry VMs that receive shares of one customer's rate from a leader and ask each other for
-/// permits. Messages are lost, VMs restart and leaders change at random. Each failure domain has
-/// eight VMs.
-class Fleet {
-public:
-  Fleet(size_t n, double rate) : Rate(rate), Vms(n) {
-    for (size_t i = 0; i < n; ++i) {
-      Places.push_back({id(i), RegionId("r"), DomainId("z" + std::to_string(i / 8))});
-      start(i, 1);
-    }
-    Holders = link::RateHolders(Places);
-    Leader->becomeLeader(Term(1), roster(), Now);
-    Leader->setRates(oneCustomer(Rate, Rate));
-  }
-
-  /// Advances by 100 ms: each VM gets `demand` requests and the hot VM `hotDemand`; each VM reports
-  /// in every fourth step.
-  void step(uint64_t demand, uint64_t hotDemand, uint64_t lossPermille,
-            const std::function<uint64_t()> &random) {
-    Now = Now + Duration{100};
-    for (size_t i = 0; i < Vms.size(); ++i) {
-      Vm &it = Vms[i];
-      uint64_t mine = i == Hot ? hotDemand : demand;
-      it.Limiter->onTimer(Now);
-      for (uint64_t k = 0; k < mine; ++k)
-        request(i, random, lossPermille);
-      if ((Now.Ms / 100 + static_cast<int64_t>(i)) % 4 != 0 || random() % 1000 < lossPermille)
-        continue;
-      auto answer = Leader->allocate(id(i), Incarnation(it.Run), it.Heard, it.Limiter->uses(Now),
-                                     Holders, Now);
-      if (random() % 1000 < lossPermille)
-        continue;
-      it.Heard = LeaderTerm;
-      it.Limiter->setEntries(Places);
-      it.Limiter->setShares(answer, Now, Now);
-    }
-  }
-
-  /// Issues one request of the customer at a VM.
-  void request(size_t i, const std::function<uint64_t()> &random, uint64_t lossPermille = 0) {
-    std::optional<bool> granted = Vms[i].Limiter->request("c", Now, [this](bool later) {
-      if (later)
-        Admitted.push_back(Now);
-    });
-    if (granted.value_or(false))
-      Admitted.push_back(Now);
-    deliver(lossPermille, random);
-  }
-
-  void changeLeader() {
-    LeaderTerm = LeaderTerm.next();
-    Leader = std::make_unique<control::RateAllocator>();
-    Leader->becomeLeader(LeaderTerm, roster(), Now);
-    Leader->setRates(oneCustomer(Rate, Rate));
-  }
-
-  void restart(size_t i) { start(i, Vms[i].Run + 1); }
-
-  /// Returns the maximum number of requests admitted in any window, as a fraction of the platform's
-  /// limit.
-  double worstWindow() const {
-    double most = 0;
-    size_t from = 0;
-    for (size_t to = 0; to < Admitted.size(); ++to) {
-      while (Admitted[to] - Admitted[from] >= Duration{5000})
-        ++from;
-      most = std::max(most, static_cast<double>(to - from + 1));
-    }
-    return most / ((5 * Rate + Rate) * 1.1 + 20);
-  }
-
-  size_t Hot = 0;
-  size_t admitted() const { return Admitted.size(); }
-
-private:
-  struct Vm {
-    std::unique_ptr<RateLimiter> Limiter;
-    uint64_t Run = 1;
-    Term Heard;
-  };
-
-  struct Ask {
-    size_t From;
-    VmId To;
-    link::RateRequest Content;
-  };
-
-  void start(size_t i, uint64_t run) {
-    auto limiter = std::make_unique<RateLimiter>(
-        id(i), [this, i](const VmId &to, const link::RateRequest &ask) {
-          Asks.push_back({i, to, ask});
-        });
-    limiter->setLimits(oneCustomer(Rate, Rate), Now);
-    Vms[i] = {std::move(limiter), run, Term(0)};
-  }
-
-  void deliver(uint64_t lossPermille, const std::function<uint64_t()> &random) {
-    for (const Ask &ask : std::exchange(Asks, {})) {
-      if (random() % 1000 < lossPermille)
-        continue;
-      for (size_t to = 0; to < Vms.size(); ++to) {
-        if (id(to) != ask.To)
-          continue;
-        link::RatePermit permit = Vms[to].Limiter->answer(ask.Content, Now);
-        if (permit.Sequence != 0 && random() % 1000 >= lossPermille)
-          Vms[ask.From].Limiter->onPermit(ask.To, permit, Now);
-      }
-    }
-  }
-
-  static VmId id(size_t i) { return VmId("vm" + std::to_string(i)); }
-  std::set<VmId> roster() const {
-    std::set<VmId> out;
-    for (size_t i = 0; i < Vms.size(); ++i)
-      out.insert(id(i));
-    return out;
-  }
-
-  double Rate;
-  Time Now{1'000'000};
-  std::vector<Vm> Vms;
-  std::vector<link::EntryLocation> Places;
-  link::RateHolders Holders;
-  std::vector<Ask> Asks;
-  std::unique_ptr<control::RateAllocator> Leader = std::make_unique<control::RateAllocator>();
-  Term LeaderTerm{1};
-  std::vector<Time> Admitted;
-};
-
-} // namespace
+using entry::testing::oneCustomer;
+using entry::testing::RateFleet;
 
 /// Guards against exceeding a customer's rate in total, with lost messages, restarted VMs and
 /// deposed leaders.
 Test(RateShares, rateHoldsAcrossAllVms) {
-  testing::checkProperty("no window exceeds the allowed number of requests", [] {
+  core::testing::checkProperty("no window exceeds the allowed number of requests", [] {
     size_t n = *rc::gen::inRange<size_t>(2, 80);
     double rate = *rc::gen::inRange(5, 400);
     uint64_t seed = *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>());
@@ -168,7 +26,7 @@
       seed = seed * 6364136223846793005ULL + 1442695040888963407ULL;
       return seed >> 33;
     };
-    Fleet fleet(n, rate);
+    RateFleet fleet(n, rate);
     auto demand = static_cast<uint64_t>(rate * 0.8 / static_cast<double>(n)) + 1;
     uint64_t loss = random() % 3 * 200;
     for (int i = 0; i < 200; ++i) {
@@ -178,6 +36,10 @@
         fleet.restart(random() % n);
       if (random() % 25 == 0)
         fleet.Hot = random() % n;
+      if (random() % 20 == 0) {
+        const uint64_t unlisted = random();
+        fleet.setListed([&](size_t vm) { return n < 4 || (unlisted >> vm % 16 & 3) != 0; });
+      }
       fleet.step(demand, demand * n, loss, random);
     }
     RC_ASSERT(fleet.worstWindow() <= 1);
@@ -187,7 +49,7 @@
 /// Guards against refusing callers within their rate because shares do not follow the demand: a
 /// customer is at half of its rate, and one of 12 VMs suddenly gets a third of that.
 Test(RateShares, demandWithinRateIsServed) {
-  Fleet fleet(12, 120);
+  RateFleet fleet(12, 120);
   auto random = [] { return uint64_t{999}; };
   for (int i = 0; i < 40; ++i)
     fleet.step(0, 0, 0, random);
@@ -205,7 +67,7 @@
 Test(RateLimiter, fullBucketsTogetherKeepWindowLimit) {
   for (size_t n : {3, 8, 12, 20, 31, 60}) {
     for (double rate : {20, 50, 100, 200, 400}) {
-      Fleet fleet(n, rate);
+      RateFleet fleet(n, rate);
       auto random = [] { return uint64_t{999}; };
       auto hot = static_cast<uint64_t>(rate * 0.05);
       for (int i = 0; i < 80; ++i)
@@ -221,7 +83,7 @@
 /// Guards against refusals when traffic starts, because no VM has a share before its first request:
 /// half of a second's rate arrives at once, spread over all VMs.
 Test(RateLimiter, sharesExistBeforeFirstRequest) {
-  Fleet fleet(12, 120);
+  RateFleet fleet(12, 120);
   auto random = [] { return uint64_t{999}; };
   for (int i = 0; i < 40; ++i)
     fleet.step(0, 0, 0, random);
@@ -235,7 +97,7 @@
 /// arrive at 72 VMs at random.
 Test(RateLimiter, smallRatesAreServedInLargeFleet) {
   for (double rate : {17, 34, 68}) {
-    Fleet fleet(72, rate);
+    RateFleet fleet(72, rate);
     uint64_t state = 20261204;
     auto random = [&state] {
       state = state * 6364136223846793005ULL + 1442695040888963407ULL;
@@ -257,6 +119,38 @@
   }
 }
 
+/// Guards against refusing callers of a small customer whose requests arrive at random: a customer
+/// at five eighths of its rate, in large fleets in which a single VM holds its share. The platform
+/// tolerates 20 requests per window beyond the rate and burst.
+Test(RateLimiter, randomArrivalsOfTinyCustomersAreServed) {
+  for (size_t vms : {60, 300}) {
+    for (double rate : {3, 6, 12}) {
+      RateFleet fleet(vms, rate);
+      uint64_t state = 20261206;
+      auto random = [&state] {
+        state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+        return state >> 33;
+      };
+      for (int i = 0; i < 40; ++i)
+        fleet.step(0, 0, 0, random);
+      size_t before = fleet.admitted();
+      size_t asked = 0;
+      for (int i = 0; i < 1200; ++i) {
+        // One hundred chances per step give nearly Poisson arrivals.
+        for (int k = 0; k < 100; ++k)
+          if (random() % 100'000 < static_cast<uint64_t>(rate * 5 / 8 * 100)) {
+            fleet.request(random() % vms, random);
+            ++asked;
+          }
+        fleet.step(0, 0, 0, random);
+      }
+      cr_assert_leq(fleet.worstWindow(), 1);
+      cr_assert_geq(fleet.admitted() - before, asked * 995 / 1000, "%zu of %zu at %.0f",
+                    fleet.admitted() - before, asked, rate);
+    }
+  }
+}
+
 /// Guards against requests that fail with an unresponsive holder: the next VM in the holder order
 /// decides, and after that the local share and reserve.
 Test(RateLimiter, unresponsiveHolderIsReplaced) {
@@ -265,14 +159,15 @@
     places.push_back({VmId("vm" + std::to_string(i)), RegionId("r"), DomainId("z")});
   std::vector<std::pair<VmId, link::RateRequest>> asks;
   // A VM that is not the holder of the customer.
-  std::vector<VmId> order = link::RateHolders(places).failoverOrder("c", {20, 20}, VmId("vm0"));
+  std::vector<VmId> order = link::RateHolders(places).failoverOrder("c", {20, 20}, places[0]);
   cr_assert_eq(order.size(), 40);
   VmId own = order[5];
-  RateLimiter limiter(own, [&](const VmId &to, const link::RateRequest &ask) {
-    asks.push_back({to, ask});
-  });
+  RateLimiter limiter({own, RegionId("r"), DomainId("z")},
+                      [&](const VmId &to, const link::RateRequest &ask) {
+                        asks.push_back({to, ask});
+                      });
   limiter.setLimits(oneCustomer(20, 20), Time{0});
-  limiter.setEntries(places);
+  limiter.setEntries(places, Time{0});
   std::vector<bool> replies;
   auto reply = [&](bool granted) { replies.push_back(granted); };
   cr_assert_not(limiter.request("c", Time{0}, reply).has_value());
@@ -309,7 +204,7 @@
 
 /// Guards against retries that amplify an overload of a service.
 Test(RetryBudget, retriesKeepRatio) {
-  testing::checkProperty("the retries of all VMs keep the ratio of the platform", [] {
+  core::testing::checkProperty("the retries of all VMs keep the ratio of the platform", [] {
     size_t n = *rc::gen::inRange<size_t>(1, 20);
     std::vector<RetryBudget> vms(n);
     for (RetryBudget &it : vms)
--- a/src/http/BufferedServer.cpp
+++ b/src/http/BufferedServer.cpp
@@ -5,8 +5,10 @@
 #include "http/MessageParser.h"
 
 #include <asio/buffer.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
+#include <chrono>
 #include <utility>
 
 namespace briarspar::http {
@@ -22,27 +24,31 @@
                                 private MessageListener {
 public:
   Session(BufferedServer &server, asio::ip::tcp::socket socket)
-      : Server(server), Socket(std::move(socket)),
+      : Server(server), Socket(std::move(socket)), ArrivalTimer(Socket.get_executor()),
         Parser(MessageParser::Requests, server.Settings.MaxHeadBytes, *this) {}
 
   void read() {
+    if (Closed || Rejected || ReadPending || Received.size() > Server.Settings.MaxUnparsedBytes)
+      return;
+    ReadPending = true;
     auto self = shared_from_this();
     Buffer.resize(ReadBufferBytes);
     Socket.async_read_some(asio::buffer(Buffer), [self](const asio::error_code &ec, size_t n) {
+      self->ReadPending = false;
       if (ec) {
         self->close();
         return;
       }
       self->Received.append(self->Buffer, 0, n);
       self->parse();
-      if (!self->Closed)
-        self->read();
+      self->read();
     });
   }
 
   void close() {
     if (std::exchange(Closed, true))
       return;
+    ArrivalTimer.cancel();
     asio::error_code ignored;
     Socket.close(ignored);
     Server.Sessions.erase(shared_from_this());
@@ -54,12 +60,39 @@
     while (!Busy && !Closed && !Received.empty()) {
       size_t used = 0;
       if (!Parser.feed(Received, used).ok()) {
-        Current.Head.KeepAlive = false;
-        respond({400, "", "text/plain", "", {0}});
+        reject(400);
         return;
       }
       Received.erase(0, used);
+      if (TooLong && !Busy)
+        reject(413);
     }
+    watchArrival();
+  }
+
+  /// Responds without waiting for the rest of the request and closes the connection.
+  void reject(int status) {
+    Rejected = true;
+    Busy = true;
+    Received.clear();
+    Current.Head.KeepAlive = false;
+    respond({status, "", "text/plain", "", {0}});
+  }
+
+  /// Limits the time in which a request that has started must arrive.
+  void watchArrival() {
+    if (Closed || Busy || !Parser.isInsideMessage()) {
+      ArrivalTimer.cancel();
+      Arriving = false;
+      return;
+    }
+    if (std::exchange(Arriving, true))
+      return;
+    ArrivalTimer.expires_after(std::chrono::milliseconds(Server.Settings.RequestTimeout.Ms));
+    ArrivalTimer.async_wait([self = weak_from_this()](const asio::error_code &ec) {
+      if (std::shared_ptr<Session> session = self.lock(); session && !ec)
+        session->close();
+    });
   }
 
   void onHead(Head head) override { Current = {std::move(head), ""}; }
@@ -72,12 +105,9 @@
   }
 
   void onEnd() override {
-    Busy = true;
-    if (TooLong) {
-      Current.Head.KeepAlive = false;
-      respond({413, "", "text/plain", "", {0}});
+    if (TooLong)
       return;
-    }
+    Busy = true;
     std::weak_ptr<Session> self = weak_from_this();
     Server.Handle(Current, [self](const BufferedResponse &it) {
       if (std::shared_ptr<Session> session = self.lock())
@@ -110,11 +140,13 @@
       }
       self->Busy = false;
       self->parse();
+      self->read();
     });
   }
 
   BufferedServer &Server;
   asio::ip::tcp::socket Socket;
+  asio::steady_timer ArrivalTimer;
   MessageParser Parser;
   std::string Buffer;
   std::string Received;
@@ -122,6 +154,9 @@
   BufferedRequest Current;
   bool Busy = false;
   bool TooLong = false;
+  bool Rejected = false; ///< The rest of the request is not read.
+  bool Arriving = false; ///< Part of a request has arrived; ArrivalTimer runs.
+  bool ReadPending = false;
   bool Closed = false;
 };
 
--- a/src/http/BufferedServer.h
+++ b/src/http/BufferedServer.h
@@ -34,6 +34,10 @@
   size_t MaxHeadBytes = 32UL * 1024;
   size_t MaxBodyBytes = 16UL * 1024 * 1024;
   size_t MaxConnections = 512;
+  /// Maximum size of received bytes that wait for the response to the current request.
+  size_t MaxUnparsedBytes = 64UL * 1024;
+  /// A connection is closed when a request takes longer to arrive.
+  core::Duration RequestTimeout{10'000};
 };
 
 /// An HTTP/1.1 server that buffers complete request and response bodies, for operator calls,
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <chrono>
 
 namespace briarspar::http {
@@ -53,6 +54,8 @@
   Id = std::move(id);
   Skipping = false;
   RequestDone = false;
+  OverheadBytes = 0;
+  ++Exchanges;
   if (head.Method == "HEAD")
     Parser.expectNoBody();
   write(writeHead(head));
@@ -163,21 +166,24 @@
       return;
     }
     size_t used = 0;
-    if (!Parser.feed(bytes, used).ok()) {
+    OverheadBytes += bytes.size();
+    const bool isValid = Parser.feed(bytes, used).ok();
+    bytes.remove_prefix(used);
+    OverheadBytes -= std::min(OverheadBytes, bytes.size());
+    if (!isValid || Ambiguous || OverheadBytes > Settings.MaxOverheadBytes) {
       failExchange(ConnectionLoss::Malformed);
       return;
     }
-    bytes.remove_prefix(used);
   }
 }
 
 void ClientConnection::onHead(Head head) {
   if (!IdHeader.empty()) {
     std::optional<std::string_view> id = head.find(IdHeader);
-    if (id && *id != Id) {
-      Skipping = true;
+    Ambiguous = !id && !Id.empty() && Exchanges > 1;
+    Skipping = Ambiguous || (id && *id != Id);
+    if (Skipping)
       return;
-    }
   }
   Reusable = head.KeepAlive && head.BodyFraming != Framing::UntilClose;
   KeepAlive = keepAliveTimeout(head, Settings.DefaultKeepAlive);
@@ -186,8 +192,10 @@
 }
 
 void ClientConnection::onBody(std::string_view bytes) {
-  if (!Skipping && Listener != nullptr)
-    Listener->onResponseBody(bytes);
+  if (Skipping || Listener == nullptr)
+    return;
+  OverheadBytes -= std::min(OverheadBytes, bytes.size());
+  Listener->onResponseBody(bytes);
 }
 
 void ClientConnection::onEnd() {
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -41,7 +41,10 @@
   /// because the peer's host is down or unreachable.
   core::Duration UserTimeout{1200};
   size_t MaxHeadBytes = 64UL * 1024;
-  size_t MaxQueuedBytes = 256UL * 1024;  ///< isWritable() returns false from this size on.
+  size_t MaxQueuedBytes = 256UL * 1024; ///< isWritable() returns false from this size on.
+  /// Bytes received during an exchange that are not part of its response body: heads, framing and
+  /// responses to earlier requests. The connection is closed when they exceed this size.
+  size_t MaxOverheadBytes = 1024UL * 1024;
   core::Duration DefaultKeepAlive{5000}; ///< Idle timeout if the server announces none.
 };
 
@@ -55,7 +58,9 @@
   ~ClientConnection() override;
 
   /// Sets the name of a request header that the server echoes. Responses with another value belong
-  /// to earlier requests and are skipped. If the name is empty, no response is skipped.
+  /// to earlier requests and are skipped. A response without the header is accepted only during the
+  /// first exchange, because later it could belong to an earlier request. If the name is empty, all
+  /// responses are accepted.
   void setIdHeader(std::string name) { IdHeader = std::move(name); }
 
   /// Starts an exchange: connects if necessary and sends the head. No other exchange may be in
@@ -115,7 +120,10 @@
   PhaseKind Phase = Created;
   ResponseListener *Listener = nullptr;
   std::string Id;
-  bool Skipping = false; ///< The response being read belongs to an earlier request.
+  uint64_t Exchanges = 0;   ///< Number of exchanges started.
+  size_t OverheadBytes = 0; ///< See ClientConnectionSettings::MaxOverheadBytes.
+  bool Skipping = false;    ///< The response being read belongs to an earlier request.
+  bool Ambiguous = false;   ///< The response being read may belong to an earlier request.
   bool RequestDone = false;
   bool Reusable = true;
   bool ReadingOn = true;
--- a/src/http/Listener.cpp
+++ b/src/http/Listener.cpp
@@ -54,11 +54,25 @@
       retryLater(ec);
       return;
     }
-    OnAccepted(std::move(socket));
+    // Started before the handler runs, so that an exception in it does not end accepting.
     accept();
+    OnAccepted(std::move(socket));
   });
 }
 
+void Listener::stopAfterPending() {
+  asio::error_code ec;
+  Acceptor.non_blocking(true, ec);
+  // Closing the listener resets connections that are waiting in its queue.
+  while (!ec) {
+    asio::ip::tcp::socket socket(Acceptor.get_executor());
+    Acceptor.accept(socket, ec);
+    if (!ec)
+      OnAccepted(std::move(socket));
+  }
+  stop();
+}
+
 void Listener::retryLater(const asio::error_code &ec) {
   Events.emit({core::EventId::ConnectionNotAccepted,
                {{"port", Port}, {"reason", ec.message()}, {"pause_ms", RetryDelay.count()}}});
--- a/src/http/Listener.h
+++ b/src/http/Listener.h
@@ -28,6 +28,9 @@
   /// Stops accepting connections.
   void stop();
 
+  /// Accepts the connections that are already waiting, then stops.
+  void stopAfterPending();
+
   uint16_t port() const { return Port; }
 
 private:
--- a/src/http/tests/ListenerTest.cpp
+++ b/src/http/tests/ListenerTest.cpp
@@ -45,3 +45,26 @@
     io.run_one();
   cr_assert_eq(accepted.size(), 1);
 }
+
+/// Guards against a planned stop that resets connections which callers have already opened.
+Test(Listener, stopAcceptsWaitingConnections) {
+  asio::io_context io;
+  EventCounter events;
+  std::vector<asio::ip::tcp::socket> accepted;
+  Listener listener(io, events,
+                    [&](asio::ip::tcp::socket socket) { accepted.push_back(std::move(socket)); });
+  cr_assert(listener.start("127.0.0.1", 0).ok());
+  constexpr size_t Callers = 20;
+  std::vector<asio::ip::tcp::socket> callers;
+  for (size_t n = 0; n < Callers; ++n) {
+    callers.emplace_back(io);
+    callers.back().connect({asio::ip::make_address("127.0.0.1"), listener.port()});
+  }
+  listener.stopAfterPending();
+  io.poll();
+  cr_assert_eq(accepted.size(), Callers);
+  asio::ip::tcp::socket late(io);
+  asio::error_code ec;
+  late.connect({asio::ip::make_address("127.0.0.1"), listener.port()}, ec);
+  cr_assert(ec == asio::error::connection_refused);
+}
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "http/BufferedServer.h"
 #include "link/Messages.h"
+#include "node/EventLoop.h"
 #include "observability/EventMetrics.h"
 #include "observability/StreamLog.h"
 #include "platform/OperatorApi.h"
@@ -91,10 +92,10 @@
                {"bootstrap", Settings.Bootstrap}}});
     awaitSignal();
     runHousekeeping();
-    Io.run();
+    status = runEventLoop(Io, Clock, Log);
     Log.emit({core::EventId::ProcessStopped, core::Json::object()});
     LogStream.flush();
-    return absl::OkStatus();
+    return status;
   }
 
 private:
@@ -109,11 +110,11 @@
     Signals.async_wait([this](const asio::error_code &ec, int signal) {
       if (ec)
         return;
+      awaitSignal();
       if (signal == SIGHUP)
         reload();
       else
         stop();
-      awaitSignal();
     });
   }
 
@@ -129,6 +130,12 @@
   }
 
   void runHousekeeping() {
+    // Started first, so that an unexpected exception does not end the housekeeping.
+    Housekeeping.expires_after(HousekeepingInterval);
+    Housekeeping.async_wait([this](const asio::error_code &ec) {
+      if (!ec)
+        runHousekeeping();
+    });
     LogStream.flush();
     struct stat info = {};
     if (::stat(File.c_str(), &info) == 0) {
@@ -137,11 +144,6 @@
         reload();
       FileModifiedAt = modifiedAt;
     }
-    Housekeeping.expires_after(HousekeepingInterval);
-    Housekeeping.async_wait([this](const asio::error_code &ec) {
-      if (!ec)
-        runHousekeeping();
-    });
   }
 
   /// Applies the seeds of changed settings. Other settings take effect on restart only.
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -7,6 +7,8 @@
 #include "platform/Bounds.h"
 #include "platform/Names.h"
 
+#include <algorithm>
+
 namespace briarspar::node {
 
 namespace {
@@ -39,6 +41,9 @@
   }
 })json";
 
+/// A graceful stop completes this long before the platform kills the process.
+constexpr core::Duration StopMargin{500};
+
 absl::Status readAddress(const Json &j, const char *name, entry::Address &out) {
   auto text = j.value(name, std::string());
   if (text.empty())
@@ -123,6 +128,8 @@
   out.Seeds = settings.Seeds;
   out.Names = platform::headerNames();
   platform::AgreedBounds bounds = platform::readBounds(settings.Bounds);
+  const core::Duration grace{static_cast<int64_t>(bounds.GraceS * 1000)};
+  out.StopTimeout = std::max(grace - StopMargin, out.StopAcceptTime);
   out.Selection.Cold.RateFactor = bounds.ColdExcess;
   out.Selection.Cold.ExtraRatePerS = bounds.ColdSlack;
   return out;
