Let a stopping VM keep its own share of a rate

Cause: a VM that left the list of live VMs gave up all its shares, also those of customers whose rate is divided over all VMs, and refused its callers until they had moved: 20 of 25 requests admitted by the new test, which asks for all of them. Change: only shares that a holder manages for other VMs are given up.

--- a/src/control/RateAllocator.cpp
+++ b/src/control/RateAllocator.cpp
@@ -31,7 +31,7 @@
   if (heardTerm == Term)
     Unconfirmed.erase(vm);
   bool settled = isSettled(now);
-  // A VM that has just started or is stopping may consider itself a holder.
+  // A VM that has just started or is stopping may consider itself the holder for other VMs.
   const bool isListed = holders.entries() == 0 || holders.contains(vm);
   for (const link::CustomerUsage &use : uses) {
     Customer &customer = Customers[use.Customer];
@@ -59,7 +59,9 @@
                           : std::max({use.SharePermille, own.Outstanding});
     own.Run = run;
     own.Demand = use.ArrivalsPerS;
-    own.HoldsShare = use.HoldsShare && isListed;
+    auto limit = Limits.find(use.Customer);
+    const bool isShared = limit != Limits.end() && holders.count(limit->second) < holders.entries();
+    own.HoldsShare = use.HoldsShare && (isListed || !isShared);
     uint32_t free = others >= FullPermille ? 0 : FullPermille - others;
     uint32_t share = settled ? std::min(free, desiredShare(use.Customer, customer, own, holders))
                              : use.SharePermille;
--- a/src/entry/RateLimiter.cpp
+++ b/src/entry/RateLimiter.cpp
@@ -31,12 +31,9 @@
 bool RateLimiter::rebuildHolderOrders(core::Time now) {
   HolderOrders.clear();
   std::set<std::string> byOthers;
-  // A VM that is starting or stopping is not in the list. It holds no share, because its share
-  // would be missing at the holders that the other VMs ask.
-  const bool isListed = Holders.entries() == 0 || Holders.contains(Own.Vm);
   for (const auto &[name, limit] : Limits) {
     const std::vector<core::VmId> &order = holderOrder(name);
-    if (!isListed || (!order.empty() && order.front() != Own.Vm))
+    if (!order.empty() && order.front() != Own.Vm)
       byOthers.insert(name);
   }
   return Shares.setHeldByOthers(std::move(byOthers), now);
--- a/src/entry/tests/LimitsTest.cpp
+++ b/src/entry/tests/LimitsTest.cpp
@@ -151,6 +151,20 @@
   }
 }
 
+/// Guards against refusing callers of a VM that is stopping, and so is not in the list of live VMs,
+/// though each VM holds its own share of the customer's rate.
+Test(RateLimiter, stoppingVmKeepsItsShare) {
+  RateFleet fleet(12, 120);
+  auto random = [] { return uint64_t{999}; };
+  for (int i = 0; i < 40; ++i)
+    fleet.step(0, 1, 0, random);
+  fleet.setListed([](size_t vm) { return vm != 0; });
+  size_t before = fleet.admitted();
+  for (int i = 0; i < 25; ++i)
+    fleet.step(0, 1, 0, random);
+  cr_assert_geq(fleet.admitted() - before, 25, "%zu of 25", fleet.admitted() - before);
+}
+
 /// Guards against requests that fail with an unresponsive holder: the next VM in the holder order
 /// decides, and after that the local share and reserve.
 Test(RateLimiter, unresponsiveHolderIsReplaced) {
