--- a/src/link/EntryList.cpp
+++ b/src/link/EntryList.cpp
@@ -40,9 +40,8 @@
   for (const EntryLocation &it : Entries) {
     for (; old != base->second.end() && old->Vm < it.Vm; ++old)
       change.Gone.push_back(old->Vm);
-    if (old == base->second.end() || it.Vm < old->Vm)
-      change.Set.push_back(it);
-    else if (!isSame(*old++, it))
+    const bool isNew = old == base->second.end() || it.Vm < old->Vm;
+    if (isNew || !isSame(*old++, it))
       change.Set.push_back(it);
   }
   for (; old != base->second.end(); ++old)
