--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -129,6 +129,7 @@
     def __init__(self, address):
         self.address = address
         self.workers = []
+        self.foreign = []  # Rows of another writer, as bytes.
 
     async def start(self):
         host, port = self.address.rsplit(":", 1)
@@ -138,9 +139,10 @@
         try:
             while (head := await read_head(reader)) is not None:
                 await read_body(reader, head[1])
-                rows = [[it.service, it.address, it.zone, it.version, it.slots, it.state, 0, it.id] for it in self.workers
-                        if it.listed]
-                body = json.dumps({"Instances": {"Columns": COLUMNS, "Rows": rows}, "NextToken": None}).encode()
+                rows = [json.dumps([it.service, it.address, it.zone, it.version, it.slots, it.state, 0, it.id]).encode()
+                        for it in self.workers if it.listed]
+                body = b'{"Instances":{"Columns":%s,"Rows":[%s]},"NextToken":null}' % (
+                    json.dumps(COLUMNS).encode(), b",".join(rows + self.foreign))
                 writer.write(message("HTTP/1.1 200 OK", {"Content-Type": "application/json"}, body))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
