Move the membership of a control VM into an object without I/O

Cause: ControlNode mixed the decisions on voters with sockets, so that no test could play replacements, cuts and disk faults on the code that runs. Change: agreement::GroupMember holds the replica, asks to be added, forwards and admits join requests, and removes silent voters by the rule that ControlNode had. A voter now counts as silent by the messages that it acknowledged to the leader, which a one-way cut ends as well.

--- /dev/null
+++ b/src/agreement/GroupMember.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "absl/status/status.h"
+#include "agreement/LogStorage.h"
+#include "agreement/Replica.h"
+
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace briarspar::agreement {
+
+struct GroupMemberSettings {
+  core::VmId Vm;
+  ReplicaSettings Replica;
+  core::Duration JoinInterval{500}; ///< Interval between two requests to be added to the group.
+  /// A voter that has acknowledged nothing for this long may be removed. A restart takes about a
+  /// second, and most network partitions are shorter than this.
+  core::Duration MemberTimeout{6000};
+};
+
+/// Message about the membership of one identity.
+struct MembershipMessage {
+  core::VmId To;
+  VoterId Subject; ///< The identity that asks to be added to the group.
+};
+
+/// Work that the embedder carries out after calls to a group member.
+struct MemberActions {
+  Actions Log;
+  std::vector<MembershipMessage> Membership; ///< To be sent; may be lost, delayed or duplicated.
+};
+
+/// One process of an agreement group whose members come and go: a replica that asks to be added to
+/// the group, and that admits and removes voters while it leads. Deterministic; it owns no thread,
+/// socket or clock. Not thread-safe. After every call that takes a time the embedder calls
+/// `takeActions` and carries out the actions.
+class GroupMember {
+public:
+  /// The references must outlive the object; the state machine must be empty.
+  GroupMember(const GroupMemberSettings &settings, LogStorage &storage, StateMachine &machine,
+              RandomSource &random);
+
+  /// Loads the stored state. Returns the error of the storage, or DataLoss.
+  absl::Status open(core::Time now);
+
+  /// Advances timers. To be called at least every 50 ms.
+  void tick(core::Time now);
+
+  /// Processes a message from another replica.
+  void receive(const Envelope &envelope, core::Time now);
+
+  /// Processes the request of `subject` to be added to the group, which arrived from the VM `from`.
+  /// A member that does not lead forwards it to the leader.
+  void onJoin(const core::VmId &from, const VoterId &subject, core::Time now);
+
+  /// Sets the VMs that are asked besides the known members.
+  void setSeeds(const std::vector<core::VmId> &seeds) { Seeds = seeds; }
+
+  MemberActions takeActions();
+
+  /// Returns the replica. The reference is valid until the next call that takes a time.
+  Replica &replica() { return *Instance; }
+  const Replica &replica() const { return *Instance; }
+
+  /// Returns whether this member leads and its state machine holds every acknowledged command.
+  bool isLeading(core::Time now) const;
+
+  /// Returns the VMs of all voters and learners.
+  std::set<core::VmId> members() const;
+
+private:
+  void requestMembership(core::Time now);
+  void removeSilentMember(core::Time now);
+
+  const GroupMemberSettings Settings;
+  LogStorage &Storage;
+  StateMachine &Machine;
+  RandomSource &Random;
+  std::unique_ptr<Replica> Instance;
+  std::vector<core::VmId> Seeds;
+  core::Time LastJoin;
+  MemberActions Outputs;
+};
+
+} // namespace briarspar::agreement
--- a/src/agreement/LeaderReplication.cpp
+++ b/src/agreement/LeaderReplication.cpp
@@ -38,6 +38,7 @@
     Peer &peer = Peers[id];
     peer.Next = State.Log.lastIndex();
     peer.AckedSentAt = NeverAcked;
+    peer.AddedAt = State.Now;
     sendTo(id, peer);
   };
   for (const VoterId &id : members.Voters)
@@ -86,6 +87,11 @@
   return recent && it->second.Match >= State.Commit;
 }
 
+core::Time LeaderReplication::lastAcknowledged(const VoterId &id) const {
+  auto it = Peers.find(id);
+  return it == Peers.end() ? State.Now : std::max(it->second.AddedAt, it->second.AckedSentAt);
+}
+
 void LeaderReplication::onSynced() {
   SyncedIndex = State.Log.lastIndex();
   SyncedAt = State.Now;
--- a/src/agreement/LeaderReplication.h
+++ b/src/agreement/LeaderReplication.h
@@ -44,6 +44,10 @@
   /// within the minimum election timeout.
   bool isCaughtUp(const VoterId &id) const;
 
+  /// Returns the time of the newest message that a peer acknowledged, or when the leader began to
+  /// send to it. Returns the current time for any other identity.
+  core::Time lastAcknowledged(const VoterId &id) const;
+
 private:
   enum class Mode : uint8_t {
     Probe,     ///< The last matching entry is unknown; no pipelining.
@@ -57,6 +61,7 @@
     core::LogIndex Match;   ///< Last entry known to be synced by the peer.
     core::Time AckedSentAt; ///< Send time of the newest acknowledged message.
     core::Time LastSent;
+    core::Time AddedAt;                       ///< When the leader began to send to the peer.
     std::shared_ptr<const Snapshot> Outgoing; ///< Set in Mode::Snapshot.
     uint64_t Digest = 0;
     uint64_t Offset = 0; ///< Next byte of `Outgoing` to send.
--- a/src/agreement/Replica.cpp
+++ b/src/agreement/Replica.cpp
@@ -186,6 +186,14 @@
 
 const Configuration &Replica::configuration() const { return Impl->State.Log.configuration(); }
 
+const Configuration &Replica::committedConfiguration() const {
+  return Impl->State.Log.configurationAt(Impl->State.Commit);
+}
+
+core::Time Replica::lastAcknowledged(const VoterId &id) const {
+  return Impl->Leader.lastAcknowledged(id);
+}
+
 absl::Status Replica::health() const { return Impl->State.Health; }
 
 } // namespace briarspar::agreement
--- a/src/agreement/Replica.h
+++ b/src/agreement/Replica.h
@@ -82,6 +82,13 @@
   /// Returns the newest configuration in the log, committed or not.
   const Configuration &configuration() const;
 
+  /// Returns the newest committed configuration.
+  const Configuration &committedConfiguration() const;
+
+  /// Returns the time of the newest message that a member acknowledged to this leader, or when the
+  /// leader began to send to it.
+  core::Time lastAcknowledged(const VoterId &id) const;
+
   /// Returns OK, or the error that stopped this replica.
   absl::Status health() const;
 
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -1,7 +1,6 @@
 #include "control/ControlNode.h"
 
 #include "absl/strings/str_cat.h"
-#include "agreement/Admission.h"
 #include "agreement/Messages.h"
 #include "core/Hash.h"
 #include "link/Messages.h"
@@ -19,9 +18,6 @@
 /// Data incarnation of the initial voters, which they all know without exchanging messages.
 constexpr core::Incarnation InitialData{1};
 
-/// Interval of voter checks; far below VoterTimeout.
-constexpr core::Duration VoterCheckInterval{500};
-
 uint64_t wallClockMs() {
   using namespace std::chrono;
   return static_cast<uint64_t>(
@@ -41,10 +37,6 @@
   }
 }
 
-/// A voter is removed only while the group has an even number of voters, that is, after its
-/// replacement has joined.
-bool isEven(size_t n) { return n % 2 == 0; }
-
 } // namespace
 
 class ControlNode::Random final : public agreement::RandomSource {
@@ -84,7 +76,14 @@
 ControlNode::~ControlNode() = default;
 
 absl::Status ControlNode::start() {
-  if (absl::Status status = openReplica(); !status.ok())
+  if (absl::Status status = openStorage(); !status.ok())
+    return status;
+  agreement::GroupMemberSettings member;
+  member.Vm = Settings.Vm;
+  member.Replica = Settings.Replica;
+  Member = std::make_unique<agreement::GroupMember>(member, *Storage, Machine, *Randomness);
+  Member->setSeeds(Settings.Seeds);
+  if (absl::Status status = Member->open(Clock.now()); !status.ok())
     return status;
   if (absl::Status status = OperatorServer.start(Settings.Host, Settings.OperatorPort);
       !status.ok())
@@ -96,7 +95,7 @@
   return absl::OkStatus();
 }
 
-absl::Status ControlNode::openReplica() {
+absl::Status ControlNode::openStorage() {
   auto storage = agreement::FileLogStorage::open(Files, Settings.DataFolder);
   if (absl::IsNotFound(storage.status())) {
     bool isSeed = std::find(Settings.Seeds.begin(), Settings.Seeds.end(), Settings.Vm) !=
@@ -117,15 +116,10 @@
   if (!storage.ok())
     return storage.status();
   Storage = *std::move(storage);
-  absl::StatusOr<std::unique_ptr<agreement::Replica>> log =
-      agreement::Replica::open(Settings.Replica, *Storage, Machine, *Randomness, Clock.now());
-  if (!log.ok())
-    return log.status();
-  Log = *std::move(log);
   return absl::OkStatus();
 }
 
-void ControlNode::setSeeds(const std::vector<core::VmId> &seeds) { Settings.Seeds = seeds; }
+void ControlNode::setSeeds(const std::vector<core::VmId> &seeds) { Member->setSeeds(seeds); }
 
 void ControlNode::stop() {
   OperatorServer.stop();
@@ -142,7 +136,7 @@
       tick();
   });
   core::Time now = Clock.now();
-  Log->tick(now);
+  Member->tick(now);
   flush();
   for (const LostEntry &it : Entries.takeLost(now)) {
     Events.emit({core::EventId::EntryLost, {{"vm", it.Vm}, {"silent_ms", it.Silent}}});
@@ -154,19 +148,16 @@
   else
     Leading = false;
   readList(now);
-  join(now);
 }
 
 void ControlNode::notifyUnreachable(const LostEntry &lost) {
   std::string bytes = encode(link::EntryUnreachable{lost.Vm, lost.Run});
-  for (const core::VmId &vm : members())
+  for (const core::VmId &vm : Member->members())
     if (vm != Settings.Vm)
       Peers.send(vm, link::kind::EntryUnreachable, bytes);
 }
 
-bool ControlNode::isLeading(core::Time now) const {
-  return Log->isLeader() && Log->canRead(now).ok();
-}
+bool ControlNode::isLeading(core::Time now) const { return Member->isLeading(now); }
 
 /// Between winning an election and the next tick, a leader has not yet taken over.
 bool ControlNode::hasTakenOver(core::Time now) const { return Leading && isLeading(now); }
@@ -174,72 +165,35 @@
 void ControlNode::lead(core::Time now) {
   if (!Leading) {
     Leading = true;
-    Responses.becomeLeader(Log->term(), Machine.entries(), now);
+    Responses.becomeLeader(Member->replica().term(), Machine.entries(), now);
     Evaluator.becomeLeader();
     RolloutPending.clear();
-    Targets.becomeLeader(Log->term(), now);
-    LastVoterCheck = now;
-    for (auto &[vm, at] : LastContact)
-      at = now;
+    Targets.becomeLeader(Member->replica().term(), now);
   }
-  checkVoters(now);
   removeStaleEntries(now);
   evaluateRollouts(now);
 }
 
 void ControlNode::flush() {
-  agreement::Actions actions = Log->takeActions();
-  for (const agreement::Envelope &envelope : actions.Messages) {
-    Peers.setAddress(envelope.To.Vm, {envelope.To.Vm.Value, Settings.PeerPort});
-    Peers.send(envelope.To.Vm, link::kind::Raft, agreement::encodeEnvelope(envelope));
-  }
-  for (const core::Event &event : actions.Events)
+  agreement::MemberActions actions = Member->takeActions();
+  for (const agreement::Envelope &it : actions.Log.Messages)
+    sendToMember(it.To.Vm, link::kind::Raft, agreement::encodeEnvelope(it));
+  for (const agreement::MembershipMessage &it : actions.Membership)
+    sendToMember(it.To, link::kind::Join,
+                 encode(link::JoinRequest{it.Subject.Vm, it.Subject.DataIncarnation}));
+  for (const core::Event &event : actions.Log.Events)
     Events.emit(event);
-  Proposals.complete(actions.Results);
+  Proposals.complete(actions.Log.Results);
   if (Leading && LastPushed < Machine.catalog().changedAt()) {
     Responses.updateRates();
     pushToEntries();
   }
 }
 
-void ControlNode::join(core::Time now) {
-  if (Log->configuration().isVoter(Log->self()) || now - LastJoin < Settings.JoinInterval)
-    return;
-  LastJoin = now;
-  std::set<core::VmId> to = members();
-  to.insert(Settings.Seeds.begin(), Settings.Seeds.end());
-  to.erase(Settings.Vm);
-  for (const core::VmId &vm : to) {
-    Peers.setAddress(vm, {vm.Value, Settings.PeerPort});
-    Peers.send(vm, link::kind::Join,
-               encode(link::JoinRequest{Settings.Vm, Log->self().DataIncarnation}));
-  }
-}
-
-void ControlNode::checkVoters(core::Time now) {
-  if (now - LastVoterCheck < VoterCheckInterval)
-    return;
-  LastVoterCheck = now;
-  const agreement::Configuration &group = Log->configuration();
-  if (!isEven(group.Voters.size()))
-    return;
-  for (const agreement::VoterId &it : group.Voters) {
-    if (it == Log->self())
-      continue;
-    core::Time &lastContact = LastContact[it.Vm];
-    if (lastContact.Ms == 0)
-      lastContact = now;
-    if (now - lastContact < Settings.VoterTimeout)
-      continue;
-    // Copied because the removal invalidates `it`.
-    const agreement::VoterId voter = it;
-    absl::Status status = Log->removeVoter(voter, now);
-    Events.emit(
-        {core::EventId::VoterRemoved,
-         {{"vm", voter.Vm}, {"silent_ms", now - lastContact}, {"outcome", status.ToString()}}});
-    flush();
-    return;
-  }
+void ControlNode::sendToMember(const core::VmId &vm, std::string_view kind,
+                               const std::string &bytes) {
+  Peers.setAddress(vm, {vm.Value, Settings.PeerPort});
+  Peers.send(vm, kind, bytes);
 }
 
 void ControlNode::onMessage(const transport::PeerMessage &message) {
@@ -249,14 +203,13 @@
     processReports();
     return;
   }
-  LastContact[message.From] = now;
   if (message.Kind == link::kind::Raft) {
     absl::StatusOr<agreement::Envelope> envelope = agreement::decodeEnvelope(message.Body);
     if (!envelope.ok()) {
       rejectMessage(message.From, envelope.status());
       return;
     }
-    Log->receive(*envelope, now);
+    Member->receive(*envelope, now);
     flush();
   } else if (message.Kind == link::kind::EntryUnreachable) {
     absl::StatusOr<link::EntryUnreachable> notice = link::decodeEntryUnreachable(message.Body);
@@ -270,19 +223,7 @@
       rejectMessage(message.From, request.status());
       return;
     }
-    if (!isLeading(now)) {
-      std::optional<core::VmId> to =
-          agreement::joinForwardTarget(Log->leaderHint(), Settings.Vm, message.From, request->Vm);
-      if (to)
-        Peers.send(*to, link::kind::Join, message.Body);
-      return;
-    }
-    agreement::VoterId id{request->Vm, request->Data};
-    if (Log->configuration().contains(id))
-      return;
-    absl::Status status = agreement::admitVoter(*Log, id, now);
-    Events.emit({core::EventId::VoterAdmitted,
-                 {{"vm", id.Vm}, {"data", id.DataIncarnation}, {"outcome", status.ToString()}}});
+    Member->onJoin(message.From, {request->Vm, request->Data}, now);
     flush();
   }
 }
@@ -329,7 +270,7 @@
                                              /*mayHoldShares=*/isListed, now);
     if (Responses.claimSlowUpdate(message.From, message.FromIncarnation, now)) {
       Responses.addDemand(answer, now);
-      std::set<core::VmId> vms = members();
+      std::set<core::VmId> vms = Member->members();
       answer.Members.assign(vms.begin(), vms.end());
     }
     if (!status.ok())
@@ -343,11 +284,11 @@
 link::ControlResponse ControlNode::makeResponse(const core::VmId &vm, core::Time now) {
   link::ControlResponse answer;
   answer.IsLeader = isLeading(now);
-  answer.LeaderTerm = Log->term();
+  answer.LeaderTerm = Member->replica().term();
   if (answer.IsLeader) {
     Responses.addChanges(answer, vm, now);
   } else {
-    std::set<core::VmId> vms = members();
+    std::set<core::VmId> vms = Member->members();
     answer.Members.assign(vms.begin(), vms.end());
   }
   return answer;
@@ -357,7 +298,7 @@
   if (!PendingEntries.insert(vm).second)
     return;
   absl::StatusOr<core::LogIndex> index =
-      Log->propose(encode(Command(SetEntry{vm, present})), Clock.now());
+      Member->replica().propose(encode(Command(SetEntry{vm, present})), Clock.now());
   if (!index.ok()) {
     PendingEntries.erase(vm);
     return;
@@ -392,15 +333,6 @@
   }
 }
 
-std::set<core::VmId> ControlNode::members() const {
-  std::set<core::VmId> out;
-  for (const agreement::VoterId &it : Log->configuration().Voters)
-    out.insert(it.Vm);
-  for (const agreement::VoterId &it : Log->configuration().Learners)
-    out.insert(it.Vm);
-  return out;
-}
-
 void ControlNode::readList(core::Time now) {
   if (std::optional<std::string> target = Targets.next(hasTakenOver(now), now))
     Fetch.request(*target);
@@ -445,10 +377,10 @@
                   {"requests", step->NewRequests},
                   {"failures", step->NewFailures},
                   {"elapsed_ms", step->Elapsed}}});
-    absl::StatusOr<core::LogIndex> index =
-        Log->propose(encode(Command(StepRollout{service, rollout.OrderedAt, step->State,
-                                                step->SharePermille, step->Elapsed})),
-                     now);
+    absl::StatusOr<core::LogIndex> index = Member->replica().propose(
+        encode(Command(StepRollout{service, rollout.OrderedAt, step->State, step->SharePermille,
+                                   step->Elapsed})),
+        now);
     if (!index.ok())
       continue;
     RolloutPending[service] = true;
@@ -522,7 +454,7 @@
 }
 
 void ControlNode::propose(const Command &order, const std::string &what, const Responder &respond) {
-  absl::StatusOr<core::LogIndex> index = Log->propose(encode(order), Clock.now());
+  absl::StatusOr<core::LogIndex> index = Member->replica().propose(encode(order), Clock.now());
   if (!index.ok()) {
     Events.emit({core::EventId::OrderRefused,
                  {{"order", what}, {"reason", std::string(index.status().message())}}});
@@ -544,7 +476,7 @@
 }
 
 void ControlNode::redirect(const http::BufferedRequest &request, const Responder &respond) {
-  std::optional<agreement::VoterId> leader = Log->leaderHint();
+  std::optional<agreement::VoterId> leader = Member->replica().leaderHint();
   if (!leader || leader->Vm == Settings.Vm) {
     respond(
         {503, Format.writeError("no leader"), "application/json", "", Settings.RetryAfterNoLeader});
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -2,10 +2,10 @@
 
 #include "absl/status/status.h"
 #include "agreement/FileLogStorage.h"
+#include "agreement/GroupMember.h"
 #include "agreement/PosixFileSystem.h"
 #include "agreement/ProposalCallbacks.h"
 #include "agreement/RandomSource.h"
-#include "agreement/Replica.h"
 #include "control/ControlResponseBuilder.h"
 #include "control/ControlStateMachine.h"
 #include "control/EntryRegistry.h"
@@ -25,6 +25,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace briarspar::control {
@@ -42,10 +43,6 @@
   uint16_t ListPort = 0;
   agreement::GroupId Group{"main"};
   core::Duration Tick{25}; ///< Tick interval of the agreement group; elections take 600 ms or more.
-  core::Duration JoinInterval{500}; ///< Interval between two requests to be added to the group.
-  /// A voter without messages for this long may be replaced. A restart takes about a second, and
-  /// most network partitions are shorter than this.
-  core::Duration VoterTimeout{6000};
   core::Duration LookupTtl{2000};         ///< Callers cache a look-up result for this long.
   core::Duration RetryAfterNoLeader{300}; ///< About half the duration of an election.
   TargetWatcherSettings Targets;
@@ -85,12 +82,11 @@
 
   using Responder = http::BufferedServer::Responder;
 
-  absl::Status openReplica();
+  absl::Status openStorage();
   void tick();
   void flush();
+  void sendToMember(const core::VmId &vm, std::string_view kind, const std::string &bytes);
   void lead(core::Time now);
-  void checkVoters(core::Time now);
-  void join(core::Time now);
   void evaluateRollouts(core::Time now);
   void readList(core::Time now);
   void onListPage(int status, const std::string &body);
@@ -106,7 +102,6 @@
   void propose(const Command &order, const std::string &what, const Responder &respond);
   void redirect(const http::BufferedRequest &request, const Responder &respond);
   std::string baselineVersion(const std::string &service, const std::string &except) const;
-  std::set<core::VmId> members() const;
   bool isLeading(core::Time now) const;
   bool hasTakenOver(core::Time now) const;
   void notifyUnreachable(const LostEntry &lost);
@@ -123,7 +118,7 @@
   ControlStateMachine Machine;
   ReportQueue Reports;
   bool ReportsScheduled = false;
-  std::unique_ptr<agreement::Replica> Log;
+  std::unique_ptr<agreement::GroupMember> Member;
   agreement::ProposalCallbacks Proposals;
   http::BufferedServer OperatorServer;
   http::BufferedServer LookupServer;
@@ -136,11 +131,8 @@
   ListClient Fetch;
 
   bool Leading = false;
-  core::LogIndex LastPushed; ///< Newest configuration that was pushed to the entry VMs.
-  core::Time LastJoin;
-  core::Time LastVoterCheck;
-  std::map<core::VmId, core::Time> LastContact; ///< Time of the last message from each control VM.
-  std::set<core::VmId> PendingEntries;          ///< VMs with an uncommitted SetEntry command.
+  core::LogIndex LastPushed;           ///< Newest configuration that was pushed to the entry VMs.
+  std::set<core::VmId> PendingEntries; ///< VMs with an uncommitted SetEntry command.
   /// Whether a step of the rollout is uncommitted, by service.
   std::map<std::string, bool> RolloutPending;
 };
