Let a control VM take part again after its disk was full

Cause: the first error of the storage was final, and nothing looked at the health of the replica. Change: FileLogStorage::load ends the failed state with what is on the disk; GroupMember reopens a failed storage every 500 ms and continues with a new replica; a control VM starts also while its disk fails, and meanwhile sends operators to a control VM that it hears. A new replica starts from synced state only, so it has acknowledged nothing that it does not hold.

--- a/src/agreement/FileLogStorage.cpp
+++ b/src/agreement/FileLogStorage.cpp
@@ -239,8 +239,13 @@
     : Files(files), Folder(std::move(folder)), Owner(std::move(owner)), Lock(std::move(lock)) {}
 
 absl::StatusOr<StoredState> FileLogStorage::load() {
-  if (!Failure.ok())
-    return Failure;
+  Failure = absl::OkStatus();
+  Pending.clear();
+  absl::StatusOr<StoredState> state = loadAndRewrite();
+  return state.ok() ? state : fail(state.status());
+}
+
+absl::StatusOr<StoredState> FileLogStorage::loadAndRewrite() {
   StoredState state;
   state.Owner = Owner;
   if (absl::Status status = loadSnapshot(Files, Folder, state); !status.ok())
@@ -249,7 +254,7 @@
     return status;
   core::LogIndex base = state.LatestSnapshot ? state.LatestSnapshot->Index : core::LogIndex();
   if (absl::Status status = replaceLog(base, state.Election, state.Entries); !status.ok())
-    return fail(status);
+    return status;
   return state;
 }
 
--- a/src/agreement/FileLogStorage.h
+++ b/src/agreement/FileLogStorage.h
@@ -41,6 +41,7 @@
   FileLogStorage(FileSystem &files, std::string folder, Identity owner,
                  std::unique_ptr<FolderLock> lock);
 
+  absl::StatusOr<StoredState> loadAndRewrite();
   absl::Status writePending();
   absl::Status replaceLog(core::LogIndex base, const HardState &state,
                           absl::Span<const Entry> entries);
@@ -53,7 +54,7 @@
   std::unique_ptr<File> Log; ///< Null until `load`.
   std::string Pending;       ///< Encoded records that are not written yet.
   uint64_t SyncedBytes = 0;  ///< Durable length of the log file.
-  absl::Status Failure;      ///< First error; all later calls return it.
+  absl::Status Failure;      ///< First error since the last `load`; all later calls return it.
 };
 
 } // namespace briarspar::agreement
--- a/src/agreement/GroupMember.cpp
+++ b/src/agreement/GroupMember.cpp
@@ -22,7 +22,8 @@
 
 GroupMember::GroupMember(const GroupMemberSettings &settings, LogStorage &storage,
                          StateMachine &machine, RandomSource &random)
-    : Settings(settings), Storage(storage), Machine(machine), Random(random) {}
+    : Settings(settings), Storage(storage), Machine(machine), Random(random),
+      EmptyState(machine.snapshot()) {}
 
 absl::Status GroupMember::open(core::Time now) {
   absl::StatusOr<std::unique_ptr<Replica>> opened =
@@ -34,12 +35,30 @@
 }
 
 void GroupMember::tick(core::Time now) {
+  if (!Instance->health().ok())
+    reopen(now);
   Instance->tick(now);
   if (isLeading(now))
     removeSilentMember(now);
   requestMembership(now);
 }
 
+/// Replaces a replica that has stopped by one that starts from the stored state, as a restart of
+/// the process does.
+void GroupMember::reopen(core::Time now) {
+  if (now - LastReopen < Settings.ReopenInterval)
+    return;
+  LastReopen = now;
+  // The results of pending proposals must not be lost with the replica.
+  takeLogActions();
+  const std::string cause(Instance->health().message());
+  if (!Machine.restore(EmptyState).ok() || !open(now).ok())
+    return;
+  Outputs.Log.Events.push_back(
+      {core::EventId::StorageReopened,
+       {{"cause", cause}, {"last", Instance->lastIndex()}, {"term", Instance->term()}}});
+}
+
 void GroupMember::receive(const Envelope &envelope, core::Time now) {
   Instance->receive(envelope, now);
 }
@@ -60,12 +79,16 @@
 }
 
 MemberActions GroupMember::takeActions() {
+  takeLogActions();
+  return std::exchange(Outputs, {});
+}
+
+void GroupMember::takeLogActions() {
   Actions log = Instance->takeActions();
   appendTo(Outputs.Log.Messages, std::move(log.Messages));
   appendTo(Outputs.Log.Results, std::move(log.Results));
   appendTo(Outputs.Log.RoleChanges, std::move(log.RoleChanges));
   appendTo(Outputs.Log.Events, std::move(log.Events));
-  return std::exchange(Outputs, {});
 }
 
 bool GroupMember::isLeading(core::Time now) const {
--- a/src/agreement/GroupMember.h
+++ b/src/agreement/GroupMember.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace briarspar::agreement {
@@ -17,6 +18,7 @@
   /// A voter that has acknowledged nothing for this long may be removed. A restart takes about a
   /// second, and most network partitions are shorter than this.
   core::Duration MemberTimeout{6000};
+  core::Duration ReopenInterval{500}; ///< Interval between attempts to reopen a failed storage.
 };
 
 /// Message about the membership of one identity.
@@ -32,9 +34,10 @@
 };
 
 /// One process of an agreement group whose members come and go: a replica that asks to be added to
-/// the group, and that admits and removes voters while it leads. Deterministic; it owns no thread,
-/// socket or clock. Not thread-safe. After every call that takes a time the embedder calls
-/// `takeActions` and carries out the actions.
+/// the group, and that admits and removes voters while it leads. After an error of the storage it
+/// continues with what the storage holds as soon as that can be written again. Deterministic; it
+/// owns no thread, socket or clock. Not thread-safe. After every call that takes a time the
+/// embedder calls `takeActions` and carries out the actions.
 class GroupMember {
 public:
   /// The references must outlive the object; the state machine must be empty.
@@ -59,6 +62,9 @@
 
   MemberActions takeActions();
 
+  /// Returns OK, or the error because of which the member takes no part in the group at present.
+  absl::Status health() const { return Instance->health(); }
+
   /// Returns the replica. The reference is valid until the next call that takes a time.
   Replica &replica() { return *Instance; }
   const Replica &replica() const { return *Instance; }
@@ -70,6 +76,8 @@
   std::set<core::VmId> members() const;
 
 private:
+  void reopen(core::Time now);
+  void takeLogActions();
   void requestMembership(core::Time now);
   void removeSilentMember(core::Time now);
 
@@ -77,8 +85,10 @@
   LogStorage &Storage;
   StateMachine &Machine;
   RandomSource &Random;
+  const std::string EmptyState; ///< Snapshot of the state machine without any command.
   std::unique_ptr<Replica> Instance;
   std::vector<core::VmId> Seeds;
+  core::Time LastReopen;
   core::Time LastJoin;
   MemberActions Outputs;
 };
--- a/src/agreement/LogStorage.h
+++ b/src/agreement/LogStorage.h
@@ -36,12 +36,14 @@
 };
 
 /// Durable state of one voter. Not thread-safe. After any error except from `load`, the content on
-/// disk is uncertain, every later call fails, and the storage must be opened again.
+/// disk is uncertain, and every later call fails until `load` succeeds.
 class LogStorage {
 public:
   virtual ~LogStorage() = default;
 
-  /// Reads the stored state. Returns DataLoss when synced data is missing or damaged.
+  /// Reads the stored state, which ends the state of failure after an earlier error. Writes that
+  /// were not synced may be missing from it. Returns DataLoss when synced data is missing or
+  /// damaged.
   virtual absl::StatusOr<StoredState> load() = 0;
 
   /// Records term and vote. Durable after the next `sync`.
--- a/src/agreement/ReplicaState.h
+++ b/src/agreement/ReplicaState.h
@@ -76,7 +76,8 @@
   /// Sets the election deadline to a random time between `shortest` and `longest` from now.
   void resetElectionDeadline(core::Duration shortest, core::Duration longest);
 
-  /// Stops the replica permanently: it sends no further messages.
+  /// Stops the replica: it sends no further messages. Only a new replica on the reopened storage
+  /// continues.
   void fail(absl::Status status);
 
   /// Ends all pending proposals with an Unknown status.
--- a/src/agreement/tests/FileLogStorageTest.cpp
+++ b/src/agreement/tests/FileLogStorageTest.cpp
@@ -154,6 +154,25 @@
   }
 }
 
+/// Guards against a storage that stays unusable after the disk was full, and against a reopened one
+/// that lost a synced entry or kept an earlier error.
+Test(FileLogStorage, isUsableAgainAfterADiskError) {
+  for (Fault it : {Fault::DiskFull, Fault::ShortWrite, Fault::SyncError}) {
+    FaultFileSystem files;
+    auto storage = storageWith(files, 2);
+    files.failAfter(0, it);
+    (void)storage->append({command(4, 1)});
+    cr_assert_not(storage->sync().ok());
+    absl::StatusOr<StoredState> state = storage->load();
+    cr_assert(state.ok());
+    cr_assert_geq(state->Entries.size(), 3);
+    LogIndex next = state->Entries.back().Index.next();
+    cr_assert(storage->append({command(next.Value, 1)}).ok());
+    cr_assert(storage->sync().ok());
+    cr_assert_eq(storage->load()->Entries.back().Index.Value, next.Value);
+  }
+}
+
 /// Guards against entries lost or reordered by a restart on the real disk, and against two
 /// processes or two initializations in one folder.
 Test(FileLogStorage, restartAfterHundredsOfEntries) {
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -76,25 +76,38 @@
 ControlNode::~ControlNode() = default;
 
 absl::Status ControlNode::start() {
-  if (absl::Status status = openStorage(); !status.ok())
-    return status;
-  agreement::GroupMemberSettings member;
-  member.Vm = Settings.Vm;
-  member.Replica = Settings.Replica;
-  Member = std::make_unique<agreement::GroupMember>(member, *Storage, Machine, *Randomness);
-  Member->setSeeds(Settings.Seeds);
-  if (absl::Status status = Member->open(Clock.now()); !status.ok())
-    return status;
   if (absl::Status status = OperatorServer.start(Settings.Host, Settings.OperatorPort);
       !status.ok())
     return status;
   if (Settings.LookupPort != Settings.OperatorPort)
     if (absl::Status status = LookupServer.start(Settings.Host, Settings.LookupPort); !status.ok())
       return status;
+  absl::Status status = openMember();
+  if (absl::IsDataLoss(status))
+    return status;
+  if (!status.ok())
+    Events.emit({core::EventId::StorageFailed, {{"reason", std::string(status.message())}}});
   tick();
   return absl::OkStatus();
 }
 
+absl::Status ControlNode::openMember() {
+  LastOpen = Clock.now();
+  if (Storage == nullptr)
+    if (absl::Status status = openStorage(); !status.ok())
+      return status;
+  agreement::GroupMemberSettings settings;
+  settings.Vm = Settings.Vm;
+  settings.Replica = Settings.Replica;
+  settings.ReopenInterval = Settings.ReopenInterval;
+  auto member = std::make_unique<agreement::GroupMember>(settings, *Storage, Machine, *Randomness);
+  member->setSeeds(Settings.Seeds);
+  if (absl::Status status = member->open(Clock.now()); !status.ok())
+    return status;
+  Member = std::move(member);
+  return absl::OkStatus();
+}
+
 absl::Status ControlNode::openStorage() {
   auto storage = agreement::FileLogStorage::open(Files, Settings.DataFolder);
   if (absl::IsNotFound(storage.status())) {
@@ -119,7 +132,11 @@
   return absl::OkStatus();
 }
 
-void ControlNode::setSeeds(const std::vector<core::VmId> &seeds) { Member->setSeeds(seeds); }
+void ControlNode::setSeeds(const std::vector<core::VmId> &seeds) {
+  Settings.Seeds = seeds;
+  if (Member != nullptr)
+    Member->setSeeds(seeds);
+}
 
 void ControlNode::stop() {
   OperatorServer.stop();
@@ -136,6 +153,11 @@
       tick();
   });
   core::Time now = Clock.now();
+  if (Member == nullptr) {
+    if (now - LastOpen < Settings.ReopenInterval || !openMember().ok())
+      return;
+    Events.emit({core::EventId::StorageReopened, {{"last", Member->replica().lastIndex()}}});
+  }
   Member->tick(now);
   flush();
   for (const LostEntry &it : Entries.takeLost(now)) {
@@ -157,7 +179,9 @@
       Peers.send(vm, link::kind::EntryUnreachable, bytes);
 }
 
-bool ControlNode::isLeading(core::Time now) const { return Member->isLeading(now); }
+bool ControlNode::isLeading(core::Time now) const {
+  return Member != nullptr && Member->isLeading(now);
+}
 
 /// Between winning an election and the next tick, a leader has not yet taken over.
 bool ControlNode::hasTakenOver(core::Time now) const { return Leading && isLeading(now); }
@@ -199,10 +223,15 @@
 void ControlNode::onMessage(const transport::PeerMessage &message) {
   core::Time now = Clock.now();
   if (message.Kind == link::kind::Report) {
+    if (Member == nullptr)
+      return;
     Reports.push(message);
     processReports();
     return;
   }
+  LastContact[message.From] = now;
+  if (Member == nullptr)
+    return;
   if (message.Kind == link::kind::Raft) {
     absl::StatusOr<agreement::Envelope> envelope = agreement::decodeEnvelope(message.Body);
     if (!envelope.ok()) {
@@ -476,18 +505,33 @@
 }
 
 void ControlNode::redirect(const http::BufferedRequest &request, const Responder &respond) {
-  std::optional<agreement::VoterId> leader = Member->replica().leaderHint();
-  if (!leader || leader->Vm == Settings.Vm) {
-    respond(
-        {503, Format.writeError("no leader"), "application/json", "", Settings.RetryAfterNoLeader});
+  std::optional<core::VmId> to = redirectTarget();
+  if (!to) {
+    std::string reason = takesPart() ? "no leader" : "the storage of this VM has failed";
+    respond({503, Format.writeError(reason), "application/json", "", Settings.RetryAfterNoLeader});
     return;
   }
-  respond(
-      {307,
-       "",
-       "application/json",
-       absl::StrCat("http://", leader->Vm.Value, ":", Settings.OperatorPort, request.Head.Target),
-       {0}});
+  respond({307,
+           "",
+           "application/json",
+           absl::StrCat("http://", to->Value, ":", Settings.OperatorPort, request.Head.Target),
+           {0}});
+}
+
+/// Returns the VM that can answer in place of this one: the leader, or, while this VM takes no part
+/// in the group, the control VM that was heard last.
+std::optional<core::VmId> ControlNode::redirectTarget() const {
+  if (takesPart()) {
+    std::optional<agreement::VoterId> leader = Member->replica().leaderHint();
+    if (leader && leader->Vm != Settings.Vm)
+      return leader->Vm;
+    return std::nullopt;
+  }
+  auto latest = std::max_element(LastContact.begin(), LastContact.end(),
+                                 [](const auto &a, const auto &b) { return a.second < b.second; });
+  bool isRecent =
+      latest != LastContact.end() && Clock.now() - latest->second < Settings.ContactTimeout;
+  return isRecent ? std::optional(latest->first) : std::nullopt;
 }
 
 } // namespace briarspar::control
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -23,6 +23,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -46,6 +47,9 @@
   core::Duration LookupTtl{2000};         ///< Callers cache a look-up result for this long.
   core::Duration RetryAfterNoLeader{300}; ///< About half the duration of an election.
   TargetWatcherSettings Targets;
+  /// A control VM that sent nothing for this long is not named to operators.
+  core::Duration ContactTimeout{1000};
+  core::Duration ReopenInterval{500}; ///< Interval between attempts to open the data folder.
   agreement::ReplicaSettings Replica = quickElections();
 
   /// Election timeouts below one second: a round trip between regions takes at most 70 ms, and a
@@ -68,7 +72,8 @@
               const discovery::ListFormat &listFormat, const ControlNodeSettings &settings);
   ~ControlNode();
 
-  /// Opens the data folder and starts listening.
+  /// Starts listening and opens the data folder. An error of the disk is not returned, because the
+  /// folder is opened again until that succeeds; damage to its content is.
   absl::Status start();
 
   void onMessage(const transport::PeerMessage &message);
@@ -82,7 +87,9 @@
 
   using Responder = http::BufferedServer::Responder;
 
+  absl::Status openMember();
   absl::Status openStorage();
+  bool takesPart() const { return Member != nullptr && Member->health().ok(); }
   void tick();
   void flush();
   void sendToMember(const core::VmId &vm, std::string_view kind, const std::string &bytes);
@@ -101,6 +108,7 @@
   void answerLookup(const LookupCall &call, const Responder &respond);
   void propose(const Command &order, const std::string &what, const Responder &respond);
   void redirect(const http::BufferedRequest &request, const Responder &respond);
+  std::optional<core::VmId> redirectTarget() const;
   std::string baselineVersion(const std::string &service, const std::string &except) const;
   bool isLeading(core::Time now) const;
   bool hasTakenOver(core::Time now) const;
@@ -118,7 +126,8 @@
   ControlStateMachine Machine;
   ReportQueue Reports;
   bool ReportsScheduled = false;
-  std::unique_ptr<agreement::GroupMember> Member;
+  std::unique_ptr<agreement::GroupMember> Member; ///< Null until the storage could be opened.
+  core::Time LastOpen;
   agreement::ProposalCallbacks Proposals;
   http::BufferedServer OperatorServer;
   http::BufferedServer LookupServer;
@@ -131,8 +140,9 @@
   ListClient Fetch;
 
   bool Leading = false;
-  core::LogIndex LastPushed;           ///< Newest configuration that was pushed to the entry VMs.
-  std::set<core::VmId> PendingEntries; ///< VMs with an uncommitted SetEntry command.
+  core::LogIndex LastPushed; ///< Newest configuration that was pushed to the entry VMs.
+  std::map<core::VmId, core::Time> LastContact; ///< Time of the last message from each control VM.
+  std::set<core::VmId> PendingEntries;          ///< VMs with an uncommitted SetEntry command.
   /// Whether a step of the rollout is uncommitted, by service.
   std::map<std::string, bool> RolloutPending;
 };
--- a/src/core/EventCatalogue.h
+++ b/src/core/EventCatalogue.h
@@ -13,6 +13,7 @@
   X(200, BecameLeader, "replica became leader")                                                    \
   X(201, LostLeadership, "replica stopped being leader")                                           \
   X(202, StorageFailed, "log storage failed; the voter stopped acknowledging")                     \
+  X(203, StorageReopened, "log storage was reopened after an error; the voter takes part again")   \
   /* config */                                                                                     \
   X(300, ConfigApplied, "configuration version applied")                                           \
   X(301, CommandConflict, "command conflicted with another command")                               \
