Let a voter that was removed rejoin under a new identity

Cause: nobody tells a removed voter, and it asked to be added only while its own log did not list it. Change: a voter without a leader for 1.5 s asks members and seeds; a member whose committed configuration retired the identity answers so, and the process takes a new, later identity without state. A VM whose clock was set back before it lost its disk recovers by the same answer. Why it is safe: a committed removal is final, so the old identity counts in no quorum.

--- a/src/agreement/Configuration.h
+++ b/src/agreement/Configuration.h
@@ -24,6 +24,14 @@
   bool isLearner(const VoterId &id) const { return Learners.count(id) != 0; }
   bool contains(const VoterId &id) const { return isVoter(id) || isLearner(id); }
 
+  /// Returns whether an identity was removed, or is older than one of its VM that was ever a
+  /// member. It is never admitted again.
+  bool isRetired(const VoterId &id) const {
+    auto newest = NewestIncarnations.find(id.Vm);
+    return !contains(id) && newest != NewestIncarnations.end() &&
+           id.DataIncarnation <= newest->second;
+  }
+
   /// Returns the smallest number of voters that is a majority.
   size_t quorumSize() const { return Voters.size() / 2 + 1; }
 
--- a/src/agreement/FileLogStorage.cpp
+++ b/src/agreement/FileLogStorage.cpp
@@ -269,6 +269,24 @@
   return Failure;
 }
 
+absl::Status FileLogStorage::renew(const VoterId &self) {
+  Identity next{Owner.Group, self};
+  std::string identity;
+  appendRecord(identity, identityPayload(next), 0);
+  // The identity is written last: the new one must never be found with the state of the old one.
+  absl::Status status = replaceLog({}, {}, {});
+  if (status.ok())
+    status = Files.remove(snapshotPath(Folder));
+  if (status.ok())
+    status = Files.syncFolder(Folder);
+  if (status.ok())
+    status = replaceFile(Files, Folder, identityPath(Folder), identity).status();
+  if (!status.ok())
+    return fail(status);
+  Owner = std::move(next);
+  return status;
+}
+
 absl::Status FileLogStorage::sync() {
   if (!Failure.ok())
     return Failure;
--- a/src/agreement/FileLogStorage.h
+++ b/src/agreement/FileLogStorage.h
@@ -33,6 +33,7 @@
   absl::StatusOr<StoredState> load() override;
   absl::Status saveHardState(const HardState &state) override;
   absl::Status append(absl::Span<const Entry> entries) override;
+  absl::Status renew(const VoterId &self) override;
   absl::Status sync() override;
   absl::Status saveSnapshot(const Snapshot &snapshot, const HardState &state,
                             absl::Span<const Entry> kept) override;
@@ -49,7 +50,7 @@
 
   FileSystem &Files;
   const std::string Folder;
-  const Identity Owner;
+  Identity Owner;
   std::unique_ptr<FolderLock> Lock;
   std::unique_ptr<File> Log; ///< Null until `load`.
   std::string Pending;       ///< Encoded records that are not written yet.
--- a/src/agreement/FileSystem.h
+++ b/src/agreement/FileSystem.h
@@ -49,7 +49,10 @@
   /// Renames `from` to `to`, atomically replacing an existing file. Durable after `syncFolder`.
   virtual absl::Status rename(const std::string &from, const std::string &to) = 0;
 
-  /// Makes file creations and renames in a folder durable.
+  /// Removes a file if it exists. Durable after `syncFolder`.
+  virtual absl::Status remove(const std::string &path) = 0;
+
+  /// Makes file creations, renames and removals in a folder durable.
   virtual absl::Status syncFolder(const std::string &path) = 0;
 };
 
--- a/src/agreement/GroupMember.cpp
+++ b/src/agreement/GroupMember.cpp
@@ -2,6 +2,7 @@
 
 #include "agreement/Admission.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -31,6 +32,7 @@
   if (!opened.ok())
     return opened.status();
   Instance = *std::move(opened);
+  LastLeader = now;
   return absl::OkStatus();
 }
 
@@ -52,22 +54,34 @@
   // The results of pending proposals must not be lost with the replica.
   takeLogActions();
   const std::string cause(Instance->health().message());
-  if (!Machine.restore(EmptyState).ok() || !open(now).ok())
+  if (!restart(now).ok())
     return;
   Outputs.Log.Events.push_back(
       {core::EventId::StorageReopened,
        {{"cause", cause}, {"last", Instance->lastIndex()}, {"term", Instance->term()}}});
 }
 
+absl::Status GroupMember::restart(core::Time now) {
+  absl::Status status = Machine.restore(EmptyState);
+  return status.ok() ? open(now) : status;
+}
+
 void GroupMember::receive(const Envelope &envelope, core::Time now) {
   Instance->receive(envelope, now);
 }
 
 void GroupMember::onJoin(const core::VmId &from, const VoterId &subject, core::Time now) {
+  // An uncommitted removal may still be undone.
+  const Configuration &settled = Instance->committedConfiguration();
+  if (settled.isRetired(subject)) {
+    Outputs.Membership.push_back({MembershipMessage::Kind::Retired, subject.Vm, subject,
+                                  settled.NewestIncarnations.at(subject.Vm)});
+    return;
+  }
   if (!isLeading(now)) {
     if (std::optional<core::VmId> to =
             joinForwardTarget(Instance->leaderHint(), Settings.Vm, from, subject.Vm))
-      Outputs.Membership.push_back({*to, subject});
+      Outputs.Membership.push_back({MembershipMessage::Kind::Join, *to, subject, {}});
     return;
   }
   if (Instance->configuration().contains(subject))
@@ -78,6 +92,21 @@
        {{"vm", subject.Vm}, {"data", subject.DataIncarnation}, {"outcome", status.ToString()}}});
 }
 
+void GroupMember::onRetired(const VoterId &subject, core::Incarnation newest,
+                            core::Incarnation fresh, core::Time now) {
+  if (subject != Instance->self())
+    return;
+  const VoterId next{Settings.Vm, std::max(fresh, core::Incarnation(newest.Value + 1))};
+  takeLogActions();
+  absl::Status status = Storage.renew(next);
+  if (status.ok())
+    status = restart(now);
+  Outputs.Log.Events.push_back({core::EventId::IdentityRenewed,
+                                {{"old", subject.DataIncarnation},
+                                 {"new", next.DataIncarnation},
+                                 {"outcome", status.ToString()}}});
+}
+
 MemberActions GroupMember::takeActions() {
   takeLogActions();
   return std::exchange(Outputs, {});
@@ -104,16 +133,26 @@
   return out;
 }
 
+/// Returns whether a voter has known no leader for so long that the group may go on without it. The
+/// own log of a removed voter lists it for good, because nobody sends it the entry that removes it.
+bool GroupMember::mayHaveBeenRemoved(core::Time now) {
+  if (Instance->isLeader() || Instance->leaderHint())
+    LastLeader = now;
+  return now - LastLeader >= Settings.LeaderTimeout;
+}
+
 void GroupMember::requestMembership(core::Time now) {
   const VoterId self = Instance->self();
-  if (Instance->configuration().isVoter(self) || now - LastJoin < Settings.JoinInterval)
+  if (!mayHaveBeenRemoved(now) && Instance->configuration().isVoter(self))
+    return;
+  if (!Instance->health().ok() || now - LastJoin < Settings.JoinInterval)
     return;
   LastJoin = now;
   std::set<core::VmId> to = members();
   to.insert(Seeds.begin(), Seeds.end());
   to.erase(Settings.Vm);
   for (const core::VmId &vm : to)
-    Outputs.Membership.push_back({vm, self});
+    Outputs.Membership.push_back({MembershipMessage::Kind::Join, vm, self, {}});
 }
 
 void GroupMember::removeSilentMember(core::Time now) {
--- a/src/agreement/GroupMember.h
+++ b/src/agreement/GroupMember.h
@@ -18,13 +18,22 @@
   /// A voter that has acknowledged nothing for this long may be removed. A restart takes about a
   /// second, and most network partitions are shorter than this.
   core::Duration MemberTimeout{6000};
+  /// A voter that knows no leader for this long asks whether it is still a member. Most elections
+  /// are shorter.
+  core::Duration LeaderTimeout{1500};
   core::Duration ReopenInterval{500}; ///< Interval between attempts to reopen a failed storage.
 };
 
 /// Message about the membership of one identity.
 struct MembershipMessage {
+  enum class Kind : uint8_t {
+    Join,   ///< The subject asks to be added to the group.
+    Retired ///< The subject has left the group and will never be a member again.
+  };
+  Kind What = Kind::Join;
   core::VmId To;
-  VoterId Subject; ///< The identity that asks to be added to the group.
+  VoterId Subject;
+  core::Incarnation Newest; ///< Retired: newest incarnation that the group knows of this VM.
 };
 
 /// Work that the embedder carries out after calls to a group member.
@@ -34,10 +43,11 @@
 };
 
 /// One process of an agreement group whose members come and go: a replica that asks to be added to
-/// the group, and that admits and removes voters while it leads. After an error of the storage it
-/// continues with what the storage holds as soon as that can be written again. Deterministic; it
-/// owns no thread, socket or clock. Not thread-safe. After every call that takes a time the
-/// embedder calls `takeActions` and carries out the actions.
+/// the group, and that admits and removes voters while it leads. A process that the group has
+/// removed learns so from any member and continues under a new identity without its old state.
+/// After an error of the storage it continues with what the storage holds as soon as that can be
+/// written again. Deterministic; it owns no thread, socket or clock. Not thread-safe. After every
+/// call that takes a time the embedder calls `takeActions` and carries out the actions.
 class GroupMember {
 public:
   /// The references must outlive the object; the state machine must be empty.
@@ -54,9 +64,16 @@
   void receive(const Envelope &envelope, core::Time now);
 
   /// Processes the request of `subject` to be added to the group, which arrived from the VM `from`.
-  /// A member that does not lead forwards it to the leader.
+  /// A member that does not lead forwards it to the leader. Any member answers an identity that has
+  /// left the group.
   void onJoin(const core::VmId &from, const VoterId &subject, core::Time now);
 
+  /// Processes the notice that `subject` has left the group. If that is the own identity, the
+  /// member takes a new one with the incarnation `fresh`, or a later one where `newest` requires
+  /// it. `fresh` is the time of the wall clock in ms.
+  void onRetired(const VoterId &subject, core::Incarnation newest, core::Incarnation fresh,
+                 core::Time now);
+
   /// Sets the VMs that are asked besides the known members.
   void setSeeds(const std::vector<core::VmId> &seeds) { Seeds = seeds; }
 
@@ -77,7 +94,9 @@
 
 private:
   void reopen(core::Time now);
+  absl::Status restart(core::Time now);
   void takeLogActions();
+  bool mayHaveBeenRemoved(core::Time now);
   void requestMembership(core::Time now);
   void removeSilentMember(core::Time now);
 
@@ -90,6 +109,7 @@
   std::vector<core::VmId> Seeds;
   core::Time LastReopen;
   core::Time LastJoin;
+  core::Time LastLeader; ///< When a leader was last known, or this member led.
   MemberActions Outputs;
 };
 
--- a/src/agreement/LogStorage.h
+++ b/src/agreement/LogStorage.h
@@ -53,6 +53,12 @@
   /// after the next `sync`.
   virtual absl::Status append(absl::Span<const Entry> entries) = 0;
 
+  /// Durably replaces identity and content by a new identity of the same group without any state,
+  /// as in the folder of a new VM. After a crash in between, the folder may hold the old identity
+  /// without a part of its state, so the old identity must have left the group for good. To be
+  /// loaded again afterwards.
+  virtual absl::Status renew(const VoterId &self) = 0;
+
   /// Makes all earlier writes durable.
   virtual absl::Status sync() = 0;
 
--- a/src/agreement/MemoryLogStorage.cpp
+++ b/src/agreement/MemoryLogStorage.cpp
@@ -37,6 +37,14 @@
   return Failure;
 }
 
+absl::Status MemoryLogStorage::renew(const VoterId &self) {
+  if (!Failure.ok())
+    return Failure;
+  Unsynced.clear();
+  Durable = {{Durable.Owner.Group, self}, {}, {}, {}};
+  return absl::OkStatus();
+}
+
 absl::Status MemoryLogStorage::sync() {
   if (!Failure.ok())
     return Failure;
--- a/src/agreement/MemoryLogStorage.h
+++ b/src/agreement/MemoryLogStorage.h
@@ -30,6 +30,7 @@
   absl::StatusOr<StoredState> load() override;
   absl::Status saveHardState(const HardState &state) override;
   absl::Status append(absl::Span<const Entry> entries) override;
+  absl::Status renew(const VoterId &self) override;
   absl::Status sync() override;
   absl::Status saveSnapshot(const Snapshot &snapshot, const HardState &state,
                             absl::Span<const Entry> kept) override;
--- a/src/agreement/PosixFileSystem.cpp
+++ b/src/agreement/PosixFileSystem.cpp
@@ -129,6 +129,12 @@
   return absl::OkStatus();
 }
 
+absl::Status PosixFileSystem::remove(const std::string &path) {
+  if (::unlink(path.c_str()) != 0 && errno != ENOENT)
+    return errnoStatus(errno, "unlink", path);
+  return absl::OkStatus();
+}
+
 absl::Status PosixFileSystem::syncFolder(const std::string &path) {
   Descriptor fd(::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
   if (!fd.valid())
--- a/src/agreement/PosixFileSystem.h
+++ b/src/agreement/PosixFileSystem.h
@@ -12,6 +12,7 @@
   absl::StatusOr<std::unique_ptr<File>> create(const std::string &path) override;
   absl::StatusOr<std::string> read(const std::string &path) override;
   absl::Status rename(const std::string &from, const std::string &to) override;
+  absl::Status remove(const std::string &path) override;
   absl::Status syncFolder(const std::string &path) override;
 };
 
--- a/src/agreement/testing/FaultFileSystem.h
+++ b/src/agreement/testing/FaultFileSystem.h
@@ -68,6 +68,11 @@
     return absl::OkStatus();
   }
 
+  absl::Status remove(const std::string &path) override {
+    Names.erase(path);
+    return absl::OkStatus();
+  }
+
   absl::Status syncFolder(const std::string &path) override {
     if (takeInjectedFault(Fault::SyncError))
       return absl::InternalError("fsync error");
--- a/src/agreement/testing/MemberFleet.h
+++ b/src/agreement/testing/MemberFleet.h
@@ -195,6 +195,7 @@
   core::ManualClock Clock;
   core::testing::FaultNetwork<std::variant<std::string, MembershipMessage>> Net;
   std::deque<Vm> Vms;
+  core::Duration WallClockStep;             ///< By how much the wall clocks have been set forward.
   std::vector<std::string> AppliedSequence; ///< Commands in order of application.
   std::vector<std::string> Acknowledged;
 
@@ -212,7 +213,9 @@
   }
 
   /// The wall clock starts long before the simulation.
-  uint64_t wallClockMs() const { return 1'000'000 + static_cast<uint64_t>(Clock.now().Ms); }
+  uint64_t wallClockMs() const {
+    return static_cast<uint64_t>(1'000'000 + Clock.now().Ms + WallClockStep.Ms);
+  }
 
   /// The platform names three VMs that exist.
   std::vector<core::VmId> seeds() const {
@@ -241,8 +244,11 @@
     GroupMember &member = *Vms[to].Process;
     if (const auto *bytes = std::get_if<std::string>(&body))
       member.receive(*decodeEnvelope(*bytes), Clock.now());
+    else if (const auto &it = std::get<MembershipMessage>(body);
+             it.What == MembershipMessage::Kind::Join)
+      member.onJoin(Vms[from].Id, it.Subject, Clock.now());
     else
-      member.onJoin(Vms[from].Id, std::get<MembershipMessage>(body).Subject, Clock.now());
+      member.onRetired(it.Subject, it.Newest, core::Incarnation(wallClockMs()), Clock.now());
     executeActions(to);
   }
 
--- a/src/agreement/tests/FileLogStorageTest.cpp
+++ b/src/agreement/tests/FileLogStorageTest.cpp
@@ -173,6 +173,30 @@
   }
 }
 
+/// Guards against a new identity that is found with state of the old one, and against a folder that
+/// a power loss during the change makes unreadable.
+Test(FileLogStorage, renewedIdentityHasNoState) {
+  const VoterId next{Owner.Self.Vm, Incarnation(7)};
+  for (size_t operations = 0; operations < 6; ++operations) {
+    FaultFileSystem files;
+    auto storage = storageWith(files, 3);
+    Snapshot snapshot{LogIndex(3), Term(1), OneVoter, "state"};
+    cr_assert(storage->saveSnapshot(snapshot, {Term(1), Owner.Self}, {command(4, 1)}).ok());
+    files.failAfter(operations, Fault::SyncError);
+    bool renewed = storage->renew(next).ok();
+    storage.reset();
+    files.losePower();
+    absl::StatusOr<StoredState> state = openStorage(files)->load();
+    cr_assert(state.ok(), "%s", state.status().ToString().c_str());
+    cr_assert(!renewed || state->Owner.Self == next);
+    if (state->Owner.Self == next) {
+      cr_assert_not(state->LatestSnapshot.has_value());
+      cr_assert(state->Entries.empty());
+      cr_assert(state->Election == HardState{});
+    }
+  }
+}
+
 /// Guards against entries lost or reordered by a restart on the real disk, and against two
 /// processes or two initializations in one folder.
 Test(FileLogStorage, restartAfterHundredsOfEntries) {
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -203,8 +203,7 @@
   for (const agreement::Envelope &it : actions.Log.Messages)
     sendToMember(it.To.Vm, link::kind::Raft, agreement::encodeEnvelope(it));
   for (const agreement::MembershipMessage &it : actions.Membership)
-    sendToMember(it.To, link::kind::Join,
-                 encode(link::JoinRequest{it.Subject.Vm, it.Subject.DataIncarnation}));
+    sendMembership(it);
   for (const core::Event &event : actions.Log.Events)
     Events.emit(event);
   Proposals.complete(actions.Log.Results);
@@ -214,6 +213,15 @@
   }
 }
 
+void ControlNode::sendMembership(const agreement::MembershipMessage &message) {
+  const auto &[vm, data] = message.Subject;
+  if (message.What == agreement::MembershipMessage::Kind::Join)
+    sendToMember(message.To, link::kind::Join, encode(link::JoinRequest{vm, data}));
+  else
+    sendToMember(message.To, link::kind::Retired,
+                 encode(link::RetiredNotice{vm, data, message.Newest}));
+}
+
 void ControlNode::sendToMember(const core::VmId &vm, std::string_view kind,
                                const std::string &bytes) {
   Peers.setAddress(vm, {vm.Value, Settings.PeerPort});
@@ -246,6 +254,15 @@
       Entries.markUnreachable(*notice);
     else
       rejectMessage(message.From, notice.status());
+  } else if (message.Kind == link::kind::Retired) {
+    absl::StatusOr<link::RetiredNotice> notice = link::decodeRetiredNotice(message.Body);
+    if (!notice.ok()) {
+      rejectMessage(message.From, notice.status());
+      return;
+    }
+    Member->onRetired({notice->Vm, notice->Data}, notice->Newest, core::Incarnation(wallClockMs()),
+                      now);
+    flush();
   } else if (message.Kind == link::kind::Join) {
     absl::StatusOr<link::JoinRequest> request = link::decodeJoinRequest(message.Body);
     if (!request.ok()) {
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -92,6 +92,7 @@
   bool takesPart() const { return Member != nullptr && Member->health().ok(); }
   void tick();
   void flush();
+  void sendMembership(const agreement::MembershipMessage &message);
   void sendToMember(const core::VmId &vm, std::string_view kind, const std::string &bytes);
   void lead(core::Time now);
   void evaluateRollouts(core::Time now);
--- a/src/core/EventCatalogue.h
+++ b/src/core/EventCatalogue.h
@@ -14,6 +14,7 @@
   X(201, LostLeadership, "replica stopped being leader")                                           \
   X(202, StorageFailed, "log storage failed; the voter stopped acknowledging")                     \
   X(203, StorageReopened, "log storage was reopened after an error; the voter takes part again")   \
+  X(204, IdentityRenewed, "voter was removed from the group and rejoins under a new identity")     \
   /* config */                                                                                     \
   X(300, ConfigApplied, "configuration version applied")                                           \
   X(301, CommandConflict, "command conflicted with another command")                               \
--- a/src/link/Messages.cpp
+++ b/src/link/Messages.cpp
@@ -71,6 +71,14 @@
   j.at(1).get_to(it.Data);
 }
 
+void to_json(Json &j, const RetiredNotice &it) { j = {it.Vm, it.Data, it.Newest}; }
+
+void from_json(const Json &j, RetiredNotice &it) {
+  j.at(0).get_to(it.Vm);
+  j.at(1).get_to(it.Data);
+  j.at(2).get_to(it.Newest);
+}
+
 void to_json(Json &j, const CustomerUsage &it) {
   j = {it.Customer, toTenths(it.ArrivalsPerS), it.SharePermille, it.HoldsShare};
 }
@@ -222,6 +230,7 @@
 }
 
 std::string encode(const JoinRequest &it) { return core::encodeCbor(it); }
+std::string encode(const RetiredNotice &it) { return core::encodeCbor(it); }
 std::string encode(const EntryReport &it) { return core::encodeCbor(it); }
 std::string encode(const ControlResponse &it) { return core::encodeCbor(it); }
 std::string encode(const RateRequest &it) { return core::encodeCbor(it); }
@@ -244,6 +253,10 @@
   return core::decodeCborAs<JoinRequest>(bytes);
 }
 
+absl::StatusOr<RetiredNotice> decodeRetiredNotice(std::string_view bytes) {
+  return core::decodeCborAs<RetiredNotice>(bytes);
+}
+
 absl::StatusOr<EntryReport> decodeEntryReport(std::string_view bytes) {
   return core::decodeCborAs<EntryReport>(bytes);
 }
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -23,10 +23,11 @@
 constexpr std::string_view RatePermit = "rate-permit"; ///< RatePermit, entry VM to entry VM.
 /// EntryUnreachable, leader to other control VMs.
 constexpr std::string_view EntryUnreachable = "entry-gone";
+constexpr std::string_view Retired = "retired"; ///< RetiredNotice, control VM to control VM.
 
 /// All kinds; the index of a kind is its number on the wire, so new kinds are appended.
-inline constexpr std::array All{Raft,        Join,       Report,          Response,
-                                RateRequest, RatePermit, EntryUnreachable};
+inline constexpr std::array All{Raft,        Join,       Report,           Response,
+                                RateRequest, RatePermit, EntryUnreachable, Retired};
 } // namespace kind
 
 /// Sent by a control VM with a new data folder to ask the leader to add it to the group.
@@ -35,6 +36,13 @@
   core::Incarnation Data; ///< Incarnation of its data folder.
 };
 
+/// Tells a control VM that an identity of it has left the group and will never be a member again.
+struct RetiredNotice {
+  core::VmId Vm;
+  core::Incarnation Data;   ///< Incarnation of the data folder that has left.
+  core::Incarnation Newest; ///< Newest incarnation that the group knows of this VM.
+};
+
 /// Demand and current share of an entry VM for one customer's rate.
 struct CustomerUsage {
   std::string Customer;
@@ -171,6 +179,7 @@
 };
 
 std::string encode(const JoinRequest &it);
+std::string encode(const RetiredNotice &it);
 std::string encode(const EntryReport &it);
 std::string encode(const ControlResponse &it);
 std::string encode(const RateRequest &it);
@@ -179,6 +188,7 @@
 
 /// The decoders return InvalidArgument for malformed bytes.
 absl::StatusOr<JoinRequest> decodeJoinRequest(std::string_view bytes);
+absl::StatusOr<RetiredNotice> decodeRetiredNotice(std::string_view bytes);
 absl::StatusOr<EntryReport> decodeEntryReport(std::string_view bytes);
 absl::StatusOr<ControlResponse> decodeControlResponse(std::string_view bytes);
 absl::StatusOr<RateRequest> decodeRateRequest(std::string_view bytes);
--- a/src/link/tests/MessagesTest.cpp
+++ b/src/link/tests/MessagesTest.cpp
@@ -91,6 +91,13 @@
       decodeEntryUnreachable(encode(EntryUnreachable{VmId("a"), Incarnation(3)}));
   cr_assert(decodedNotice.ok());
   cr_assert_eq(decodedNotice->Run.Value, 3);
+
+  absl::StatusOr<RetiredNotice> retired =
+      decodeRetiredNotice(encode(RetiredNotice{VmId("a"), Incarnation(3), Incarnation(9)}));
+  cr_assert(retired.ok());
+  cr_assert_eq(retired->Vm, VmId("a"));
+  cr_assert_eq(retired->Data.Value, 3);
+  cr_assert_eq(retired->Newest.Value, 9);
 }
 
 /// Guards against a crash on bytes from another program.
@@ -100,6 +107,7 @@
     cr_assert_not(decodeEntryReport(bytes).ok());
     cr_assert_not(decodeControlResponse(bytes).ok());
     cr_assert_not(decodeEntryUnreachable(bytes).ok());
+    cr_assert_not(decodeRetiredNotice(bytes).ok());
   }
 }
 
