Remove replaced voters by the losses that must be borne

Cause: a silent voter was removed only while the number of voters was even, which two successors that joined first made impossible for good. Change: selectRemoval removes the voter that has been silent longest while the group is larger than the losses that must be borne require (borne_losses, from the platform's settings), and silent learners, which had kept others out. Why it works: parity says nothing about which voter is gone; the size that must remain does.

--- a/src/agreement/GroupMember.cpp
+++ b/src/agreement/GroupMember.cpp
@@ -15,10 +15,6 @@
              std::make_move_iterator(items.end()));
 }
 
-/// A voter is removed only while the group has an even number of voters, that is, after its
-/// replacement has joined.
-bool isEven(size_t n) { return n % 2 == 0; }
-
 } // namespace
 
 GroupMember::GroupMember(const GroupMemberSettings &settings, LogStorage &storage,
@@ -67,17 +63,15 @@
 }
 
 void GroupMember::receive(const Envelope &envelope, core::Time now) {
+  // A removed voter that is back asks for votes before it asks to be added.
+  if (answerRetired(envelope.From))
+    return;
   Instance->receive(envelope, now);
 }
 
 void GroupMember::onJoin(const core::VmId &from, const VoterId &subject, core::Time now) {
-  // An uncommitted removal may still be undone.
-  const Configuration &settled = Instance->committedConfiguration();
-  if (settled.isRetired(subject)) {
-    Outputs.Membership.push_back({MembershipMessage::Kind::Retired, subject.Vm, subject,
-                                  settled.NewestIncarnations.at(subject.Vm)});
+  if (answerRetired(subject))
     return;
-  }
   if (!isLeading(now)) {
     if (std::optional<core::VmId> to =
             joinForwardTarget(Instance->leaderHint(), Settings.Vm, from, subject.Vm))
@@ -92,10 +86,23 @@
        {{"vm", subject.Vm}, {"data", subject.DataIncarnation}, {"outcome", status.ToString()}}});
 }
 
-void GroupMember::onRetired(const VoterId &subject, core::Incarnation newest,
-                            core::Incarnation fresh, core::Time now) {
+/// Notifies an identity that has left the group. Returns false for any other.
+bool GroupMember::answerRetired(const VoterId &id) {
+  // An uncommitted removal may still be undone.
+  const Configuration &settled = Instance->committedConfiguration();
+  if (!settled.isRetired(id))
+    return false;
+  Outputs.Membership.push_back(
+      {MembershipMessage::Kind::Retired, id.Vm, id, settled.NewestIncarnations.at(id.Vm)});
+  return true;
+}
+
+void GroupMember::onRetired(const core::VmId &from, const VoterId &subject,
+                            core::Incarnation newest, core::Incarnation fresh, core::Time now) {
   if (subject != Instance->self())
     return;
+  LastMembers.merge(members());
+  LastMembers.insert(from);
   const VoterId next{Settings.Vm, std::max(fresh, core::Incarnation(newest.Value + 1))};
   takeLogActions();
   absl::Status status = Storage.renew(next);
@@ -149,6 +156,7 @@
     return;
   LastJoin = now;
   std::set<core::VmId> to = members();
+  to.insert(LastMembers.begin(), LastMembers.end());
   to.insert(Seeds.begin(), Seeds.end());
   to.erase(Settings.Vm);
   for (const core::VmId &vm : to)
@@ -157,20 +165,19 @@
 
 void GroupMember::removeSilentMember(core::Time now) {
   const Configuration &group = Instance->configuration();
-  if (!isEven(group.Voters.size()))
+  std::vector<MemberContact> contacts;
+  for (const VoterId &it : group.Voters)
+    contacts.push_back({it, true, now - Instance->lastAcknowledged(it)});
+  for (const VoterId &it : group.Learners)
+    contacts.push_back({it, false, now - Instance->lastAcknowledged(it)});
+  std::optional<VoterId> gone = selectRemoval(contacts, Settings.Removal);
+  // Refused while the previous change is not committed yet; tried again with the next tick.
+  if (!gone || !Instance->removeVoter(*gone, now).ok())
     return;
-  for (const VoterId &it : group.Voters) {
-    core::Duration silence = now - Instance->lastAcknowledged(it);
-    if (it == Instance->self() || silence < Settings.MemberTimeout)
-      continue;
-    // Copied because the removal invalidates `it`.
-    const VoterId voter = it;
-    absl::Status status = Instance->removeVoter(voter, now);
-    Outputs.Log.Events.push_back(
-        {core::EventId::VoterRemoved,
-         {{"vm", voter.Vm}, {"silent_ms", silence}, {"outcome", status.ToString()}}});
-    return;
-  }
+  Outputs.Log.Events.push_back({core::EventId::VoterRemoved,
+                                {{"vm", gone->Vm},
+                                 {"data", gone->DataIncarnation},
+                                 {"voters", Instance->configuration().Voters.size()}}});
 }
 
 } // namespace briarspar::agreement
--- a/src/agreement/GroupMember.h
+++ b/src/agreement/GroupMember.h
@@ -2,6 +2,7 @@
 
 #include "absl/status/status.h"
 #include "agreement/LogStorage.h"
+#include "agreement/MemberRemoval.h"
 #include "agreement/Replica.h"
 
 #include <memory>
@@ -15,9 +16,7 @@
   core::VmId Vm;
   ReplicaSettings Replica;
   core::Duration JoinInterval{500}; ///< Interval between two requests to be added to the group.
-  /// A voter that has acknowledged nothing for this long may be removed. A restart takes about a
-  /// second, and most network partitions are shorter than this.
-  core::Duration MemberTimeout{6000};
+  MemberRemovalSettings Removal;
   /// A voter that knows no leader for this long asks whether it is still a member. Most elections
   /// are shorter.
   core::Duration LeaderTimeout{1500};
@@ -68,11 +67,11 @@
   /// left the group.
   void onJoin(const core::VmId &from, const VoterId &subject, core::Time now);
 
-  /// Processes the notice that `subject` has left the group. If that is the own identity, the
-  /// member takes a new one with the incarnation `fresh`, or a later one where `newest` requires
-  /// it. `fresh` is the time of the wall clock in ms.
-  void onRetired(const VoterId &subject, core::Incarnation newest, core::Incarnation fresh,
-                 core::Time now);
+  /// Processes the notice of the member `from` that `subject` has left the group. If that is the
+  /// own identity, the member takes a new one with the incarnation `fresh`, or a later one where
+  /// `newest` requires it. `fresh` is the time of the wall clock in ms.
+  void onRetired(const core::VmId &from, const VoterId &subject, core::Incarnation newest,
+                 core::Incarnation fresh, core::Time now);
 
   /// Sets the VMs that are asked besides the known members.
   void setSeeds(const std::vector<core::VmId> &seeds) { Seeds = seeds; }
@@ -96,6 +95,7 @@
   void reopen(core::Time now);
   absl::Status restart(core::Time now);
   void takeLogActions();
+  bool answerRetired(const VoterId &id);
   bool mayHaveBeenRemoved(core::Time now);
   void requestMembership(core::Time now);
   void removeSilentMember(core::Time now);
@@ -107,6 +107,7 @@
   const std::string EmptyState; ///< Snapshot of the state machine without any command.
   std::unique_ptr<Replica> Instance;
   std::vector<core::VmId> Seeds;
+  std::set<core::VmId> LastMembers; ///< Members that earlier identities of this process knew.
   core::Time LastReopen;
   core::Time LastJoin;
   core::Time LastLeader; ///< When a leader was last known, or this member led.
--- a/src/agreement/testing/MemberFleet.h
+++ b/src/agreement/testing/MemberFleet.h
@@ -44,8 +44,9 @@
       VoterId self{vm.Id, isSeed ? InitialData : core::Incarnation(wallClockMs())};
       vm.Storage =
           std::make_unique<MemoryLogStorage>(Identity{Group, self}, isSeed ? &first : nullptr);
-      start(n);
     }
+    for (uint32_t n = 0; n < count; ++n)
+      start(n);
   }
 
   void kill(uint32_t n) {
@@ -164,6 +165,12 @@
                Vms[n].Process->replica().self());
   }
 
+  /// Returns whether the leader counts an identity as a voter.
+  bool isVoterId(const VoterId &id) {
+    std::optional<uint32_t> at = leader();
+    return at && Vms[*at].Process->replica().committedConfiguration().isVoter(id);
+  }
+
   /// Returns whether the voters are exactly the running processes.
   bool votersAreTheRunning() {
     std::optional<uint32_t> at = leader();
@@ -248,7 +255,8 @@
              it.What == MembershipMessage::Kind::Join)
       member.onJoin(Vms[from].Id, it.Subject, Clock.now());
     else
-      member.onRetired(it.Subject, it.Newest, core::Incarnation(wallClockMs()), Clock.now());
+      member.onRetired(Vms[from].Id, it.Subject, it.Newest, core::Incarnation(wallClockMs()),
+                       Clock.now());
     executeActions(to);
   }
 
--- a/src/agreement/tests/GroupMemberTest.cpp
+++ b/src/agreement/tests/GroupMemberTest.cpp
@@ -47,6 +47,26 @@
   }
 }
 
+/// Guards against replaced VMs that stay voters: when two were replaced within seconds, the loss of
+/// two disks later left the group without a quorum.
+Test(GroupMember, twoReplacedVmsLeaveTheGroup) {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    MemberFleet fleet(5, seed);
+    fleet.run(JoinTime);
+    fleet.remove(0);
+    fleet.run({1000});
+    fleet.add();
+    fleet.run({1000});
+    fleet.remove(1);
+    fleet.run({1000});
+    fleet.add();
+    fleet.run(RecoveryTime);
+    cr_assert(fleet.votersAreTheRunning());
+    loseTwoDisks(fleet, 2, 3);
+    checkService(fleet);
+  }
+}
+
 /// Guards against a VM that was removed while it was cut off and never rejoins, since its own log
 /// still lists it as a voter.
 Test(GroupMember, vmThatWasRemovedWhileCutOffRejoins) {
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -100,6 +100,7 @@
   settings.Vm = Settings.Vm;
   settings.Replica = Settings.Replica;
   settings.ReopenInterval = Settings.ReopenInterval;
+  settings.Removal.BorneLosses = Settings.BorneLosses;
   auto member = std::make_unique<agreement::GroupMember>(settings, *Storage, Machine, *Randomness);
   member->setSeeds(Settings.Seeds);
   if (absl::Status status = member->open(Clock.now()); !status.ok())
@@ -260,8 +261,8 @@
       rejectMessage(message.From, notice.status());
       return;
     }
-    Member->onRetired({notice->Vm, notice->Data}, notice->Newest, core::Incarnation(wallClockMs()),
-                      now);
+    Member->onRetired(message.From, {notice->Vm, notice->Data}, notice->Newest,
+                      core::Incarnation(wallClockMs()), now);
     flush();
   } else if (message.Kind == link::kind::Join) {
     absl::StatusOr<link::JoinRequest> request = link::decodeJoinRequest(message.Body);
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -40,6 +40,7 @@
   std::vector<core::VmId> Seeds;
   std::string DataFolder;
   bool Bootstrap = false; ///< Set when the system starts for the first time.
+  size_t BorneLosses = 2; ///< Control VMs that may be lost at once.
   std::string ListHost;   ///< Host of the platform's target list.
   uint16_t ListPort = 0;
   agreement::GroupId Group{"main"};
--- a/src/node/NodeSettings.cpp
+++ b/src/node/NodeSettings.cpp
@@ -35,6 +35,7 @@
     "seeds": {"type": "array", "items": {"type": "string"}},
     "data_folder": {"type": "string"},
     "bootstrap": {"type": "boolean"},
+    "borne_losses": {"type": "integer", "minimum": 0, "maximum": 16},
     "target_list": {"type": "string"},
     "secret": {"type": "string", "minLength": 16},
     "bounds": {"type": "object"}
@@ -109,6 +110,7 @@
   }
   settings.DataFolder = j.value("data_folder", std::string());
   settings.Bootstrap = j.value("bootstrap", false);
+  settings.BorneLosses = j.value("borne_losses", settings.BorneLosses);
   j.at("secret").get_to(settings.Secret);
   const Json bounds = j.value("bounds", Json::object());
   for (const auto &[name, value] : bounds.items())
@@ -146,6 +148,7 @@
   out.Seeds = settings.Seeds;
   out.DataFolder = settings.DataFolder;
   out.Bootstrap = settings.Bootstrap;
+  out.BorneLosses = settings.BorneLosses;
   out.ListHost = settings.TargetListAddress.Host;
   out.ListPort = settings.TargetListAddress.Port;
   return out;
--- a/src/node/NodeSettings.h
+++ b/src/node/NodeSettings.h
@@ -32,6 +32,7 @@
   std::vector<core::VmId> Seeds;
   std::string DataFolder; ///< Control VMs only.
   bool Bootstrap = false;
+  size_t BorneLosses = 2;               ///< Control VMs that may be lost at once.
   entry::Address TargetListAddress;     ///< Address of the platform's target list.
   std::string Secret;                   ///< Shared by all processes; authenticates their messages.
   std::map<std::string, double> Bounds; ///< Agreed bounds, keyed by the platform's names.
