Judge a version by like outcomes since its order

Cause: time-outs, also from before the order, counted as failures of the old version, and three times that share was tolerated without a bound; steps followed by time alone. The tests of the entry VM and of the held step were written beside the change.

--- a/src/control/tests/ControlTest.cpp
+++ b/src/control/tests/ControlTest.cpp
@@ -36,15 +36,23 @@
   uint64_t AllRequests = 0;
 };
 
+/// Share of requests that time out at slow targets of each version.
+struct SlowTargets {
+  double Old = 0;
+  double New = 0;
+};
+
 Simulation simulateRollout(const std::function<double(uint32_t share, int64_t ms)> &failureRate,
-                           double latencyFactor = 1) {
+                           double latencyFactor = 1, const SlowTargets &slow = {}) {
   RolloutEvaluator evaluator;
   catalog::Rollout current = rollout();
   Simulation out;
-  link::VersionCounts newCounts{"s", "v2", "r", 0, 0, 0};
-  link::VersionCounts oldCounts{"s", "v1", "r", 0, 0, 0};
+  link::VersionCounts newCounts{"s", "v2", "r", 0, 0, 0, 0, 0, current.OrderedAt};
+  link::VersionCounts oldCounts{"s", "v1", "r", 0, 0, 0, 0, 0, current.OrderedAt};
   double newCredit = 0;
   double failureCredit = 0;
+  double newTimeOutCredit = 0;
+  double oldTimeOutCredit = 0;
   uint32_t share = 0;
   std::vector<std::pair<int64_t, RolloutEvaluator::Step>> inTransit;
   for (int64_t ms = 0; ms < 20'000; ms += 100) {
@@ -53,12 +61,24 @@
       newCredit += share / 1000.0;
       if (newCredit < 1) {
         ++oldCounts.Requests;
-        oldCounts.LatencyMs += 300;
+        oldTimeOutCredit += slow.Old;
+        if (oldTimeOutCredit >= 1) {
+          oldTimeOutCredit -= 1;
+          ++oldCounts.TimeOuts;
+        } else {
+          oldCounts.LatencyMs += 300;
+        }
         continue;
       }
       newCredit -= 1;
       ++newCounts.Requests;
       ++out.NewRequests;
+      newTimeOutCredit += slow.New;
+      if (newTimeOutCredit >= 1) {
+        newTimeOutCredit -= 1;
+        ++newCounts.TimeOuts;
+        continue;
+      }
       failureCredit += failureRate(share, ms);
       if (failureCredit >= 1) {
         failureCredit -= 1;
@@ -112,6 +132,51 @@
   cr_assert_leq(it.EndMs, 16'000);
 }
 
+/// Guards against a bad version that passes because requests to the old version time out at slow
+/// targets, and against a good version that does not complete beside the same slow targets.
+Test(RolloutEvaluator, slowTargetsDoNotHideFailures) {
+  for (double slow : {0.1, 0.2, 0.3}) {
+    Simulation bad =
+        simulateRollout([](uint32_t, int64_t) { return 0.5; }, 1, SlowTargets{slow, slow});
+    cr_assert(bad.State == catalog::RolloutState::RolledBack);
+    cr_assert_leq(bad.NewRequests, bad.AllRequests / 10 + 50);
+    Simulation good =
+        simulateRollout([](uint32_t, int64_t) { return 0.004; }, 1, SlowTargets{slow, slow});
+    cr_assert(good.State == catalog::RolloutState::Completed);
+    cr_assert_leq(good.EndMs, 16'000);
+  }
+  // Only the old version has slow targets.
+  cr_assert(simulateRollout([](uint32_t, int64_t) { return 0.25; }, 1, SlowTargets{0.4, 0}).State ==
+            catalog::RolloutState::RolledBack);
+}
+
+/// Guards against counters from before the order that decide on a version.
+Test(RolloutEvaluator, countersOfAnotherOrderAreIgnored) {
+  RolloutEvaluator evaluator;
+  catalog::Rollout current = rollout();
+  current.SharePermille = RolloutEvaluatorSettings().CanaryPermille;
+  (void)evaluator.next(current, true, Time{0});
+  evaluator.report(
+      VmId("vm"), Incarnation(1),
+      std::vector<link::VersionCounts>{{"s", "v1", "r", 1000, 300, 210'000, 0, 0, LogIndex(4)},
+                                       {"s", "v2", "r", 40, 12, 8400, 0, 0, current.OrderedAt},
+                                       {"s", "v1", "r", 400, 0, 120'000, 0, 0, current.OrderedAt}});
+  cr_assert(evaluator.next(current, true, Time{100})->State == catalog::RolloutState::RolledBack);
+}
+
+/// Guards against a version that goes on by time alone, without outcomes that speak for it.
+Test(RolloutEvaluator, stepIsHeldWithoutOutcomes) {
+  RolloutEvaluator evaluator;
+  catalog::Rollout current = rollout();
+  current.SharePermille = RolloutEvaluatorSettings().RampPermille;
+  evaluator.report(
+      VmId("vm"), Incarnation(1),
+      std::vector<link::VersionCounts>{{"s", "v2", "r", 9, 0, 2700, 0, 0, current.OrderedAt}});
+  for (int64_t ms = 0; ms < 20'000; ms += 100)
+    if (auto step = evaluator.next(current, true, Time{ms}))
+      cr_assert_eq(step->SharePermille, RolloutEvaluatorSettings().RampPermille);
+}
+
 /// Guards against look-ups that return VMs which have stopped or no longer report.
 Test(EntryRegistry, lookupReturnsOnlyLiveVms) {
   EntryRegistry registry;
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -16,6 +16,10 @@
 /// A time up to this multiple of the expected one is attributed to normal variation.
 constexpr double SlownessThreshold = 1.6;
 
+/// A response that takes longer than this multiple of the usual time for an object that is not
+/// cached counts as slow in a rollout. A cold target takes up to twice that time.
+constexpr double SlowResponseFactor = 4;
+
 /// A probe without a response fails after this time.
 constexpr core::Duration ProbeTimeout{1000};
 
@@ -82,6 +86,12 @@
     if (held.Value)
       Services[name] = *held.Value;
   Rollouts = catalog.rollouts();
+  // Outcomes from before the order of a rollout say nothing about its versions.
+  for (auto it = Counts.begin(); it != Counts.end();) {
+    auto rollout = Rollouts.find(std::get<0>(it->first));
+    bool isCurrent = rollout != Rollouts.end() && rollout->second.OrderedAt == it->second.OrderedAt;
+    it = isCurrent ? std::next(it) : Counts.erase(it);
+  }
   Evacuated.clear();
   for (const auto &[domain, it] : catalog.evacuations())
     if (it.Active)
@@ -158,15 +168,8 @@
     state.AnsweredAt = now;
   bool failed = outcome == TargetOutcome::Failed || outcome == TargetOutcome::ConnectionLost ||
                 outcome == TargetOutcome::TimedOut || outcome == TargetOutcome::ConnectFailed;
-  if (isSuccess || failed || outcome == TargetOutcome::DeadlineExceeded) {
-    link::VersionCounts &counts =
-        Counts[{state.Info.Service, state.Info.Version.Value, route.Name}];
-    ++counts.Requests;
-    if (outcome == TargetOutcome::Failed || outcome == TargetOutcome::TimedOut ||
-        outcome == TargetOutcome::DeadlineExceeded)
-      ++counts.Failures;
-    counts.LatencyMs += isSuccess ? static_cast<uint64_t>(latency.Ms) : 0;
-  }
+  if (isSuccess || failed || outcome == TargetOutcome::DeadlineExceeded)
+    countForRollout(state, pick, route, outcome, latency);
   if (isSuccess || failed || outcome == TargetOutcome::NotRun)
     state.FailureShare += SampleWeight * ((isSuccess ? 0.0 : 1.0) - state.FailureShare);
   if (isSuccess) {
@@ -202,6 +205,26 @@
     eject(state, now);
 }
 
+void TargetTable::countForRollout(const State &state, const Pick &pick, const catalog::Route &route,
+                                  TargetOutcome outcome, core::Duration latency) {
+  auto rollout = Rollouts.find(state.Info.Service);
+  if (rollout == Rollouts.end() || rollout->second.State != catalog::RolloutState::Running)
+    return;
+  link::VersionCounts &counts = Counts[{state.Info.Service, state.Info.Version.Value, route.Name}];
+  counts.OrderedAt = rollout->second.OrderedAt;
+  ++counts.Requests;
+  if (outcome == TargetOutcome::Failed)
+    ++counts.Failures;
+  if (outcome == TargetOutcome::TimedOut || outcome == TargetOutcome::DeadlineExceeded)
+    ++counts.TimeOuts;
+  if (outcome != TargetOutcome::Success)
+    return;
+  counts.LatencyMs += static_cast<uint64_t>(latency.Ms);
+  double usual = Processing.of(route, state.Info.Service).UncachedMs;
+  if (static_cast<double>(latency.Ms) - pick.Network > usual * SlowResponseFactor)
+    ++counts.Slow;
+}
+
 void TargetTable::updateTimes(State &state, const Pick &pick, const catalog::Route &route,
                               core::Duration latency, core::Time now) {
   double targetMs = std::max(1.0, static_cast<double>(latency.Ms) - pick.Network);
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -215,7 +215,7 @@
   /// Records the result of a health probe.
   void recordProbe(const core::TargetId &id, bool healthy, core::Duration cold, core::Time now);
 
-  /// Returns the results by version, counted since the start, of services with a running rollout.
+  /// Returns the results by version of services with a running rollout, counted since its order.
   std::vector<link::VersionCounts> versionCounts() const;
 
   /// Returns the health path of a service, or an empty string.
@@ -295,6 +295,8 @@
   double transferCost(const State &state, const catalog::Route &route) const;
   bool hasCached(const State &state, uint64_t object, core::Time now) const;
   void recordServed(State &state, uint64_t object, core::Time now) const;
+  void countForRollout(const State &state, const Pick &pick, const catalog::Route &route,
+                       TargetOutcome outcome, core::Duration latency);
   void updateTimes(State &state, const Pick &pick, const catalog::Route &route,
                    core::Duration latency, core::Time now);
   void eject(State &state, core::Time now);
--- a/src/entry/tests/TargetTableTest.cpp
+++ b/src/entry/tests/TargetTableTest.cpp
@@ -191,3 +191,34 @@
   cr_assert_leq(taken, 2 * 4 * 3);
   cr_assert_geq(taken, 2 * 4);
 }
+
+/// Guards against outcomes of another time or cause that decide on a version: those from before the
+/// order of a rollout, and time-outs that count as failures of the version.
+Test(TargetTable, rolloutCountsOutcomesSinceItsOrderByCause) {
+  Fixture fixture;
+  auto record = [&](TargetOutcome outcome, int64_t ms) {
+    std::optional<Pick> pick = fixture.pick();
+    cr_assert(pick.has_value());
+    fixture.Table.record(*pick, fixture.Route, outcome, Duration{ms}, 0, Time{1000});
+  };
+  record(TargetOutcome::Failed, 100);
+  catalog::Catalog catalog = entry::testing::oneService();
+  cr_assert(catalog.startRollout("s", "v1", "v2", Duration{16'000}, LogIndex(7)).ok());
+  fixture.Table.setCatalog(catalog, Time{1000});
+  cr_assert(fixture.Table.versionCounts().empty());
+  record(TargetOutcome::Success, 100);
+  record(TargetOutcome::Success, 9000);
+  record(TargetOutcome::Failed, 100);
+  record(TargetOutcome::DeadlineExceeded, 1000);
+  std::vector<link::VersionCounts> counts = fixture.Table.versionCounts();
+  cr_assert_eq(counts.size(), 1);
+  cr_assert_eq(counts[0].OrderedAt.Value, 7);
+  cr_assert_eq(counts[0].Requests, 4);
+  cr_assert_eq(counts[0].Failures, 1);
+  cr_assert_eq(counts[0].TimeOuts, 1);
+  cr_assert_eq(counts[0].Slow, 1);
+  // A later order starts again.
+  cr_assert(catalog.startRollout("s", "v1", "v3", Duration{16'000}, LogIndex(9)).ok());
+  fixture.Table.setCatalog(catalog, Time{2000});
+  cr_assert(fixture.Table.versionCounts().empty());
+}
--- a/src/link/Messages.cpp
+++ b/src/link/Messages.cpp
@@ -91,7 +91,8 @@
 }
 
 void to_json(Json &j, const VersionCounts &it) {
-  j = {it.Service, it.Version, it.Route, it.Requests, it.Failures, it.LatencyMs};
+  j = {it.Service,   it.Version,  it.Route, it.Requests, it.Failures,
+       it.LatencyMs, it.TimeOuts, it.Slow,  it.OrderedAt};
 }
 
 void from_json(const Json &j, VersionCounts &it) {
@@ -101,6 +102,11 @@
   j.at(3).get_to(it.Requests);
   j.at(4).get_to(it.Failures);
   j.at(5).get_to(it.LatencyMs);
+  if (j.size() < 9)
+    return; // From an entry VM of an earlier build; it names no rollout.
+  j.at(6).get_to(it.TimeOuts);
+  j.at(7).get_to(it.Slow);
+  j.at(8).get_to(it.OrderedAt);
 }
 
 void to_json(Json &j, const ServiceSample &it) {
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -51,14 +51,17 @@
   bool HoldsShare = true;     ///< The VM receives a share even without arrivals.
 };
 
-/// Outcomes of requests to one version of a service since the entry process started.
+/// Outcomes of requests to one version of a service since an entry process learned of a rollout.
 struct VersionCounts {
   std::string Service;
   std::string Version;
   std::string Route;
   uint64_t Requests = 0;
-  uint64_t Failures = 0;  ///< Responses with status 500 or above that the target itself produced.
-  uint64_t LatencyMs = 0; ///< Sum over the successful responses.
+  uint64_t Failures = 0;    ///< Responses with status 500 or above that the target itself produced.
+  uint64_t LatencyMs = 0;   ///< Sum over the successful responses.
+  uint64_t TimeOuts = 0;    ///< Requests without a response in time, also where the target says so.
+  uint64_t Slow = 0;        ///< Successful responses that took several times as long as usual.
+  core::LogIndex OrderedAt; ///< Identifies the rollout.
 };
 
 /// Maximum number of hashes in a ServiceSample. With 64 hashes, the estimated number of objects is
--- a/src/link/tests/MessagesTest.cpp
+++ b/src/link/tests/MessagesTest.cpp
@@ -57,7 +57,7 @@
 /// Guards against a field that is lost or changes its position in the encoding.
 Test(Messages, roundTripKeepsAllFields) {
   EntryReport report = fullReport(true);
-  report.Versions = {{"service0", "v2", "route", 100, 3, 4500}};
+  report.Versions = {{"service0", "v2", "route", 100, 3, 4500, 7, 5, LogIndex(12)}};
   report.Crashes = "crash report";
   absl::StatusOr<EntryReport> decodedReport = decodeEntryReport(encode(report));
   cr_assert(decodedReport.ok());
@@ -67,6 +67,9 @@
   cr_assert_eq(decodedReport->EntriesDigest, report.EntriesDigest);
   cr_assert_float_eq(decodedReport->Usage[1].ArrivalsPerS, 4.4, 1e-9);
   cr_assert_eq(decodedReport->Versions[0].LatencyMs, 4500);
+  cr_assert_eq(decodedReport->Versions[0].TimeOuts, 7);
+  cr_assert_eq(decodedReport->Versions[0].Slow, 5);
+  cr_assert_eq(decodedReport->Versions[0].OrderedAt.Value, 12);
   cr_assert_eq(decodedReport->Services[2].MinHashes.size(), SketchSize);
   cr_assert_eq(decodedReport->Loads[9].Target, 0x9000'0009);
   cr_assert_eq(decodedReport->Crashes, "crash report");
