Pass on no request behind a response that closes its connection

Cause: the close is announced with the head of a response, but later requests were parsed until it was written. Change: after an announced close nothing more is parsed, and while stopping a request behind a pending one stays unread. Evidence: CallerSession.stopAnswersEveryRequestThatReachedATarget fails with the earlier conditions put back (two requests at the target, one response) and passes; the other five of the session pass in both.

--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -145,6 +145,8 @@
       out.KeepAlive = false;
     }
     CloseAfter = !out.KeepAlive;
+    if (CloseAfter)
+      Session.CloseAnnounced = true;
     Chunked = out.BodyFraming == http::Framing::Chunked;
     Out += http::writeHead(out);
   }
@@ -264,10 +266,15 @@
   return Requests.empty() && !WritePending && Unparsed.empty() && !Parser.isInsideMessage();
 }
 
-/// While stopping, the response to the last received request closes the connection.
+/// While stopping, the response to the last request that was parsed closes the connection.
 bool CallerSession::shouldCloseAfter(const PendingRequest &request) const {
-  return Stopping && Requests.back().get() == &request && Unparsed.empty() &&
-         !Parser.isInsideMessage();
+  return Stopping && Requests.back().get() == &request && !Parser.isInsideMessage();
+}
+
+/// Returns whether the next request on the connection may begin. One that follows a response that
+/// closes the connection would be passed on and never answered; callers send it again elsewhere.
+bool CallerSession::mayParseNext() const {
+  return !CloseAnnounced && !(Stopping && !Requests.empty());
 }
 
 void CallerSession::sweep(core::Time now) {
@@ -328,6 +335,8 @@
 
 void CallerSession::parse() {
   while (!Unparsed.empty() && !Closed && !Rejected && Requests.size() < Settings.MaxPipelined) {
+    if (!Parser.isInsideMessage() && !mayParseNext())
+      break;
     size_t used = 0;
     std::string bytes = std::move(Unparsed);
     Unparsed.clear();
@@ -381,6 +390,7 @@
 
 void CallerSession::onHead(http::Head head) {
   InHead = false;
+  CloseAnnounced = CloseAnnounced || !head.KeepAlive;
   bool expectsContinue = false;
   if (std::optional<std::string_view> value = head.find("expect"))
     expectsContinue = core::equalsIgnoreCase(*value, "100-continue") && !head.Http10;
--- a/src/entry/CallerSession.h
+++ b/src/entry/CallerSession.h
@@ -60,6 +60,7 @@
   void flush();
   void onWritten(const asio::error_code &ec);
   bool shouldCloseAfter(const PendingRequest &request) const;
+  bool mayParseNext() const;
 
   void onHead(http::Head head) override;
   void onBody(std::string_view bytes) override;
@@ -85,6 +86,7 @@
   bool CloseIdle = false; ///< While stopping, close the connection once it has no pending request.
   bool Rejected = false;  ///< The received bytes were not valid HTTP, or a head timed out; no more
                           ///< requests are parsed.
+  bool CloseAnnounced = false; ///< A response or a request says that the connection will close.
   bool CloseAfterWrite = false;
   bool Lingering = false; ///< The last response is written and the sending side is shut down;
                           ///< waiting for the caller to close.
--- a/src/entry/tests/CallerSessionTest.cpp
+++ b/src/entry/tests/CallerSessionTest.cpp
@@ -1,4 +1,5 @@
 #include "entry/CallerSession.h"
+#include "entry/testing/OneService.h"
 
 #include <asio/write.hpp>
 #include <criterion/criterion.h>
@@ -141,3 +142,104 @@
   }
   cr_assert(f.Ended);
 }
+
+namespace {
+
+/// The same with a configuration and one target, whose responses the test writes.
+struct FixtureWithTarget : Fixture {
+  FixtureWithTarget() : TargetAcceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}) {
+    TargetAcceptor.non_blocking(true);
+    catalog::Catalog catalog = entry::testing::oneService();
+    catalog::Change change;
+    catalog::Route route;
+    route.Name = "read";
+    route.Host = "h";
+    route.Prefix = "/";
+    route.Open = true;
+    route.Idempotent = true;
+    route.Timeout = core::Duration{1000};
+    route.LatencyGoal = core::Duration{400};
+    route.MaxTargets = 2;
+    route.Services = {{entry::testing::ServiceName, 1}};
+    change.Routes.push_back({catalog::ItemVersion(2), route, route.Name});
+    cr_assert(catalog.apply(change, core::LogIndex(2)).ok());
+    Context.Routes = std::make_shared<const RouteTable>(catalog);
+    Context.Targets.setCatalog(catalog, Clock.now());
+    discovery::Target target;
+    target.Id = core::TargetId("t");
+    target.Service = entry::testing::ServiceName;
+    target.Host = "127.0.0.1";
+    target.Port = TargetAcceptor.local_endpoint().port();
+    target.Domain = core::DomainId("z");
+    target.Version = core::VersionId("v1");
+    target.Slots = 4;
+    discovery::TargetList list;
+    list.startEpoch(1);
+    list.update({target}, Clock.now());
+    Context.Targets.setTargets(list, Clock.now());
+    Context.Retries.setEntries(1);
+  }
+
+  /// Runs the session and accepts what arrives at the target.
+  void pollAll() {
+    poll();
+    asio::error_code ec;
+    asio::ip::tcp::socket socket(Io);
+    TargetAcceptor.accept(socket, ec);
+    if (!ec) {
+      socket.non_blocking(true);
+      AtTarget.push_back(std::move(socket));
+    }
+    for (asio::ip::tcp::socket &it : AtTarget) {
+      char buffer[4096];
+      size_t n = it.read_some(asio::buffer(buffer), ec);
+      if (!ec)
+        TargetReceived.append(buffer, n);
+    }
+  }
+
+  static size_t count(const std::string &text, const std::string &part) {
+    size_t found = 0;
+    for (size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+      ++found;
+    return found;
+  }
+
+  asio::ip::tcp::acceptor TargetAcceptor;
+  std::vector<asio::ip::tcp::socket> AtTarget;
+  std::string TargetReceived;
+};
+
+std::string requestFor(const std::string &id) {
+  return "GET /" + id + " HTTP/1.1\r\nHost: h\r\nX-Id: " + id + "\r\n\r\n";
+}
+
+} // namespace
+
+/// Guards against a planned stop that passes a pipelined request on to a target and closes the
+/// connection without its response, because the response before it has announced the close.
+Test(CallerSession, stopAnswersEveryRequestThatReachedATarget) {
+  FixtureWithTarget f;
+  f.Context.Names.RequestId = "X-Id";
+  f.send(requestFor("first"));
+  for (int n = 0; n < MaxPolls && f.TargetReceived.find("/first") == std::string::npos; ++n)
+    f.pollAll();
+  cr_assert_eq(FixtureWithTarget::count(f.TargetReceived, "GET /"), 1);
+  f.Session->startStopping(/*closeIdle=*/true);
+  asio::write(f.AtTarget[0],
+              asio::buffer(std::string(
+                  "HTTP/1.1 200 OK\r\nX-Id: first\r\nContent-Length: 10\r\n\r\nhello")));
+  for (int n = 0; n < MaxPolls && f.Received.find("hello") == std::string::npos; ++n)
+    f.pollAll();
+  f.send(requestFor("second"));
+  for (int n = 0; n < 200; ++n)
+    f.pollAll();
+  asio::write(f.AtTarget[0], asio::buffer(std::string("world")));
+  for (int n = 0; n < MaxPolls && f.Received.find("world") == std::string::npos; ++n)
+    f.pollAll();
+  f.advance({2000});
+  cr_assert_eq(FixtureWithTarget::count(f.Received, "HTTP/1.1 200"),
+               FixtureWithTarget::count(f.TargetReceived, "GET /"));
+  cr_assert(f.Received.find("onnection: close") != std::string::npos);
+  cr_assert(f.Ended);
+}
