Log the connection of each send and the evidence of each refusal

Cause: a log could not show whether two sends of a request went over one connection, on what a refusal based that nothing ran, or that an answer was skipped, so the hypotheses of the incident could not be told apart. Change: connections to targets have a number; TargetChosen, RequestRetried, RequestRefused and RequestFinished name connection and exchange; retries and refusals name the target's status and the evidence; event 1313 and briarspar_unexpected_responses_total{kind} for answers that belong to no request in progress. No decision changes.

--- a/src/core/EventCatalogue.h
+++ b/src/core/EventCatalogue.h
@@ -63,6 +63,7 @@
   X(1310, RateHolderSilent, "rate holder did not grant a permit in time")                          \
   X(1311, ConnectionNotAccepted, "connection could not be accepted")                               \
   X(1312, NoTargetChosen, "target selection found no target for a request")                        \
+  X(1313, UnexpectedResponse, "target sent a response that belongs to no request in progress")     \
   /* control */                                                                                    \
   X(1400, ItemsChanged, "operator command applied")                                                \
   X(1401, OrderRefused, "operator command refused")                                                \
--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -76,7 +76,7 @@
 
   // ExchangeActions
 
-  void sendToTarget(const Pick &target, const http::Head &head, bool mustBeOpen) override {
+  TargetSend sendToTarget(const Pick &target, const http::Head &head, bool mustBeOpen) override {
     BodyToTarget = head.BodyFraming;
     Target =
         Session.Pool.acquire(target.Host, target.Port,
@@ -86,10 +86,11 @@
         if (std::shared_ptr<CallerSession> session = owner.lock(); session && !session->Closed)
           self->onConnectionLost(http::ConnectionLoss::NotConnected);
       });
-      return;
+      return {};
     }
     Target->start(head, std::string(head.find(Session.Context.Names.RequestId).value_or("")),
                   *this);
+    return {Target->number(), Target->exchanges()};
   }
 
   void sendBodyToTarget(std::string_view bytes) override {
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -117,7 +117,7 @@
           &events,
           0,
           0},
-      Pool(io, clock, settings.Names.RequestId),
+      Pool(io, clock, settings.Names.RequestId, &events),
       ReadyServer(
           io, events,
           [this](const http::BufferedRequest &, const http::BufferedServer::Responder &respond) {
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -6,6 +6,7 @@
 #include "core/Text.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace briarspar::entry {
@@ -33,6 +34,11 @@
   return value->substr(scheme.size());
 }
 
+const char *nameOf(NotRunEvidence evidence) {
+  constexpr std::array<const char *, 3> names{"not sent", "not connected", "stated by the target"};
+  return names[static_cast<size_t>(evidence)];
+}
+
 std::string_view hostOf(const http::Head &head) {
   std::string_view host = head.find("host").value_or("");
   return host.substr(0, host.find(':'));
@@ -248,23 +254,9 @@
   HasResponse = false;
   ResponseBytes.clear();
   WakeAt = Deadline + Context.Settings.TargetGrace;
-  log(core::EventId::TargetChosen, {{"target", pick.Id},
-                                    {"service", Service},
-                                    {"version", pick.Version},
-                                    {"region", pick.Region},
-                                    {"object", Object.value_or(0)},
-                                    {"route", Route->Name},
-                                    {"customer", Customer ? Customer->Name : ""},
-                                    {"familiar", pick.ObjectCached},
-                                    {"expected_ms", std::round(pick.Expected)},
-                                    {"load", std::round(pick.Load * 10) / 10},
-                                    {"value", std::round(pick.Value * 100) / 100},
-                                    {"slowness", std::round(pick.Slowness * 10) / 10},
-                                    {"send", Sends},
-                                    {"left_ms", Deadline - now},
-                                    {"catalog", Context.CatalogVersion},
-                                    {"list", Context.ListVersion}});
-  Actions.sendToTarget(pick, targetHead(pick, now), !Route->Idempotent);
+  Evidence.reset();
+  LastSend = Actions.sendToTarget(pick, targetHead(pick, now), !Route->Idempotent);
+  logSend(pick, now);
   if (State != AtTarget)
     return;
   if (!Body.empty()) {
@@ -283,6 +275,27 @@
   }
 }
 
+void Exchange::logSend(const Pick &pick, core::Time now) const {
+  log(core::EventId::TargetChosen, {{"target", pick.Id},
+                                    {"connection", LastSend.Connection},
+                                    {"exchange", LastSend.Exchange},
+                                    {"service", Service},
+                                    {"version", pick.Version},
+                                    {"region", pick.Region},
+                                    {"object", Object.value_or(0)},
+                                    {"route", Route->Name},
+                                    {"customer", Customer ? Customer->Name : ""},
+                                    {"familiar", pick.ObjectCached},
+                                    {"expected_ms", std::round(pick.Expected)},
+                                    {"load", std::round(pick.Load * 10) / 10},
+                                    {"value", std::round(pick.Value * 100) / 100},
+                                    {"slowness", std::round(pick.Slowness * 10) / 10},
+                                    {"send", Sends},
+                                    {"left_ms", Deadline - now},
+                                    {"catalog", Context.CatalogVersion},
+                                    {"list", Context.ListVersion}});
+}
+
 http::Head Exchange::targetHead(const Pick &pick, core::Time now) const {
   http::Head head;
   head.Method = Request.Method;
@@ -366,6 +379,7 @@
 void Exchange::finishBufferedResponse(core::Time now) {
   bool notRun = Response.find(Context.Names.NotRun).has_value() || Response.Status == 421;
   if (notRun) {
+    Evidence = NotRunEvidence::StatedByTarget;
     recordOutcome(Response.Status == 421 ? TargetOutcome::WrongTarget : TargetOutcome::NotRun, now);
     if (mayRetry(/*arrived=*/true, now))
       retry("the target did not run the request", now);
@@ -409,6 +423,7 @@
   if (State != AtTarget)
     return;
   if (loss == http::ConnectionLoss::NotConnected) {
+    Evidence = NotRunEvidence::NotConnected;
     recordOutcome(TargetOutcome::ConnectFailed, now);
     if (mayRetry(/*arrived=*/false, now))
       retry("the target could not be reached", now);
@@ -465,8 +480,13 @@
 }
 
 void Exchange::retry(const char *reason, core::Time now) {
-  log(core::EventId::RequestRetried,
-      {{"reason", reason}, {"target", Tried.back()}, {"sends", Sends}});
+  log(core::EventId::RequestRetried, {{"reason", reason},
+                                      {"target", Tried.back()},
+                                      {"sends", Sends},
+                                      {"connection", LastSend.Connection},
+                                      {"exchange", LastSend.Exchange},
+                                      {"target_status", HasResponse ? Response.Status : 0},
+                                      {"evidence", evidenceName()}});
   State = Receiving;
   Target.reset();
   dispatch(now);
@@ -500,6 +520,10 @@
                                       {"reason", answer.Reason},
                                       {"retry_after_ms", answer.RetryAfter},
                                       {"may_have_run", MayHaveRun},
+                                      {"evidence", evidenceName()},
+                                      {"connection", LastSend.Connection},
+                                      {"exchange", LastSend.Exchange},
+                                      {"target_status", HasResponse ? Response.Status : 0},
                                       {"sends", Sends},
                                       {"after_ms", now - ArrivedAt},
                                       {"route", Route ? Route->Name : ""},
@@ -509,6 +533,10 @@
                                       {"list", Context.ListVersion}});
 }
 
+const char *Exchange::evidenceName() const {
+  return MayHaveRun || !Evidence ? "none" : nameOf(*Evidence);
+}
+
 std::string Exchange::rateHolder(core::Time now) const {
   return Customer ? Context.Rates.holderOf(Customer->Name, now).Value : "";
 }
@@ -520,7 +548,9 @@
                                        {"sends", Sends},
                                        {"after_ms", now - ArrivedAt},
                                        {"target_ms", now - SentAt},
-                                       {"target", Target ? Target->Id.Value : ""}});
+                                       {"target", Target ? Target->Id.Value : ""},
+                                       {"connection", LastSend.Connection},
+                                       {"exchange", LastSend.Exchange}});
 }
 
 void Exchange::recordOutcome(TargetOutcome outcome, core::Time now) {
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -51,6 +51,19 @@
   uint64_t ListVersion = 0;    ///< Written to log events.
 };
 
+/// The connection that carries a request to its target.
+struct TargetSend {
+  uint64_t Connection = 0; ///< Number of the connection; 0 if none was available.
+  uint64_t Exchange = 0;   ///< Number of the exchange on the connection, from 1.
+};
+
+/// What shows that a request has not run and will not run.
+enum class NotRunEvidence : uint8_t {
+  NotSent,       ///< The request was not sent.
+  NotConnected,  ///< The connection of its last send was not established.
+  StatedByTarget ///< The target of its last send responded that it did not run the request.
+};
+
 /// Operations that an Exchange requests from its owner.
 class ExchangeActions {
 public:
@@ -58,7 +71,7 @@
 
   /// Opens or reuses a connection to a target and sends the request head. `mustBeOpen` is set for
   /// requests that must not be sent twice: a reused connection must be known to be still open.
-  virtual void sendToTarget(const Pick &target, const http::Head &head, bool mustBeOpen) = 0;
+  virtual TargetSend sendToTarget(const Pick &target, const http::Head &head, bool mustBeOpen) = 0;
   virtual void sendBodyToTarget(std::string_view bytes) = 0;
   virtual void endBodyToTarget() = 0;
 
@@ -138,6 +151,8 @@
   void recordOutcome(TargetOutcome outcome, core::Time now);
   uint64_t fingerprint() const;
   void logNoTarget(const PickRequest &request) const;
+  const char *evidenceName() const;
+  void logSend(const Pick &pick, core::Time now) const;
   std::string rateHolder(core::Time now) const;
   void log(core::EventId id, core::Json details) const;
 
@@ -163,7 +178,10 @@
   std::optional<Pick> Target;
   std::vector<core::TargetId> Tried;
   uint32_t Sends = 0;
-  bool MayHaveRun = false;
+  TargetSend LastSend;
+  bool MayHaveRun = false; ///< Some send may have run at its target.
+  /// What shows that the last send has not run; nullopt while that is not known.
+  std::optional<NotRunEvidence> Evidence = NotRunEvidence::NotSent;
   bool RatePending = false; ///< Waiting for the decision about the customer's rate.
   bool RateSpent = false;   ///< The request has been charged to the customer's rate.
   core::Time SentAt;
--- a/src/entry/TargetPool.cpp
+++ b/src/entry/TargetPool.cpp
@@ -1,8 +1,11 @@
 #include "entry/TargetPool.h"
 
+#include "absl/strings/str_cat.h"
+
 #include <asio/post.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace briarspar::entry {
 
@@ -45,8 +48,8 @@
 };
 
 TargetPool::TargetPool(asio::io_context &io, const core::Clock &clock, std::string idHeader,
-                       const http::ClientConnectionSettings &settings)
-    : Io(io), Clock(clock), IdHeader(std::move(idHeader)), Settings(settings) {}
+                       core::EventSink *events, const http::ClientConnectionSettings &settings)
+    : Io(io), Clock(clock), IdHeader(std::move(idHeader)), Events(events), Settings(settings) {}
 
 TargetPool::~TargetPool() {
   for (auto &[key, discarder] : Discarders)
@@ -75,8 +78,8 @@
     return nullptr;
   auto connection = std::make_shared<http::ClientConnection>(Io, Clock, host, port, Settings);
   connection->setIdHeader(IdHeader);
+  connection->observe(++Opened, *this);
   peer.All.push_back(connection);
-  ++Opened;
   return connection;
 }
 
@@ -118,6 +121,20 @@
   }
 }
 
+void TargetPool::onUnexpectedResponse(const http::ClientConnection &connection,
+                                      http::UnexpectedResponse kind, const http::Head *head) {
+  if (Events == nullptr)
+    return;
+  constexpr std::array<const char *, 3> names{"other id", "no id", "no request"};
+  Events->emit({core::EventId::UnexpectedResponse,
+                {{"kind", names[static_cast<size_t>(kind)]},
+                 {"request", head == nullptr ? "" : std::string(head->find(IdHeader).value_or(""))},
+                 {"status", head == nullptr ? 0 : head->Status},
+                 {"address", absl::StrCat(connection.host(), ":", connection.port())},
+                 {"connection", connection.number()},
+                 {"exchange", connection.exchanges()}}});
+}
+
 size_t TargetPool::openConnections() const {
   size_t n = 0;
   for (const auto &[key, peer] : Peers)
--- a/src/entry/TargetPool.h
+++ b/src/entry/TargetPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Clock.h"
+#include "core/Event.h"
 #include "entry/TargetTable.h"
 #include "http/ClientConnection.h"
 
@@ -16,11 +17,12 @@
 namespace briarspar::entry {
 
 /// Pool of open connections to targets. Runs on the thread of the io_context.
-class TargetPool {
+class TargetPool final : private http::UnexpectedResponseObserver {
 public:
+  /// `events` is told of unexpected responses; it may be null.
   TargetPool(asio::io_context &io, const core::Clock &clock, std::string idHeader,
-             const http::ClientConnectionSettings &settings = {});
-  ~TargetPool();
+             core::EventSink *events, const http::ClientConnectionSettings &settings = {});
+  ~TargetPool() override;
 
   /// Returns an idle connection or a new one; null when `maxConnections` are open. With
   /// `mustBeOpen`, an idle connection is reused only if the target cannot have closed it.
@@ -55,9 +57,13 @@
     std::vector<std::weak_ptr<http::ClientConnection>> All;
   };
 
+  void onUnexpectedResponse(const http::ClientConnection &connection, http::UnexpectedResponse kind,
+                            const http::Head *head) override;
+
   asio::io_context &Io;
   const core::Clock &Clock;
   const std::string IdHeader;
+  core::EventSink *const Events;
   const http::ClientConnectionSettings Settings;
   std::map<Key, Peer> Peers;
   std::map<http::ClientConnection *, std::unique_ptr<Discarder>> Discarders;
--- a/src/entry/tests/ExchangeTest.cpp
+++ b/src/entry/tests/ExchangeTest.cpp
@@ -12,10 +12,11 @@
 
 /// Records the actions of an exchange.
 struct Recorder final : ExchangeActions {
-  void sendToTarget(const Pick &target, const http::Head &head, bool) override {
+  TargetSend sendToTarget(const Pick &target, const http::Head &head, bool) override {
     Sent.push_back(target.Id);
     Heads.push_back(head);
     Open = true;
+    return {Sent.size(), 1};
   }
   void sendBodyToTarget(std::string_view bytes) override { Body += bytes; }
   void endBodyToTarget() override {}
--- a/src/entry/tests/TargetPoolTest.cpp
+++ b/src/entry/tests/TargetPoolTest.cpp
@@ -5,6 +5,7 @@
 #include <criterion/criterion.h>
 
 #include <string>
+#include <vector>
 
 using namespace briarspar;
 using namespace briarspar::entry;
@@ -20,7 +21,8 @@
 
 /// A pool with one connection, whose response nobody waits for.
 struct Fixture {
-  Fixture() : Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}), Pool(Io, Clock, "X-Id") {
+  Fixture()
+      : Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}), Pool(Io, Clock, "X-Id", nullptr) {
     auto connection = Pool.acquire("127.0.0.1", Acceptor.local_endpoint().port(), 1, false);
     http::Head head;
     head.Method = "GET";
@@ -86,3 +88,50 @@
   cr_assert_eq(f.Pool.openConnections(), 1);
   cr_assert_neq(f.Pool.acquire("127.0.0.1", f.Acceptor.local_endpoint().port(), 1, false), nullptr);
 }
+
+namespace {
+
+struct RecordingSink final : core::EventSink {
+  void emit(core::Event event) override { Events.push_back(std::move(event)); }
+  std::vector<core::Event> Events;
+};
+
+} // namespace
+
+/// Guards against responses that are discarded without a trace in logs and metrics.
+Test(TargetPool, unexpectedResponsesAreReported) {
+  asio::io_context io;
+  core::ManualClock clock;
+  RecordingSink sink;
+  TargetPool pool(io, clock, "X-Id", &sink);
+  asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+  NullListener listener;
+  const uint16_t port = acceptor.local_endpoint().port();
+  auto connection = pool.acquire("127.0.0.1", port, 1, false);
+  http::Head head;
+  head.Method = "GET";
+  head.Target = "/";
+  connection->start(head, "a", listener);
+  connection->finishRequest();
+  asio::ip::tcp::socket target = acceptor.accept();
+  char request[256];
+  while (target.available() == 0)
+    io.run_one();
+  io.poll();
+  target.read_some(asio::buffer(request));
+  asio::write(target, asio::buffer(std::string("HTTP/1.1 503 No\r\nX-Id: z\r\nContent-Length: "
+                                               "0\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\n"
+                                               "Content-Length: 0\r\n\r\nHTTP/1.1 ")));
+  while (connection->isOpen())
+    io.run_one();
+  cr_assert_eq(sink.Events.size(), 2);
+  for (const core::Event &it : sink.Events) {
+    cr_assert(it.Id == core::EventId::UnexpectedResponse);
+    cr_assert_eq(it.Details["connection"].get<int>(), 1);
+    cr_assert_eq(it.Details["exchange"].get<int>(), 1);
+  }
+  cr_assert_eq(sink.Events[0].Details["kind"].get<std::string>(), std::string("other id"));
+  cr_assert_eq(sink.Events[0].Details["request"].get<std::string>(), std::string("z"));
+  cr_assert_eq(sink.Events[0].Details["status"].get<int>(), 503);
+  cr_assert_eq(sink.Events[1].Details["kind"].get<std::string>(), std::string("no request"));
+}
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -162,6 +162,7 @@
   while (!bytes.empty() && Phase == Open) {
     if (Listener == nullptr) {
       // The server sent data although no request is outstanding.
+      reportUnexpected(UnexpectedResponse::NoRequest, nullptr);
       failExchange(ConnectionLoss::Malformed);
       return;
     }
@@ -182,8 +183,10 @@
     std::optional<std::string_view> id = head.find(IdHeader);
     Ambiguous = !id && !Id.empty() && Exchanges > 1;
     Skipping = Ambiguous || (id && *id != Id);
-    if (Skipping)
+    if (Skipping) {
+      reportUnexpected(Ambiguous ? UnexpectedResponse::NoId : UnexpectedResponse::OtherId, &head);
       return;
+    }
   }
   Reusable = head.KeepAlive && head.BodyFraming != Framing::UntilClose;
   KeepAlive = keepAliveTimeout(head, Settings.DefaultKeepAlive);
@@ -247,6 +250,11 @@
     listener->onConnectionLost(loss);
 }
 
+void ClientConnection::reportUnexpected(UnexpectedResponse kind, const Head *head) const {
+  if (Observer != nullptr)
+    Observer->onUnexpectedResponse(*this, kind, head);
+}
+
 void ClientConnection::closeSocket() {
   if (Phase == Ended)
     return;
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -35,6 +35,26 @@
   virtual void onWritable() {}
 };
 
+/// Why a response, or other bytes from the server, belongs to no request in progress.
+enum class UnexpectedResponse : uint8_t {
+  OtherId,   ///< Bears another id than the request in progress.
+  NoId,      ///< Bears no id on a connection that has carried earlier requests.
+  NoRequest, ///< No request was in progress.
+};
+
+class ClientConnection;
+
+/// Is told of responses that are not delivered to the listener of an exchange.
+class UnexpectedResponseObserver {
+public:
+  virtual ~UnexpectedResponseObserver() = default;
+
+  /// Called while received bytes are processed; must not use the connection. `head` is null if the
+  /// bytes were not parsed.
+  virtual void onUnexpectedResponse(const ClientConnection &connection, UnexpectedResponse kind,
+                                    const Head *head) = 0;
+};
+
 struct ClientConnectionSettings {
   core::Duration ConnectTimeout{1000};
   /// TCP_USER_TIMEOUT: the connection is closed when sent data stays unacknowledged for this long,
@@ -63,6 +83,13 @@
   /// responses are accepted.
   void setIdHeader(std::string name) { IdHeader = std::move(name); }
 
+  /// Sets a number that identifies the connection in log events, and the observer, which must
+  /// outlive the connection.
+  void observe(uint64_t number, UnexpectedResponseObserver &observer) {
+    Number = number;
+    Observer = &observer;
+  }
+
   /// Starts an exchange: connects if necessary and sends the head. No other exchange may be in
   /// progress. `id` is the expected value of the id header.
   void start(const Head &head, std::string id, ResponseListener &listener);
@@ -90,6 +117,11 @@
   /// must not be sent twice sets `fresh`, which requires that the connection was used recently.
   bool mayReuse(core::Time now, bool fresh) const;
 
+  uint64_t number() const { return Number; }
+
+  /// Returns the number of exchanges started, which is the number of the one in progress.
+  uint64_t exchanges() const { return Exchanges; }
+
   const std::string &host() const { return Host; }
   uint16_t port() const { return Port; }
 
@@ -104,6 +136,7 @@
   void flush();
   void failExchange(ConnectionLoss loss);
   void closeSocket();
+  void reportUnexpected(UnexpectedResponse kind, const Head *head) const;
 
   void onHead(Head head) override;
   void onBody(std::string_view bytes) override;
@@ -114,6 +147,8 @@
   const uint16_t Port;
   const ClientConnectionSettings Settings;
   std::string IdHeader;
+  uint64_t Number = 0;
+  UnexpectedResponseObserver *Observer = nullptr;
   asio::ip::tcp::socket Socket;
   asio::steady_timer ConnectTimer;
   MessageParser Parser;
--- a/src/observability/EventMetrics.cpp
+++ b/src/observability/EventMetrics.cpp
@@ -43,6 +43,10 @@
                   .Name("briarspar_answers_total")
                   .Help("Requests that reached a target, by how they ended")
                   .Register(Registry)),
+      Unexpected(prometheus::BuildCounter()
+                     .Name("briarspar_unexpected_responses_total")
+                     .Help("Responses of targets that belong to no request in progress, by kind")
+                     .Register(Registry)),
       RequestSeconds(addHistogram(Registry, "briarspar_request_seconds",
                                   "Time from a request's head to its answer")),
       TargetSeconds(addHistogram(Registry, "briarspar_target_seconds",
@@ -57,6 +61,8 @@
     countRefusal(event.Details);
   else if (event.Id == core::EventId::RequestFinished)
     countAnswer(event.Details);
+  else if (event.Id == core::EventId::UnexpectedResponse)
+    countUnexpected(event.Details);
   Next.emit(std::move(event));
 }
 
@@ -66,6 +72,10 @@
       .Increment();
 }
 
+void EventMetrics::countUnexpected(const core::Json &details) {
+  Unexpected.Add({{"kind", labelValue(details, "kind")}}).Increment();
+}
+
 void EventMetrics::countAnswer(const core::Json &details) {
   Answers
       .Add({{"result", labelValue(details, "result")}, {"status", labelValue(details, "status")}})
--- a/src/observability/EventMetrics.h
+++ b/src/observability/EventMetrics.h
@@ -17,6 +17,8 @@
 ///   briarspar_events_total{event}             events by name
 ///   briarspar_refusals_total{status,reason}   responses produced by the system itself
 ///   briarspar_answers_total{result,status}    requests that were sent to a target, by result
+///   briarspar_unexpected_responses_total{kind}
+///                                             target responses that belong to no request
 ///   briarspar_request_seconds                 time from the head of a request to its response
 ///   briarspar_target_seconds                  time from sending to a target to its response
 ///
@@ -34,6 +36,7 @@
   using Counters = prometheus::Family<prometheus::Counter>;
 
   void countRefusal(const core::Json &details);
+  void countUnexpected(const core::Json &details);
   void countAnswer(const core::Json &details);
 
   core::EventSink &Next;
@@ -41,6 +44,7 @@
   Counters &Events;
   Counters &Refusals;
   Counters &Answers;
+  Counters &Unexpected;
   prometheus::Histogram &RequestSeconds;
   prometheus::Histogram &TargetSeconds;
   std::map<core::EventId, prometheus::Counter *> ByEvent;
