--- a/src/entry/testing/CopyingTarget.h
+++ b/src/entry/testing/CopyingTarget.h
@@ -25,6 +25,7 @@
   TwiceBeforeNext,    ///< Two copies when the next request has arrived.
   OtherStatusFirst,   ///< Like BeforeNextResponse, as 503 in place of the status of the refusal.
   AfterNextResponse,  ///< Behind the response to the next request.
+  CutBeforeNext,      ///< Its first `CutCopyAt` bytes, when the next request has arrived.
 };
 
 /// A target process on loopback that sends copies of its refusals. It runs requests for the target
@@ -46,6 +47,8 @@
   size_t connections() const { return Accepted; }
 
   int RefuseFirst = 0;
+  size_t CutCopyAt = 0;
+  bool IdFirst = true; ///< The id is the first header of a refusal, not the last one.
   int RunStatus = 200; ///< Status of the response to a request that was run.
   std::chrono::milliseconds WorkTime{20};
 
@@ -133,6 +136,9 @@
     case CopyTime::OtherStatusFirst:
       peer->Copy = refusalOf(status == 503 ? 429 : 503, id);
       break;
+    case CopyTime::CutBeforeNext:
+      peer->Copy = refusal.substr(0, CutCopyAt);
+      break;
     case CopyTime::AfterNextResponse:
       peer->After = refusal;
       break;
@@ -146,9 +152,10 @@
 
   std::string response(int status, const std::string &id, const std::string &body,
                        const std::string &header = "") const {
-    std::string text =
-        "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + Names.RequestId + ": " + id + "\r\n";
-    return text + header + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const std::string idHeader = Names.RequestId + ": " + id + "\r\n";
+    return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" +
+           (IdFirst ? idHeader + header : header + idHeader) +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
 
   static std::string valueOf(const std::string &head, const std::string &name) {
--- a/src/entry/tests/open/RefusalTest.cpp
+++ b/src/entry/tests/open/RefusalTest.cpp
@@ -14,6 +14,9 @@
 const std::string OldId = "t-1";
 const std::string NewId = "t-2";
 
+/// Well above the timeout of the route.
+constexpr core::Duration MaxResponseTime{10'000};
+
 constexpr std::array<CopyTime, 7> AllCopyTimes{
     CopyTime::WithRefusal,      CopyTime::SoonAfterRefusal, CopyTime::BeforeNextResponse,
     CopyTime::SplitAroundNext,  CopyTime::TwiceBeforeNext,  CopyTime::OtherStatusFirst,
@@ -35,9 +38,16 @@
     Received.clear();
     send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n" + Context.Names.RequestId + ": " +
          id + "\r\n\r\n");
-    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
-    while (Received.find("\r\n\r\n") == std::string::npos && std::chrono::steady_clock::now() < end)
+    const auto start = std::chrono::steady_clock::now();
+    const core::Time sentAt = Clock.now();
+    core::Duration passed{0};
+    while (Received.find("\r\n\r\n") == std::string::npos && passed < MaxResponseTime) {
       poll();
+      passed = {std::chrono::duration_cast<std::chrono::milliseconds>(
+                    std::chrono::steady_clock::now() - start)
+                    .count()};
+      Clock.advance(sentAt + passed - Clock.now());
+    }
     // A target that began to run the request in spite of the response is noticed.
     for (int n = 0; n < 200; ++n)
       poll();
@@ -94,3 +104,19 @@
     checkStatus(f, f.exchange("request"), "request", 0, static_cast<int>(CopyTime::Never));
   }
 }
+
+/// Guards against the beginning of a copy that, joined with the response to the next request, looks
+/// like a refusal of that request.
+Test(Refusal, cutCopyIsNotJoinedWithNextResponse) {
+  for (bool idFirst : {true, false}) {
+    for (size_t cut = 1; cut < 120; ++cut) {
+      Fixture f(CopyTime::CutBeforeNext, {NewId});
+      f.Target.RefuseFirst = 1;
+      f.Target.CutCopyAt = cut;
+      f.Target.IdFirst = idFirst;
+      f.Target.WorkTime = std::chrono::milliseconds(1);
+      cr_assert_eq(f.exchange("first"), 503);
+      checkStatus(f, f.exchange("second"), "second", 0, static_cast<int>(cut));
+    }
+  }
+}
