Send each request id on a connection once

Callers saw: 503 for a request that may run once, which its target ran. Cause: the id of an answer is compared with that of the exchange in progress, but a connection could carry the same id twice: the pool is kept by address, and a process that ended stands on the list beside its successor at the same address, so the repeat after a 421 took the very connection of the 421; a caller that repeats its id does the same. A copy of the refusal then passed as the answer to the repeat. Change: a connection remembers the ids that it has carried, the pool gives a request only a connection that has not carried its id, and a connection ends after 256 exchanges, which bounds the memory. With each id once on a connection, an answer with the id of the request in progress can only be for this send.

--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -78,9 +78,10 @@
 
   TargetSend sendToTarget(const Pick &target, const http::Head &head, bool mustBeOpen) override {
     BodyToTarget = head.BodyFraming;
-    Target =
-        Session.Pool.acquire(target.Host, target.Port,
-                             Session.Context.Targets.maxConnections(target.Service), mustBeOpen);
+    const std::string id(head.find(Session.Context.Names.RequestId).value_or(""));
+    Target = Session.Pool.acquire(
+        target.Host, target.Port,
+        {id, Session.Context.Targets.maxConnections(target.Service), mustBeOpen});
     if (!Target) {
       asio::post(Session.Io, [self = shared_from_this(), owner = Session.weak_from_this()] {
         if (std::shared_ptr<CallerSession> session = owner.lock(); session && !session->Closed)
@@ -88,8 +89,7 @@
       });
       return {};
     }
-    Target->start(head, std::string(head.find(Session.Context.Names.RequestId).value_or("")),
-                  *this);
+    Target->start(head, id, *this);
     return {Target->number(), Target->exchanges()};
   }
 
--- a/src/entry/TargetPool.cpp
+++ b/src/entry/TargetPool.cpp
@@ -59,22 +59,45 @@
       it->close();
 }
 
-std::shared_ptr<http::ClientConnection> TargetPool::acquire(const std::string &host, uint16_t port,
-                                                            size_t maxConnections,
-                                                            bool mustBeOpen) {
-  Peer &peer = Peers[{host, port}];
-  core::Time now = Clock.now();
-  while (!peer.Idle.empty()) {
-    ConnectionPtr connection = std::move(peer.Idle.back());
-    peer.Idle.pop_back();
-    if (connection->mayReuse(now, mustBeOpen))
+/// Returns the most recently used idle connection that meets the requirements, or null, and closes
+/// connections that can no longer be reused.
+TargetPool::ConnectionPtr TargetPool::takeIdle(Peer &peer, const Requirements &requirements) const {
+  const core::Time now = Clock.now();
+  for (size_t i = peer.Idle.size(); i-- > 0;) {
+    const auto at = peer.Idle.begin() + static_cast<std::ptrdiff_t>(i);
+    ConnectionPtr connection = *at;
+    const bool isUsable = connection->mayReuse(now, requirements.MustBeOpen);
+    if (isUsable && connection->hasSent(requirements.RequestId))
+      continue;
+    peer.Idle.erase(at);
+    if (isUsable)
       return connection;
     connection->close();
   }
-  peer.All.erase(
-      std::remove_if(peer.All.begin(), peer.All.end(), [](const auto &it) { return it.expired(); }),
-      peer.All.end());
-  if (peer.All.size() >= maxConnections)
+  return nullptr;
+}
+
+std::shared_ptr<http::ClientConnection> TargetPool::acquire(const std::string &host, uint16_t port,
+                                                            const Requirements &requirements) {
+  Peer &peer = Peers[{host, port}];
+  if (ConnectionPtr connection = takeIdle(peer, requirements))
+    return connection;
+  const auto removeEnded = [&peer] {
+    peer.All.erase(std::remove_if(peer.All.begin(), peer.All.end(),
+                                  [](const auto &it) {
+                                    ConnectionPtr connection = it.lock();
+                                    return !connection || connection->isEnded();
+                                  }),
+                   peer.All.end());
+  };
+  removeEnded();
+  if (peer.All.size() >= requirements.MaxConnections && !peer.Idle.empty()) {
+    // The remaining idle connections have carried a request with this id.
+    peer.Idle.front()->close();
+    peer.Idle.erase(peer.Idle.begin());
+    removeEnded();
+  }
+  if (peer.All.size() >= requirements.MaxConnections)
     return nullptr;
   auto connection = std::make_shared<http::ClientConnection>(Io, Clock, host, port, Settings);
   connection->setIdHeader(IdHeader);
--- a/src/entry/TargetPool.h
+++ b/src/entry/TargetPool.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -24,10 +25,17 @@
              core::EventSink *events, const http::ClientConnectionSettings &settings = {});
   ~TargetPool() override;
 
-  /// Returns an idle connection or a new one; null when `maxConnections` are open. With
-  /// `mustBeOpen`, an idle connection is reused only if the target cannot have closed it.
+  /// Requirements of a request on its connection.
+  struct Requirements {
+    std::string_view RequestId;
+    size_t MaxConnections = 1; ///< To the same address.
+    bool MustBeOpen = false;   ///< The target cannot have closed a reused connection.
+  };
+
+  /// Returns an idle connection that has not carried a request with the same id, or a new one; null
+  /// when the maximum number of connections is open.
   std::shared_ptr<http::ClientConnection> acquire(const std::string &host, uint16_t port,
-                                                  size_t maxConnections, bool mustBeOpen);
+                                                  const Requirements &requirements);
 
   /// Returns a connection whose exchange has ended to the pool.
   void release(const std::shared_ptr<http::ClientConnection> &connection);
@@ -57,6 +65,7 @@
     std::vector<std::weak_ptr<http::ClientConnection>> All;
   };
 
+  ConnectionPtr takeIdle(Peer &peer, const Requirements &requirements) const;
   void onUnexpectedResponse(const http::ClientConnection &connection, http::UnexpectedResponse kind,
                             const http::Head *head) override;
 
--- a/src/entry/tests/TargetPoolTest.cpp
+++ b/src/entry/tests/TargetPoolTest.cpp
@@ -23,7 +23,7 @@
 struct Fixture {
   Fixture()
       : Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}), Pool(Io, Clock, "X-Id", nullptr) {
-    auto connection = Pool.acquire("127.0.0.1", Acceptor.local_endpoint().port(), 1, false);
+    auto connection = Pool.acquire("127.0.0.1", Acceptor.local_endpoint().port(), {"a"});
     http::Head head;
     head.Method = "GET";
     head.Target = "/";
@@ -86,7 +86,20 @@
   for (int n = 0; n < MaxSends && f.Pool.discardedResponses() > 0; ++n)
     f.send("");
   cr_assert_eq(f.Pool.openConnections(), 1);
-  cr_assert_neq(f.Pool.acquire("127.0.0.1", f.Acceptor.local_endpoint().port(), 1, false), nullptr);
+  cr_assert_neq(f.Pool.acquire("127.0.0.1", f.Acceptor.local_endpoint().port(), {"b"}), nullptr);
+}
+
+/// Guards against refusing a request because the only connection that may be open to its target has
+/// carried its id.
+Test(TargetPool, idleConnectionMakesRoomForRepeatedId) {
+  Fixture f;
+  const uint16_t port = f.Acceptor.local_endpoint().port();
+  f.send("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok");
+  for (int n = 0; n < MaxSends && f.Pool.discardedResponses() > 0; ++n)
+    f.send("");
+  const uint64_t before = f.Pool.connectionsOpened();
+  cr_assert_neq(f.Pool.acquire("127.0.0.1", port, {"a"}), nullptr);
+  cr_assert_eq(f.Pool.connectionsOpened(), before + 1);
 }
 
 namespace {
@@ -107,7 +120,7 @@
   asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
   NullListener listener;
   const uint16_t port = acceptor.local_endpoint().port();
-  auto connection = pool.acquire("127.0.0.1", port, 1, false);
+  auto connection = pool.acquire("127.0.0.1", port, {"a"});
   http::Head head;
   head.Method = "GET";
   head.Target = "/";
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -1,5 +1,6 @@
 #include "http/ClientConnection.h"
 
+#include "core/Hash.h"
 #include "core/Text.h"
 
 #include <asio/buffer.hpp>
@@ -9,6 +10,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cassert>
 #include <chrono>
 
 namespace briarspar::http {
@@ -25,6 +27,9 @@
 /// A connection used this recently is assumed to be open at the server.
 constexpr core::Duration FreshMaxIdleTime{2000};
 
+/// Hash seed for the ids of requests.
+constexpr uint64_t IdSeed = 0x6964;
+
 core::Duration keepAliveTimeout(const Head &head, core::Duration fallback) {
   std::optional<std::string_view> value = head.find("keep-alive");
   if (!value)
@@ -50,8 +55,11 @@
 ClientConnection::~ClientConnection() = default;
 
 void ClientConnection::start(const Head &head, std::string id, ResponseListener &listener) {
+  assert(!hasSent(id));
   Listener = &listener;
   Id = std::move(id);
+  if (!IdHeader.empty())
+    SentIds.push_back(core::hash64(Id, IdSeed));
   Skipping = false;
   RequestDone = false;
   OverheadBytes = 0;
@@ -83,12 +91,16 @@
 }
 
 bool ClientConnection::mayReuse(core::Time now, bool fresh) const {
-  if (!isIdle() || !Reusable)
+  if (!isIdle() || !Reusable || SentIds.size() >= Settings.MaxExchanges)
     return false;
   core::Duration idle = now - LastUse;
   return idle.Ms < KeepAlive.Ms * ReuseWindowPermille / 1000 && (!fresh || idle < FreshMaxIdleTime);
 }
 
+bool ClientConnection::hasSent(std::string_view id) const {
+  return std::find(SentIds.begin(), SentIds.end(), core::hash64(id, IdSeed)) != SentIds.end();
+}
+
 void ClientConnection::connect() {
   Phase = Connecting;
   ConnectStart = Clock.now();
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace briarspar::http {
 
@@ -66,6 +67,9 @@
   /// responses to earlier requests. The connection is closed when they exceed this size.
   size_t MaxOverheadBytes = 1024UL * 1024;
   core::Duration DefaultKeepAlive{5000}; ///< Idle timeout if the server announces none.
+  /// A connection with an id header is not reused after this many exchanges, which bounds the
+  /// memory for the ids that it has carried.
+  size_t MaxExchanges = 256;
 };
 
 /// An outgoing HTTP/1.1 connection that carries one exchange at a time, without pipelining. Runs on
@@ -80,7 +84,8 @@
   /// Sets the name of a request header that the server echoes. Responses with another value belong
   /// to earlier requests and are skipped. A response without the header is accepted only during the
   /// first exchange, because later it could belong to an earlier request. If the name is empty, all
-  /// responses are accepted.
+  /// responses are accepted. Each id may be sent once: a server may repeat an earlier response, and
+  /// the id of a repeated request would not show for which send it is.
   void setIdHeader(std::string name) { IdHeader = std::move(name); }
 
   /// Sets a number that identifies the connection in log events, and the observer, which must
@@ -91,7 +96,7 @@
   }
 
   /// Starts an exchange: connects if necessary and sends the head. No other exchange may be in
-  /// progress. `id` is the expected value of the id header.
+  /// progress. `id` is the expected value of the id header; hasSent(id) must be false.
   void start(const Head &head, std::string id, ResponseListener &listener);
 
   /// Sends raw bytes of the request body. The caller adds the chunk framing, if any.
@@ -110,9 +115,13 @@
   void setReading(bool on);
 
   bool isOpen() const { return Phase == Open; }
+  bool isEnded() const { return Phase == Ended; }
   bool isIdle() const { return Phase == Open && Listener == nullptr; }
   bool isWritable() const { return QueuedBytes < Settings.MaxQueuedBytes; }
 
+  /// Returns whether the connection has carried a request with this id.
+  bool hasSent(std::string_view id) const;
+
   /// Returns whether the connection is idle and may carry another exchange at `now`. A request that
   /// must not be sent twice sets `fresh`, which requires that the connection was used recently.
   bool mayReuse(core::Time now, bool fresh) const;
@@ -155,10 +164,11 @@
   PhaseKind Phase = Created;
   ResponseListener *Listener = nullptr;
   std::string Id;
-  uint64_t Exchanges = 0;   ///< Number of exchanges started.
-  size_t OverheadBytes = 0; ///< See ClientConnectionSettings::MaxOverheadBytes.
-  bool Skipping = false;    ///< The response being read belongs to an earlier request.
-  bool Ambiguous = false;   ///< The response being read may belong to an earlier request.
+  uint64_t Exchanges = 0;        ///< Number of exchanges started.
+  std::vector<uint64_t> SentIds; ///< Hashes of the ids of all exchanges, if there is an id header.
+  size_t OverheadBytes = 0;      ///< See ClientConnectionSettings::MaxOverheadBytes.
+  bool Skipping = false;         ///< The response being read belongs to an earlier request.
+  bool Ambiguous = false;        ///< The response being read may belong to an earlier request.
   bool RequestDone = false;
   bool Reusable = true;
   bool ReadingOn = true;
