Refuse a response head that contains the status line of another

Callers saw: 503 for a request that may run once and that its target ran. Cause: a target sent the beginning of the copy of a refusal on a kept connection; where it ended within the reason or within a header's value, the parser read on into the true response to the next request. The joined head had the status of the refusal and the id of the request in progress, and with the id as its last header the statement 'not run' too. Neither an id that comes twice nor a second row of an address is needed. Change: a response whose reason or a header's value contains a status line is malformed, so the connection ends and the request counts as one that may have run. Cut anywhere else, the join was malformed or skipped already.

--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -22,6 +22,24 @@
   return true;
 }
 
+/// Returns whether the text contains the status line of a response, which shows that a response was
+/// cut and another one follows it.
+bool containsStatusLine(std::string_view text) {
+  constexpr std::string_view version = "HTTP/1.";
+  constexpr size_t lineBytes = 12; // "HTTP/1.1 200"
+  for (size_t at = text.find(version); at != std::string_view::npos;
+       at = text.find(version, at + 1)) {
+    std::string_view line = text.substr(at, lineBytes);
+    auto isDigit = [line](size_t i) {
+      return std::isdigit(static_cast<unsigned char>(line[i])) != 0;
+    };
+    if (line.size() == lineBytes && isDigit(7) && line[8] == ' ' && isDigit(9) && isDigit(10) &&
+        isDigit(11))
+      return true;
+  }
+  return false;
+}
+
 bool isFieldValue(std::string_view text) {
   for (unsigned char c : text)
     if ((c < 0x20 && c != '\t') || c == 0x7f)
@@ -41,6 +59,7 @@
     http_parser_init(&Parser, MessageKind == Requests ? HTTP_REQUEST : HTTP_RESPONSE);
     Parser.data = this;
     Current = {};
+    StatusReason.clear();
     HasValue = false;
     HeadBytes = 0;
     Started = false;
@@ -64,7 +83,11 @@
       it.Value = std::string(core::trim(it.Value));
       if (!isToken(it.Name) || !isFieldValue(it.Value))
         return fail("malformed header");
+      if (MessageKind == Responses && containsStatusLine(it.Value))
+        return fail("a response was cut within a header");
     }
+    if (containsStatusLine(StatusReason))
+      return fail("a response was cut within its status line");
     Current.Http10 = Parser.http_major == 1 && Parser.http_minor == 0;
     Current.KeepAlive = http_should_keep_alive(&Parser) != 0;
     bool chunked = (Parser.flags & F_CHUNKED) != 0;
@@ -100,7 +123,7 @@
   }
 
   size_t headBytes() const {
-    size_t n = Current.Target.size();
+    size_t n = Current.Target.size() + StatusReason.size();
     for (const Header &it : Current.Headers)
       n += it.Name.size() + it.Value.size() + 4; // ": " and CRLF.
     return n;
@@ -116,7 +139,8 @@
   MessageListener &Listener;
   http_parser Parser{};
   Head Current;
-  bool HasValue = false; ///< Part of the last header's value was read, so its name is complete.
+  std::string StatusReason; ///< Text after the status code of a response.
+  bool HasValue = false;    ///< Part of the last header's value was read, so its name is complete.
   size_t HeadBytes = 0;
   bool Started = false;
   bool HeadDone = false;
@@ -141,6 +165,10 @@
       static_cast<State *>(p->data)->Current.Target.append(at, n);
       return 0;
     };
+    it.on_status = [](http_parser *p, const char *at, size_t n) {
+      static_cast<State *>(p->data)->StatusReason.append(at, n);
+      return 0;
+    };
     it.on_header_field = [](http_parser *p, const char *at, size_t n) {
       auto *self = static_cast<State *>(p->data);
       if (self->HeadDone)
--- a/src/http/tests/MessageParserTest.cpp
+++ b/src/http/tests/MessageParserTest.cpp
@@ -123,3 +123,21 @@
     cr_assert(isHopByHop(head, it), "%s", it);
   cr_assert_not(isHopByHop(head, "X-Public"));
 }
+
+/// Guards against a response that was cut within its head and joined with the one that follows it.
+Test(MessageParser, joinedResponsesAreMalformed) {
+  const std::string next = "HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 0\r\n\r\n";
+  for (const char *first : {"HTTP/1.1 503 ", "HTTP/1.1 503 Unavail",
+                            "HTTP/1.0 503 No\r\nX-Not-Run: ", "HTTP/1.1 503 No\r\nX-Not-Run: 1"}) {
+    RecordingListener out;
+    MessageParser parser(MessageParser::Responses, 4096, out);
+    cr_assert_not(feedAll(parser, std::string(first) + next, 7).ok());
+    cr_assert(out.Heads.empty());
+  }
+  RecordingListener out;
+  MessageParser parser(MessageParser::Responses, 4096, out);
+  cr_assert(
+      feedAll(parser, "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\nContent-Length: 0\r\n\r\n", 7)
+          .ok());
+  cr_assert_eq(out.Heads.size(), 1);
+}
