Make no promise after a send that may have run

Callers saw: 503 for an idempotent request whose first target was lost while it may have run it, when the crash counter held back the retry. Cause: that refusal, unlike the others, did not ask whether an earlier send may have run. Change: refuse() is the one place that decides it, and answers 502 then; it asserts that the last send has evidence that it did not run.

--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cassert>
 #include <cmath>
 
 namespace briarspar::entry {
@@ -224,10 +225,7 @@
     pick = Context.Targets.pick(request, now);
   if (!pick) {
     logNoTarget(request);
-    if (MayHaveRun)
-      sendLocalResponse({502, "no other target can answer in time"}, now);
-    else
-      refuse({503, "no target can answer in time", Context.RetryAfter.afterBusy(Id)}, now);
+    refuse({503, "no target can answer in time", Context.RetryAfter.afterBusy(Id)}, now);
     return;
   }
   send(*pick, now);
@@ -400,8 +398,6 @@
     recordOutcome(Response.Status == 421 ? TargetOutcome::WrongTarget : TargetOutcome::NotRun, now);
     if (mayRetry(/*arrived=*/true, now))
       retry("the target did not run the request", now);
-    else if (MayHaveRun)
-      sendLocalResponse({502, "the last target did not run it"}, now);
     else
       refuse({503, "the target did not run it", Context.RetryAfter.afterBusy(Id)}, now);
     return;
@@ -449,8 +445,6 @@
     recordOutcome(TargetOutcome::ConnectFailed, now);
     if (mayRetry(/*arrived=*/false, now))
       retry("the target could not be reached", now);
-    else if (MayHaveRun)
-      sendLocalResponse({502, "the last target could not be reached"}, now);
     else
       refuse({503, "the target could not be reached", Context.RetryAfter.afterBusy(Id)}, now);
     return;
@@ -514,7 +508,13 @@
   dispatch(now);
 }
 
+/// Sends a refusal, unless an earlier send may have run: the outcome is unknown then.
 void Exchange::refuse(const LocalResponse &answer, core::Time now) {
+  if (MayHaveRun) {
+    sendLocalResponse({502, answer.Reason}, now);
+    return;
+  }
+  assert(Evidence);
   if (RateSpent)
     Context.Rates.refund(Customer->Name, now);
   RateSpent = false;
--- a/src/entry/tests/ExchangeTest.cpp
+++ b/src/entry/tests/ExchangeTest.cpp
@@ -224,6 +224,20 @@
   cr_assert_eq(fixture.Out.Responses[0].Status, 502);
 }
 
+/// Guards against a promise that a request has not run, because its retry was refused after an
+/// earlier target had been lost while it may have run it.
+Test(Exchange, refusedRetryDoesNotPromiseThatNothingRan) {
+  Fixture fixture;
+  for (int i = 0; i < 200; ++i)
+    fixture.Context.Retries.countRequest("s", Time{0});
+  auto first = fixture.open("/read/a");
+  auto second = fixture.open("/read/a");
+  first->onTargetLost(http::ConnectionLoss::Closed, Time{1});
+  second->onTargetLost(http::ConnectionLoss::Closed, Time{2});
+  cr_assert(second->isDone(), "the request was not quarantined");
+  cr_assert_eq(fixture.Out.Responses.back().Status, 502);
+}
+
 /// Guards against failing a request that was never sent or was not run by its target.
 Test(Exchange, retriesRequestsThatDidNotRun) {
   for (bool connected : {false, true}) {
