Stop sending to targets that say they leave or want no requests

Cause: a target's own words in its responses were not read: that it is leaving, and a Retry-After with its 503. A VM sent to such a target until the list showed it, or for as long as it was out of touch. Notices are read from answers that are passed on, refusals, failures, answers for callers that left, probes, and, for leaving, from responses that belong to no request. A service whose targets all paused refuses at once with a Retry-After that ends after the first pause, spread so that callers return one after the other. The leaving header is not passed on. Events 1314 to 1316. Not done: telling other VMs what one of them has learned.

--- a/src/core/EventCatalogue.h
+++ b/src/core/EventCatalogue.h
@@ -64,6 +64,9 @@
   X(1311, ConnectionNotAccepted, "connection could not be accepted")                               \
   X(1312, NoTargetChosen, "target selection found no target for a request")                        \
   X(1313, UnexpectedResponse, "target sent a response that belongs to no request in progress")     \
+  X(1314, TargetLeaving, "target said that it is leaving")                                         \
+  X(1315, TargetPaused, "target asked for no requests for some time")                              \
+  X(1316, TargetHeaderIgnored, "value of a target's header could not be read")                     \
   /* control */                                                                                    \
   X(1400, ItemsChanged, "operator command applied")                                                \
   X(1401, OrderRefused, "operator command refused")                                                \
--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -81,7 +81,7 @@
     const std::string id(head.find(Session.Context.Names.RequestId).value_or(""));
     Target = Session.Pool.acquire(
         target.Host, target.Port,
-        {id, Session.Context.Targets.maxConnections(target.Service), mustBeOpen});
+        {id, target.Id, Session.Context.Targets.maxConnections(target.Service), mustBeOpen});
     if (!Target) {
       asio::post(Session.Io, [self = shared_from_this(), owner = Session.weak_from_this()] {
         if (std::shared_ptr<CallerSession> session = owner.lock(); session && !session->Closed)
@@ -137,8 +137,10 @@
     out.BodyLength = head.BodyLength;
     out.BodyFraming =
         head.BodyFraming == http::Framing::UntilClose ? http::Framing::Chunked : head.BodyFraming;
+    const http::HeaderNames &names = Session.Context.Names;
     for (const http::Header &it : head.Headers)
-      if (!http::isHopByHop(head, it.Name) && !http::sameName(it.Name, Session.Context.Names.Load))
+      if (!http::isHopByHop(head, it.Name) && !http::sameName(it.Name, names.Load) &&
+          !http::sameName(it.Name, names.Leaving))
         out.Headers.push_back(it);
     out.KeepAlive = KeepAlive && !Session.shouldCloseAfter(*this);
     if (Http10 && out.BodyFraming == http::Framing::Chunked) {
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -55,7 +55,12 @@
     Connection->finishRequest();
   }
 
-  void onResponseHead(http::Head head) override { Response = std::move(head); }
+  void onResponseHead(http::Head head) override {
+    std::optional<std::string_view> id = head.find(Node.Context.Names.TargetId);
+    if (id == std::optional<std::string_view>(Target.Id.Value))
+      recordNotices(Node.Context, Target.Id, head, /*isDue=*/true, Node.Clock.now());
+    Response = std::move(head);
+  }
 
   void onResponseBody(std::string_view bytes) override {
     BodyBytes += bytes.size();
@@ -117,7 +122,10 @@
           &events,
           0,
           0},
-      Pool(io, clock, settings.Names.RequestId, &events),
+      Pool(io, clock, settings.Names.RequestId, &events,
+           [this](const core::TargetId &target, const http::Head &head, bool isDue) {
+             recordNotices(Context, target, head, isDue, Clock.now());
+           }),
       ReadyServer(
           io, events,
           [this](const http::BufferedRequest &, const http::BufferedServer::Responder &respond) {
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -52,6 +52,33 @@
 
 } // namespace
 
+void recordNotices(EntryContext &context, const core::TargetId &target, const http::Head &head,
+                   bool isDue, core::Time now) {
+  auto emit = [&context](core::EventId id, core::Json details) {
+    if (context.Events != nullptr)
+      context.Events->emit({id, std::move(details)});
+  };
+  // A 421 comes from another process at the address.
+  constexpr int wrongTarget = 421;
+  if (head.Status == wrongTarget)
+    return;
+  if (head.find(context.Names.Leaving).value_or("") == "1" &&
+      context.Targets.recordLeaving(target, now))
+    emit(core::EventId::TargetLeaving,
+         {{"target", target}, {"status", head.Status}, {"list", context.ListVersion}});
+  std::optional<std::string_view> value = head.find("retry-after");
+  constexpr int unavailable = 503;
+  if (!value || head.Status != unavailable || !isDue)
+    return;
+  std::optional<core::Duration> pause = parseRetryAfter(*value);
+  if (!pause)
+    emit(core::EventId::TargetHeaderIgnored,
+         {{"target", target}, {"header", "Retry-After"}, {"value", std::string(*value)}});
+  else if (context.Targets.recordPause(target, *pause, now))
+    emit(core::EventId::TargetPaused,
+         {{"target", target}, {"for_ms", *pause}, {"list", context.ListVersion}});
+}
+
 Exchange::Exchange(EntryContext &context, ExchangeActions &actions, http::Head head, core::Time now)
     : Context(context), Actions(actions), Request(std::move(head)), ArrivedAt(now) {
   Id = std::string(Request.find(Context.Names.RequestId).value_or(""));
@@ -225,12 +252,19 @@
     pick = Context.Targets.pick(request, now);
   if (!pick) {
     logNoTarget(request);
-    refuse({503, "no target can answer in time", Context.RetryAfter.afterBusy(Id)}, now);
+    refuse({503, "no target can answer in time", retryAfterNoTarget(now)}, now);
     return;
   }
   send(*pick, now);
 }
 
+/// Returns when a request that found no target can find one.
+core::Duration Exchange::retryAfterNoTarget(core::Time now) const {
+  const PickFailure &why = Context.Targets.lastFailure();
+  return why.Usable == 0 && why.Paused > 0 ? Context.RetryAfter.afterPause(Id, why.ResumesAt - now)
+                                           : Context.RetryAfter.afterBusy(Id);
+}
+
 void Exchange::logNoTarget(const PickRequest &request) const {
   const PickFailure &why = Context.Targets.lastFailure();
   log(core::EventId::NoTargetChosen, {{"service", request.Service},
@@ -240,6 +274,7 @@
                                       {"cold", why.Cold},
                                       {"full", why.Full},
                                       {"late", why.Late},
+                                      {"paused", why.Paused},
                                       {"region_bound", why.RegionLimited},
                                       {"value", std::round(why.Value * 100) / 100},
                                       {"expected_ms", std::round(why.Expected)},
@@ -329,6 +364,7 @@
   if (State != AtTarget)
     return;
   recordReportedLoad(head, now);
+  recordNotices(Context, Target->Id, head, /*isDue=*/true, now);
   if (!head.KeepAlive)
     log(core::EventId::TargetClosing, {{"target", Target->Id}});
   Response = std::move(head);
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -51,6 +51,11 @@
   uint64_t ListVersion = 0;    ///< Written to log events.
 };
 
+/// Records what the head of a response says about its target. `isDue` is false for a response that
+/// belongs to no request in progress: it may be old, so its relative times are not used.
+void recordNotices(EntryContext &context, const core::TargetId &target, const http::Head &head,
+                   bool isDue, core::Time now);
+
 /// The connection that carries a request to its target.
 struct TargetSend {
   uint64_t Connection = 0; ///< Number of the connection; 0 if none was available.
@@ -152,6 +157,7 @@
   void finish(const char *result, int status, core::Time now);
   void recordOutcome(TargetOutcome outcome, core::Time now);
   uint64_t fingerprint() const;
+  core::Duration retryAfterNoTarget(core::Time now) const;
   void logNoTarget(const PickRequest &request) const;
   const char *evidenceName() const;
   void logSend(const Pick &pick, core::Time now) const;
--- a/src/entry/RetryAfterPolicy.cpp
+++ b/src/entry/RetryAfterPolicy.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Callers return within this fraction of a pause after its end, since its backlog grows with it.
+constexpr int64_t PauseSpreadDivisor = 4;
+
 /// Returns a pseudo-random time in [0, span), derived from the request id chosen by the caller.
 core::Duration spread(std::string_view id, core::Duration span) {
   if (span.Ms <= 0)
@@ -28,6 +31,10 @@
   return Settings.BusyDelay + spread(id, Settings.BusyJitter);
 }
 
+core::Duration RetryAfterPolicy::afterPause(std::string_view id, core::Duration left) const {
+  return left + spread(id, std::max(Settings.BusyJitter, left / PauseSpreadDivisor));
+}
+
 core::Duration RetryAfterPolicy::afterRate(std::string_view id, core::Time now) const {
   if (SharesAt && now - *SharesAt >= Settings.ShareWarmUp)
     return afterBusy(id);
--- a/src/entry/RetryAfterPolicy.h
+++ b/src/entry/RetryAfterPolicy.h
@@ -42,6 +42,10 @@
   /// caller and serves as the source of randomness.
   core::Duration afterBusy(std::string_view id) const;
 
+  /// Delay after a refusal because all targets asked for no requests for at least `left`. The
+  /// callers' requests return spread over a time that grows with the pause.
+  core::Duration afterPause(std::string_view id, core::Duration left) const;
+
   /// Delay after a refusal by the customer's rate limit.
   core::Duration afterRate(std::string_view id, core::Time now) const;
 
--- /dev/null
+++ b/src/entry/TargetNotices.cpp
@@ -0,0 +1,62 @@
+#include "entry/TargetNotices.h"
+
+#include "core/Text.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace briarspar::entry {
+
+bool TargetNotices::recordLeaving(const core::TargetId &id, core::Time now) {
+  Notice &notice = Notices[id];
+  notice.ListedAt = now;
+  if (notice.LeavingSince)
+    return false;
+  notice.LeavingSince = now;
+  return true;
+}
+
+bool TargetNotices::recordPause(const core::TargetId &id, core::Duration span, core::Time now) {
+  if (span.Ms <= 0)
+    return false;
+  Notice &notice = Notices[id];
+  notice.ListedAt = now;
+  const core::Time until = now + std::min(span, Settings.MaxPause);
+  if (until <= notice.PausedUntil)
+    return false;
+  notice.PausedUntil = until;
+  return true;
+}
+
+bool TargetNotices::mayUse(const core::TargetId &id, core::Time now) const {
+  auto it = Notices.find(id);
+  return it == Notices.end() || (!it->second.LeavingSince && now >= it->second.PausedUntil);
+}
+
+std::optional<core::Time> TargetNotices::pausedUntil(const core::TargetId &id,
+                                                     core::Time now) const {
+  auto it = Notices.find(id);
+  if (it == Notices.end() || it->second.LeavingSince || now >= it->second.PausedUntil)
+    return std::nullopt;
+  return it->second.PausedUntil;
+}
+
+void TargetNotices::onList(const std::function<bool(const core::TargetId &)> &isListed,
+                           core::Time now) {
+  for (auto it = Notices.begin(); it != Notices.end();) {
+    if (isListed(it->first))
+      it->second.ListedAt = now;
+    const bool isOver = now - it->second.ListedAt > Settings.Retention;
+    it = isOver ? Notices.erase(it) : std::next(it);
+  }
+}
+
+std::optional<core::Duration> parseRetryAfter(std::string_view value) {
+  std::optional<double> seconds = core::parseNumber<double>(core::trim(value));
+  if (!seconds || !std::isfinite(*seconds) || *seconds < 0)
+    return std::nullopt;
+  constexpr double maxSeconds = 1e9;
+  return core::Duration{static_cast<int64_t>(std::ceil(std::min(*seconds, maxSeconds) * 1000))};
+}
+
+} // namespace briarspar::entry
--- a/src/entry/TargetPool.cpp
+++ b/src/entry/TargetPool.cpp
@@ -15,7 +15,10 @@
   Discarder(TargetPool &pool, ConnectionPtr connection, core::Time until)
       : Pool(pool), Connection(std::move(connection)), Until(until) {}
 
-  void onResponseHead(http::Head) override {}
+  void onResponseHead(http::Head head) override {
+    if (Pool.HandleHead)
+      Pool.HandleHead(core::TargetId(Connection->peer()), head, /*isDue=*/true);
+  }
 
   void onResponseBody(std::string_view bytes) override {
     Discarded += bytes.size();
@@ -48,8 +51,10 @@
 };
 
 TargetPool::TargetPool(asio::io_context &io, const core::Clock &clock, std::string idHeader,
-                       core::EventSink *events, const http::ClientConnectionSettings &settings)
-    : Io(io), Clock(clock), IdHeader(std::move(idHeader)), Events(events), Settings(settings) {}
+                       core::EventSink *events, OnHead onHead,
+                       const http::ClientConnectionSettings &settings)
+    : Io(io), Clock(clock), IdHeader(std::move(idHeader)), Events(events),
+      HandleHead(std::move(onHead)), Settings(settings) {}
 
 TargetPool::~TargetPool() {
   for (auto &[key, discarder] : Discarders)
@@ -80,8 +85,10 @@
 std::shared_ptr<http::ClientConnection> TargetPool::acquire(const std::string &host, uint16_t port,
                                                             const Requirements &requirements) {
   Peer &peer = Peers[{host, port}];
-  if (ConnectionPtr connection = takeIdle(peer, requirements))
+  if (ConnectionPtr connection = takeIdle(peer, requirements)) {
+    connection->setPeer(requirements.Target.Value);
     return connection;
+  }
   const auto removeEnded = [&peer] {
     peer.All.erase(std::remove_if(peer.All.begin(), peer.All.end(),
                                   [](const auto &it) {
@@ -102,6 +109,7 @@
   auto connection = std::make_shared<http::ClientConnection>(Io, Clock, host, port, Settings);
   connection->setIdHeader(IdHeader);
   connection->observe(++Opened, *this);
+  connection->setPeer(requirements.Target.Value);
   peer.All.push_back(connection);
   return connection;
 }
@@ -146,6 +154,8 @@
 
 void TargetPool::onUnexpectedResponse(const http::ClientConnection &connection,
                                       http::UnexpectedResponse kind, const http::Head *head) {
+  if (HandleHead && head != nullptr)
+    HandleHead(core::TargetId(connection.peer()), *head, /*isDue=*/false);
   if (Events == nullptr)
     return;
   constexpr std::array<const char *, 3> names{"other id", "no id", "no request"};
--- a/src/entry/TargetPool.h
+++ b/src/entry/TargetPool.h
@@ -20,14 +20,20 @@
 /// Pool of open connections to targets. Runs on the thread of the io_context.
 class TargetPool final : private http::UnexpectedResponseObserver {
 public:
-  /// `events` is told of unexpected responses; it may be null.
+  /// Called with the head of each response that no exchange handles, and whether a request was due
+  /// for it. It must not use the pool.
+  using OnHead = std::function<void(const core::TargetId &, const http::Head &, bool isDue)>;
+
+  /// `events` is told of unexpected responses; it may be null, and so may `onHead`.
   TargetPool(asio::io_context &io, const core::Clock &clock, std::string idHeader,
-             core::EventSink *events, const http::ClientConnectionSettings &settings = {});
+             core::EventSink *events, OnHead onHead = nullptr,
+             const http::ClientConnectionSettings &settings = {});
   ~TargetPool() override;
 
   /// Requirements of a request on its connection.
   struct Requirements {
     std::string_view RequestId;
+    core::TargetId Target;
     size_t MaxConnections = 1; ///< To the same address.
     bool MustBeOpen = false;   ///< The target cannot have closed a reused connection.
   };
@@ -73,6 +79,7 @@
   const core::Clock &Clock;
   const std::string IdHeader;
   core::EventSink *const Events;
+  const OnHead HandleHead;
   const http::ClientConnectionSettings Settings;
   std::map<Key, Peer> Peers;
   std::map<http::ClientConnection *, std::unique_ptr<Discarder>> Discarders;
--- a/src/entry/TargetSelection.cpp
+++ b/src/entry/TargetSelection.cpp
@@ -142,6 +142,10 @@
   for (State *state : targets) {
     if (!mayUse(*state, request))
       continue;
+    if (!Notices.mayUse(state->Info.Id, now)) {
+      countPaused(*state, now);
+      continue;
+    }
     usable.push_back(state);
     affinities.push_back({&state->Info.Id, &state->Region, static_cast<double>(state->Info.Slots)});
   }
@@ -272,6 +276,14 @@
                           request.Tried.end();
 }
 
+void TargetTable::countPaused(const State &state, core::Time now) {
+  std::optional<core::Time> until = Notices.pausedUntil(state.Info.Id, now);
+  if (!until)
+    return;
+  if (++LastFailure.Paused == 1 || *until < LastFailure.ResumesAt)
+    LastFailure.ResumesAt = *until;
+}
+
 bool TargetTable::mayUseColdTarget(const State &state, core::Time now) const {
   return now >= state.ColdNext && Cold.maySend(state.Info.Id, state.Region, coldRate(state));
 }
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -37,9 +37,9 @@
 } // namespace
 
 TargetTable::TargetTable(VmLocation own, const TargetTableSettings &settings)
-    : Own(std::move(own)), Settings(settings), Processing(settings.Processing),
-      Affinity(settings.Affinity), Cold(Own.Vm, Own.Region, settings.Cold),
-      Spillover(settings.Spillover) {}
+    : Own(std::move(own)), Settings(settings), Notices(settings.Notices),
+      Processing(settings.Processing), Affinity(settings.Affinity),
+      Cold(Own.Vm, Own.Region, settings.Cold), Spillover(settings.Spillover) {}
 
 void TargetTable::setTargets(const discovery::TargetList &list, core::Time now) {
   for (const auto &[id, state] : Targets) {
@@ -56,8 +56,10 @@
     if (known != old.end())
       state = std::move(known->second);
     bool moved = state.Info.Host != info.Host || state.Info.Port != info.Port;
-    if (known != old.end() && moved)
+    if (known != old.end() && moved) {
       state = {};
+      Notices.discard(id);
+    }
     state.Info = info;
     auto region = Own.Regions.find(info.Domain);
     state.Region = region == Own.Regions.end() ? core::RegionId() : region->second;
@@ -66,6 +68,7 @@
     ByService[info.Service].push_back(&state);
     ByKey[link::targetKey(id)] = &state;
   }
+  Notices.onList([this](const core::TargetId &id) { return Targets.count(id) != 0; }, now);
   for (const auto &[service, states] : ByService) {
     if (Baseline.count(service) != 0)
       continue;
@@ -307,7 +310,8 @@
 
 std::optional<Pick> TargetTable::nextProbe(core::Time now) {
   for (auto &[id, state] : Targets) {
-    if (!state.Ejected || state.Info.Draining || now < state.EjectedUntil)
+    if (!state.Ejected || state.Info.Draining || now < state.EjectedUntil ||
+        !Notices.mayUse(id, now))
       continue;
     if (state.Probing && now - state.ProbedAt < ProbeTimeout)
       continue;
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -7,6 +7,7 @@
 #include "entry/ObjectAffinity.h"
 #include "entry/ProcessingTimes.h"
 #include "entry/RegionShiftLimiter.h"
+#include "entry/TargetNotices.h"
 #include "link/Messages.h"
 
 #include <cstdint>
@@ -72,6 +73,7 @@
   RegionShiftLimiterSettings Spillover;
   ProcessingTimesSettings Processing;
   ObjectAffinitySettings Affinity;
+  TargetNoticesSettings Notices;
 };
 
 /// A request to select a target for.
@@ -110,7 +112,9 @@
                      ///< region that is not allowed.
   size_t Cold = 0;   ///< Of the usable targets, those that are cold and may get no request now.
   size_t Full = 0;   ///< Of the usable targets, those with full queues.
-  size_t Late = 0;   ///< Of the usable targets, those that would respond after the deadline.
+  size_t Paused = 0; ///< Targets that asked for no requests for now; not among the usable ones.
+  core::Time ResumesAt; ///< Earliest end of these pauses.
+  size_t Late = 0;      ///< Of the usable targets, those that would respond after the deadline.
   bool RegionLimited = false; ///< The best target is in a region whose planned share is used up.
   /// Value of the best remaining target; Expected and Load are of the same target.
   double Value = 0;
@@ -193,6 +197,17 @@
 
   void recordLoad(const core::TargetId &id, const LoadReport &load, core::Time now);
 
+  /// Records that a target is leaving. Returns whether that is new.
+  bool recordLeaving(const core::TargetId &id, core::Time now) {
+    return Notices.recordLeaving(id, now);
+  }
+
+  /// Records that a target wants no request for `span`. Returns whether the pause is new or longer
+  /// than known.
+  bool recordPause(const core::TargetId &id, core::Duration span, core::Time now) {
+    return Notices.recordPause(id, span, now);
+  }
+
   /// Records the measured time to open a connection to a target.
   void recordRoundTrip(const core::TargetId &id, core::Duration time);
 
@@ -274,6 +289,7 @@
 
   static Pick toPick(const Candidate &candidate, const std::string &service);
   bool mayUse(const State &state, const PickRequest &request) const;
+  void countPaused(const State &state, core::Time now);
 
   /// Returns the key of a region in the spillover limiter: empty for the region of the primary
   /// target, as only requests outside it are limited.
@@ -319,6 +335,7 @@
   /// Time of the last target failure or change of evacuations, by service.
   std::map<std::string, core::Time> FailedAt;
   PickFailure LastFailure;
+  TargetNotices Notices;
   ProcessingTimes Processing;
   ObjectAffinity Affinity;
   ColdTargetLimiter Cold;
--- a/src/entry/testing/CopyingTarget.h
+++ b/src/entry/testing/CopyingTarget.h
@@ -48,8 +48,9 @@
 
   int RefuseFirst = 0;
   size_t CutCopyAt = 0;
-  bool IdFirst = true; ///< The id is the first header of a refusal, not the last one.
-  int RunStatus = 200; ///< Status of the response to a request that was run.
+  bool IdFirst = true;     ///< The id is the first header of a refusal, not the last one.
+  int RunStatus = 200;     ///< Status of the response to a request that was run.
+  std::string ExtraHeader; ///< Added to all responses, with its line end.
   std::chrono::milliseconds WorkTime{20};
 
 private:
@@ -154,7 +155,7 @@
                        const std::string &header = "") const {
     const std::string idHeader = Names.RequestId + ": " + id + "\r\n";
     return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" +
-           (IdFirst ? idHeader + header : header + idHeader) +
+           (IdFirst ? idHeader + header : header + idHeader) + ExtraHeader +
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
 
--- a/src/entry/tests/TargetPoolTest.cpp
+++ b/src/entry/tests/TargetPoolTest.cpp
@@ -23,7 +23,8 @@
 struct Fixture {
   Fixture()
       : Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}), Pool(Io, Clock, "X-Id", nullptr) {
-    auto connection = Pool.acquire("127.0.0.1", Acceptor.local_endpoint().port(), {"a"});
+    auto connection =
+        Pool.acquire("127.0.0.1", Acceptor.local_endpoint().port(), {"a", core::TargetId("t")});
     http::Head head;
     head.Method = "GET";
     head.Target = "/";
@@ -86,7 +87,9 @@
   for (int n = 0; n < MaxSends && f.Pool.discardedResponses() > 0; ++n)
     f.send("");
   cr_assert_eq(f.Pool.openConnections(), 1);
-  cr_assert_neq(f.Pool.acquire("127.0.0.1", f.Acceptor.local_endpoint().port(), {"b"}), nullptr);
+  cr_assert_neq(
+      f.Pool.acquire("127.0.0.1", f.Acceptor.local_endpoint().port(), {"b", core::TargetId("t")}),
+      nullptr);
 }
 
 /// Guards against refusing a request because the only connection that may be open to its target has
@@ -98,7 +101,7 @@
   for (int n = 0; n < MaxSends && f.Pool.discardedResponses() > 0; ++n)
     f.send("");
   const uint64_t before = f.Pool.connectionsOpened();
-  cr_assert_neq(f.Pool.acquire("127.0.0.1", port, {"a"}), nullptr);
+  cr_assert_neq(f.Pool.acquire("127.0.0.1", port, {"a", core::TargetId("t")}), nullptr);
   cr_assert_eq(f.Pool.connectionsOpened(), before + 1);
 }
 
@@ -120,7 +123,7 @@
   asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
   NullListener listener;
   const uint16_t port = acceptor.local_endpoint().port();
-  auto connection = pool.acquire("127.0.0.1", port, {"a"});
+  auto connection = pool.acquire("127.0.0.1", port, {"a", core::TargetId("t")});
   http::Head head;
   head.Method = "GET";
   head.Target = "/";
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -95,6 +95,10 @@
     Observer = &observer;
   }
 
+  /// Sets the name of the process that the next exchange is for.
+  void setPeer(std::string name) { Peer = std::move(name); }
+  const std::string &peer() const { return Peer; }
+
   /// Starts an exchange: connects if necessary and sends the head. No other exchange may be in
   /// progress. `id` is the expected value of the id header; hasSent(id) must be false.
   void start(const Head &head, std::string id, ResponseListener &listener);
@@ -156,6 +160,7 @@
   const uint16_t Port;
   const ClientConnectionSettings Settings;
   std::string IdHeader;
+  std::string Peer;
   uint64_t Number = 0;
   UnexpectedResponseObserver *Observer = nullptr;
   asio::ip::tcp::socket Socket;
