Give HEAD requests and requests without an id new connections

Cause: whether a response has a body depends on the request that it answers, and the parser expected none for the next one, whichever that was; responses without an id were compared with nothing. Change: such a request takes a new connection, which ends after it, so no copy can come before its answer or after it into another exchange; a response without an id is accepted on no used connection. At the limit of connections an idle one is closed.

--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -79,9 +79,10 @@
   TargetSend sendToTarget(const Pick &target, const http::Head &head, bool mustBeOpen) override {
     BodyToTarget = head.BodyFraming;
     const std::string id(head.find(Session.Context.Names.RequestId).value_or(""));
-    Target = Session.Pool.acquire(
-        target.Host, target.Port,
-        {id, target.Id, Session.Context.Targets.maxConnections(target.Service), mustBeOpen});
+    Target =
+        Session.Pool.acquire(target.Host, target.Port,
+                             {id, target.Id, Session.Context.Targets.maxConnections(target.Service),
+                              mustBeOpen, http::ClientConnection::needsOwnConnection(head, id)});
     if (!Target) {
       asio::post(Session.Io, [self = shared_from_this(), owner = Session.weak_from_this()] {
         if (std::shared_ptr<CallerSession> session = owner.lock(); session && !session->Closed)
--- a/src/entry/TargetPool.cpp
+++ b/src/entry/TargetPool.cpp
@@ -67,6 +67,8 @@
 /// Returns the most recently used idle connection that meets the requirements, or null, and closes
 /// connections that can no longer be reused.
 TargetPool::ConnectionPtr TargetPool::takeIdle(Peer &peer, const Requirements &requirements) const {
+  if (requirements.MustBeNew)
+    return nullptr;
   const core::Time now = Clock.now();
   for (size_t i = peer.Idle.size(); i-- > 0;) {
     const auto at = peer.Idle.begin() + static_cast<std::ptrdiff_t>(i);
@@ -99,7 +101,7 @@
   };
   removeEnded();
   if (peer.All.size() >= requirements.MaxConnections && !peer.Idle.empty()) {
-    // The remaining idle connections have carried a request with this id.
+    // The idle connections have carried a request with this id, or the request needs a new one.
     peer.Idle.front()->close();
     peer.Idle.erase(peer.Idle.begin());
     removeEnded();
--- a/src/entry/TargetPool.h
+++ b/src/entry/TargetPool.h
@@ -36,6 +36,7 @@
     core::TargetId Target;
     size_t MaxConnections = 1; ///< To the same address.
     bool MustBeOpen = false;   ///< The target cannot have closed a reused connection.
+    bool MustBeNew = false;    ///< See http::ClientConnection::needsOwnConnection().
   };
 
   /// Returns an idle connection that has not carried a request with the same id, or a new one; null
--- a/src/entry/tests/RefusalTest.cpp
+++ b/src/entry/tests/RefusalTest.cpp
@@ -35,9 +35,13 @@
 
   /// Sends a request and returns the status of the response, or 0.
   int exchange(const std::string &id) {
+    return exchangeBytes("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n" +
+                         Context.Names.RequestId + ": " + id + "\r\n\r\n");
+  }
+
+  int exchangeBytes(const std::string &request) {
     Received.clear();
-    send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n" + Context.Names.RequestId + ": " +
-         id + "\r\n\r\n");
+    send(request);
     const auto start = std::chrono::steady_clock::now();
     const core::Time sentAt = Clock.now();
     core::Duration passed{0};
@@ -120,3 +124,19 @@
     }
   }
 }
+
+/// Guards against responses to HEAD requests, and requests without an id, on connections that
+/// carried others: a copy would pass as their response, or their length would hide the one that
+/// follows.
+Test(Refusal, headAndRequestWithoutIdGetNewConnections) {
+  for (const std::string request :
+       {"HEAD /a HTTP/1.1\r\nHost: h\r\nBriarspar-Request-Id: x\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"}) {
+    Fixture f(CopyTime::Never, {NewId});
+    cr_assert_eq(f.exchange("first"), 200);
+    cr_assert_eq(f.exchangeBytes(request), 200);
+    cr_assert_eq(f.Target.connections(), 2);
+    cr_assert_eq(f.exchange("third"), 200);
+    cr_assert_eq(f.Target.connections(), 2);
+  }
+}
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -58,8 +58,11 @@
   assert(!hasSent(id));
   Listener = &listener;
   Id = std::move(id);
-  if (!IdHeader.empty())
+  if (!IdHeader.empty()) {
     SentIds.push_back(core::hash64(Id, IdSeed));
+    SingleUse = needsOwnConnection(head, Id);
+    assert(!SingleUse || Exchanges == 0);
+  }
   Skipping = false;
   RequestDone = false;
   OverheadBytes = 0;
@@ -193,7 +196,7 @@
 void ClientConnection::onHead(Head head) {
   if (!IdHeader.empty()) {
     std::optional<std::string_view> id = head.find(IdHeader);
-    Ambiguous = !id && !Id.empty() && Exchanges > 1;
+    Ambiguous = !id && Exchanges > 1;
     Skipping = Ambiguous || (id && *id != Id);
     if (Skipping) {
       reportUnexpected(Ambiguous ? UnexpectedResponse::NoId : UnexpectedResponse::OtherId, &head);
@@ -219,8 +222,9 @@
     return;
   }
   LastUse = Clock.now();
-  if (!RequestDone || !Queue.empty())
-    Reusable = false; // The rest of the request body is still unsent.
+  // The rest of the request body is still unsent, or the next request could not tell its response.
+  if (!RequestDone || !Queue.empty() || SingleUse)
+    Reusable = false;
   ResponseListener *listener = std::exchange(Listener, nullptr);
   if (!Reusable)
     closeSocket();
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -100,7 +100,8 @@
   const std::string &peer() const { return Peer; }
 
   /// Starts an exchange: connects if necessary and sends the head. No other exchange may be in
-  /// progress. `id` is the expected value of the id header; hasSent(id) must be false.
+  /// progress. `id` is the expected value of the id header. With an id header, hasSent(id) must be
+  /// false, and a request that needs its own connection must be the first one.
   void start(const Head &head, std::string id, ResponseListener &listener);
 
   /// Sends raw bytes of the request body. The caller adds the chunk framing, if any.
@@ -123,6 +124,12 @@
   bool isIdle() const { return Phase == Open && Listener == nullptr; }
   bool isWritable() const { return QueuedBytes < Settings.MaxQueuedBytes; }
 
+  /// Returns whether a request can only have a connection of its own: its response is framed in
+  /// another way than the responses before and after it, or bears no id.
+  static bool needsOwnConnection(const Head &head, std::string_view id) {
+    return head.Method == "HEAD" || id.empty();
+  }
+
   /// Returns whether the connection has carried a request with this id.
   bool hasSent(std::string_view id) const;
 
@@ -174,6 +181,7 @@
   size_t OverheadBytes = 0;      ///< See ClientConnectionSettings::MaxOverheadBytes.
   bool Skipping = false;         ///< The response being read belongs to an earlier request.
   bool Ambiguous = false;        ///< The response being read may belong to an earlier request.
+  bool SingleUse = false;        ///< The request in progress needs its own connection.
   bool RequestDone = false;
   bool Reusable = true;
   bool ReadingOn = true;
--- a/src/http/tests/ClientConnectionTest.cpp
+++ b/src/http/tests/ClientConnectionTest.cpp
@@ -217,3 +217,24 @@
   checkEndless(response("a", std::string(4096, 'x')), true);
   checkEndless("HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\n" + std::string(8192, 'x'), true);
 }
+
+/// Guards against a connection that is used again after a request whose response can't be told from
+/// others: without an id, or to a HEAD request, whose length says nothing about its body.
+Test(ClientConnection, requestThatNeedsItsOwnConnectionEndsIt) {
+  for (bool isHead : {false, true}) {
+    Fixture f;
+    f.Server.Scripts = {response(isHead ? "a" : "", "")};
+    Result result;
+    Head head;
+    head.Method = isHead ? "HEAD" : "GET";
+    head.Target = "/";
+    const std::string id = isHead ? "a" : "";
+    cr_assert(ClientConnection::needsOwnConnection(head, id));
+    f.Connection->start(head, id, result);
+    f.Connection->finishRequest();
+    while (!result.isDone())
+      f.Io.run_one();
+    cr_assert(result.Ended);
+    cr_assert_not(f.Connection->mayReuse(f.Clock.now(), false));
+  }
+}
