Decide on joined responses where the connection is known, and log malformed ones

Change: the parser marks a head that may be joined; on a used connection it is malformed, on a new one, which no earlier response can reach, it is accepted and the connection is not used again. The end of a connection during a skipped response is no crash. UnexpectedResponse has the kind 'malformed' with the reason.

--- a/src/entry/TargetPool.cpp
+++ b/src/entry/TargetPool.cpp
@@ -155,14 +155,16 @@
 }
 
 void TargetPool::onUnexpectedResponse(const http::ClientConnection &connection,
-                                      http::UnexpectedResponse kind, const http::Head *head) {
+                                      http::UnexpectedResponse kind, const http::Head *head,
+                                      std::string_view reason) {
   if (HandleHead && head != nullptr)
     HandleHead(core::TargetId(connection.peer()), *head, /*isDue=*/false);
   if (Events == nullptr)
     return;
-  constexpr std::array<const char *, 3> names{"other id", "no id", "no request"};
+  constexpr std::array<const char *, 4> names{"other id", "no id", "no request", "malformed"};
   Events->emit({core::EventId::UnexpectedResponse,
                 {{"kind", names[static_cast<size_t>(kind)]},
+                 {"reason", std::string(reason)},
                  {"request", head == nullptr ? "" : std::string(head->find(IdHeader).value_or(""))},
                  {"status", head == nullptr ? 0 : head->Status},
                  {"address", absl::StrCat(connection.host(), ":", connection.port())},
--- a/src/entry/TargetPool.h
+++ b/src/entry/TargetPool.h
@@ -74,7 +74,7 @@
 
   ConnectionPtr takeIdle(Peer &peer, const Requirements &requirements) const;
   void onUnexpectedResponse(const http::ClientConnection &connection, http::UnexpectedResponse kind,
-                            const http::Head *head) override;
+                            const http::Head *head, std::string_view reason) override;
 
   asio::io_context &Io;
   const core::Clock &Clock;
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -165,7 +165,9 @@
       closeSocket();
       return;
     }
-    failExchange(ConnectionLoss::Closed);
+    // While another response was being read, the end of the connection does not show what became of
+    // the request.
+    failExchange(Skipping ? ConnectionLoss::Malformed : ConnectionLoss::Closed);
     return;
   }
   std::string bytes = Buffer.substr(0, n);
@@ -183,10 +185,15 @@
     }
     size_t used = 0;
     OverheadBytes += bytes.size();
-    const bool isValid = Parser.feed(bytes, used).ok();
+    const absl::Status status = Parser.feed(bytes, used);
     bytes.remove_prefix(used);
     OverheadBytes -= std::min(OverheadBytes, bytes.size());
-    if (!isValid || Ambiguous || OverheadBytes > Settings.MaxOverheadBytes) {
+    const bool isTooLong = OverheadBytes > Settings.MaxOverheadBytes;
+    if (!status.ok() || isTooLong)
+      reportUnexpected(UnexpectedResponse::Malformed, nullptr,
+                       isTooLong ? "too many bytes outside the response"
+                                 : std::string(status.message()));
+    if (!status.ok() || isTooLong || Unusable) {
       failExchange(ConnectionLoss::Malformed);
       return;
     }
@@ -194,16 +201,23 @@
 }
 
 void ClientConnection::onHead(Head head) {
+  const bool isFirst = Exchanges == 1;
   if (!IdHeader.empty()) {
-    std::optional<std::string_view> id = head.find(IdHeader);
-    Ambiguous = !id && Exchanges > 1;
-    Skipping = Ambiguous || (id && *id != Id);
+    const std::optional<std::string_view> id = head.find(IdHeader);
+    // Of the first exchange no earlier response can be the beginning.
+    const bool isJoined = head.MayBeJoined && !isFirst;
+    Unusable = isJoined || (!id && !isFirst);
+    Skipping = Unusable || (id && *id != Id);
     if (Skipping) {
-      reportUnexpected(Ambiguous ? UnexpectedResponse::NoId : UnexpectedResponse::OtherId, &head);
+      const auto kind = isJoined   ? UnexpectedResponse::Malformed
+                        : Unusable ? UnexpectedResponse::NoId
+                                   : UnexpectedResponse::OtherId;
+      reportUnexpected(kind, &head, isJoined ? "a status line within the head" : "");
       return;
     }
   }
-  Reusable = head.KeepAlive && head.BodyFraming != Framing::UntilClose;
+  // A server that uses status lines within its heads gets a connection for each request.
+  Reusable = head.KeepAlive && head.BodyFraming != Framing::UntilClose && !head.MayBeJoined;
   KeepAlive = keepAliveTimeout(head, Settings.DefaultKeepAlive);
   if (Listener != nullptr)
     Listener->onResponseHead(std::move(head));
@@ -266,9 +280,10 @@
     listener->onConnectionLost(loss);
 }
 
-void ClientConnection::reportUnexpected(UnexpectedResponse kind, const Head *head) const {
+void ClientConnection::reportUnexpected(UnexpectedResponse kind, const Head *head,
+                                        std::string_view reason) const {
   if (Observer != nullptr)
-    Observer->onUnexpectedResponse(*this, kind, head);
+    Observer->onUnexpectedResponse(*this, kind, head, reason);
 }
 
 void ClientConnection::closeSocket() {
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -41,6 +41,7 @@
   OtherId,   ///< Bears another id than the request in progress.
   NoId,      ///< Bears no id on a connection that has carried earlier requests.
   NoRequest, ///< No request was in progress.
+  Malformed, ///< The bytes are not a response, or may be parts of two responses.
 };
 
 class ClientConnection;
@@ -51,9 +52,9 @@
   virtual ~UnexpectedResponseObserver() = default;
 
   /// Called while received bytes are processed; must not use the connection. `head` is null if the
-  /// bytes were not parsed.
+  /// bytes were not parsed; `reason` tells what is wrong with malformed ones.
   virtual void onUnexpectedResponse(const ClientConnection &connection, UnexpectedResponse kind,
-                                    const Head *head) = 0;
+                                    const Head *head, std::string_view reason) = 0;
 };
 
 struct ClientConnectionSettings {
@@ -156,7 +157,8 @@
   void flush();
   void failExchange(ConnectionLoss loss);
   void closeSocket();
-  void reportUnexpected(UnexpectedResponse kind, const Head *head) const;
+  void reportUnexpected(UnexpectedResponse kind, const Head *head,
+                        std::string_view reason = "") const;
 
   void onHead(Head head) override;
   void onBody(std::string_view bytes) override;
@@ -180,7 +182,7 @@
   std::vector<uint64_t> SentIds; ///< Hashes of the ids of all exchanges, if there is an id header.
   size_t OverheadBytes = 0;      ///< See ClientConnectionSettings::MaxOverheadBytes.
   bool Skipping = false;         ///< The response being read belongs to an earlier request.
-  bool Ambiguous = false;        ///< The response being read may belong to an earlier request.
+  bool Unusable = false;         ///< The response being read may belong to an earlier request.
   bool SingleUse = false;        ///< The request in progress needs its own connection.
   bool RequestDone = false;
   bool Reusable = true;
--- a/src/http/Head.h
+++ b/src/http/Head.h
@@ -24,8 +24,11 @@
   std::vector<Header> Headers;
   Framing BodyFraming = Framing::NoBody;
   uint64_t BodyLength = 0; ///< In bytes, if BodyFraming is Length.
-  bool KeepAlive = true;   ///< Whether the connection persists after the message.
-  bool Http10 = false;     ///< The sender uses HTTP/1.0, which has no chunked encoding.
+  /// Responses only: the reason or a header's value contains a status line, so this may be the
+  /// beginning of one response that was cut, joined with the end of another one.
+  bool MayBeJoined = false;
+  bool KeepAlive = true; ///< Whether the connection persists after the message.
+  bool Http10 = false;   ///< The sender uses HTTP/1.0, which has no chunked encoding.
 
   /// Returns the first value of a header. The name is case-insensitive.
   std::optional<std::string_view> find(std::string_view name) const;
