Resume reading on a connection that starts another exchange

Callers saw: 504 for a request that its target had answered. Cause: reading a target's connection pauses while its caller reads slowly; if the response ended in the same read, the connection went back to the pool paused, and nothing resumed it. Change: an exchange starts with reading on.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -72,6 +72,7 @@
   write(writeHead(head));
   if (Phase == Created)
     connect();
+  setReading(true); // The reader of the last response may have paused it at its end.
 }
 
 void ClientConnection::write(std::string_view bytes) {
--- a/src/http/tests/ClientConnectionTest.cpp
+++ b/src/http/tests/ClientConnectionTest.cpp
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <chrono>
 #include <deque>
 
 using namespace briarspar;
@@ -108,9 +109,9 @@
 }
 
 struct Fixture {
-  Fixture() {
-    Connection = std::make_shared<ClientConnection>(Io, Clock, "127.0.0.1", Server.port(),
-                                                    ClientConnectionSettings{});
+  explicit Fixture(const ClientConnectionSettings &settings = {}) {
+    Connection =
+        std::make_shared<ClientConnection>(Io, Clock, "127.0.0.1", Server.port(), settings);
     Connection->setIdHeader("X-Id");
   }
 
@@ -264,3 +265,54 @@
   Result second = f.exchange("b");
   cr_assert(second.Loss == ConnectionLoss::Malformed);
 }
+
+namespace {
+
+/// Stops reading with the body, as for a caller that reads slowly.
+struct PausingResult final : ResponseListener {
+  explicit PausingResult(ClientConnection &connection) : Connection(connection) {}
+  void onResponseHead(Head) override {}
+  void onResponseBody(std::string_view) override { Connection.setReading(false); }
+  void onResponseEnd() override { Ended = true; }
+  void onConnectionLost(ConnectionLoss) override {}
+
+  ClientConnection &Connection;
+  bool Ended = false;
+};
+
+} // namespace
+
+/// Guards against a connection that was paused at the end of a response and never reads the next
+/// one.
+Test(ClientConnection, pausedConnectionReadsNextResponse) {
+  Fixture f;
+  f.Server.Scripts = {response("a", "first"), response("b", "second")};
+  PausingResult first(*f.Connection);
+  Head head;
+  head.Method = "GET";
+  head.Target = "/";
+  f.Connection->start(head, "a", first);
+  f.Connection->finishRequest();
+  while (!first.Ended)
+    f.Io.run_one();
+  Result second;
+  f.Connection->start(head, "b", second);
+  f.Connection->finishRequest();
+  for (int n = 0; n < 1000 && !second.isDone(); ++n)
+    f.Io.run_one_for(std::chrono::milliseconds(5));
+  cr_assert_eq(second.Body, std::string("second"));
+}
+
+/// Guards against a connection that remembers ids without a limit.
+Test(ClientConnection, connectionEndsAfterItsLastExchange) {
+  ClientConnectionSettings settings;
+  settings.MaxExchanges = 2;
+  Fixture f(settings);
+  f.Server.Scripts = {response("a", "first"), response("b", "second")};
+  cr_assert_eq(f.exchange("a").Body, std::string("first"));
+  cr_assert(f.Connection->mayReuse(f.Clock.now(), false));
+  cr_assert(f.Connection->hasSent("a"));
+  cr_assert_not(f.Connection->hasSent("b"));
+  cr_assert_eq(f.exchange("b").Body, std::string("second"));
+  cr_assert_not(f.Connection->mayReuse(f.Clock.now(), false));
+}
