Keep the discarder of a connection that is discarded again

Cause: a discarder was erased by the address of its connection in a posted handler. If the connection was used again and left by its caller before that ran, the new discarder was destroyed while the connection still called it. Change: only the discarder that ended is erased, and one that is replaced is destroyed after the current handler.

--- a/src/entry/TargetPool.cpp
+++ b/src/entry/TargetPool.cpp
@@ -39,9 +39,14 @@
   core::Time until() const { return Until; }
 
 private:
-  /// Deferred, because this object is still in use by the caller of the listener.
+  /// Deferred, because this object is still in use by the caller of the listener. By then the
+  /// connection may have another discarder.
   void end() {
-    asio::post(Pool.Io, [&pool = Pool, key = Connection.get()] { pool.Discarders.erase(key); });
+    asio::post(Pool.Io, [&pool = Pool, key = Connection.get(), self = this] {
+      auto it = pool.Discarders.find(key);
+      if (it != pool.Discarders.end() && it->second.get() == self)
+        pool.Discarders.erase(it);
+    });
   }
 
   TargetPool &Pool;
@@ -127,7 +132,10 @@
   auto discarder = std::make_unique<Discarder>(*this, connection, until);
   connection->setListener(*discarder);
   connection->setReading(true);
-  Discarders[connection.get()] = std::move(discarder);
+  std::unique_ptr<Discarder> &slot = Discarders[connection.get()];
+  if (slot) // Its response has ended, and the connection was used again.
+    asio::post(Io, [old = std::shared_ptr<Discarder>(std::move(slot))] {});
+  slot = std::move(discarder);
 }
 
 void TargetPool::sweep() {
--- a/src/entry/tests/TargetPoolTest.cpp
+++ b/src/entry/tests/TargetPoolTest.cpp
@@ -4,6 +4,7 @@
 #include <asio/write.hpp>
 #include <criterion/criterion.h>
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -105,6 +106,36 @@
   cr_assert_eq(f.Pool.connectionsOpened(), before + 1);
 }
 
+/// Guards against a discarder that is destroyed while its connection still calls it, because the
+/// end of an earlier one of the same connection is handled late.
+Test(TargetPool, connectionThatIsDiscardedAgainKeepsItsDiscarder) {
+  Fixture f;
+  const uint16_t port = f.Acceptor.local_endpoint().port();
+  asio::error_code ec;
+  f.Target->write_some(
+      asio::buffer(std::string("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n")), ec);
+  f.Io.restart();
+  std::shared_ptr<http::ClientConnection> connection;
+  // Takes the connection as soon as it is idle, before what was posted then has run.
+  while (!connection) {
+    f.Io.run_one_for(std::chrono::milliseconds(20));
+    connection = f.Pool.acquire("127.0.0.1", port, {"b", core::TargetId("t")});
+  }
+  http::Head head;
+  head.Method = "GET";
+  head.Target = "/";
+  connection->start(head, "b", f.Waiting);
+  connection->finishRequest();
+  f.Pool.discardResponse(connection, f.Clock.now() + core::Duration{5000});
+  f.Io.restart();
+  f.Io.poll();
+  cr_assert_eq(f.Pool.discardedResponses(), 1);
+  f.send("HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 0\r\n\r\n");
+  for (int n = 0; n < MaxSends && f.Pool.discardedResponses() > 0; ++n)
+    f.send("");
+  cr_assert_eq(f.Pool.discardedResponses(), 0);
+}
+
 namespace {
 
 struct RecordingSink final : core::EventSink {
