Do not eject targets for want of an own connection, and three findings of the review

Cause: when all connections that a VM may open to a target were in use, the request counted as a failed connect, which ejected the sound target and clears what is known of its cache. Change: this loss has its own kind that says nothing about the target, and target choice leaves out targets without a free connection. With it: a status without foundation counts as a failure of the target for the judge of versions; the request behind one of HTTP/1.0 waits for its response, which may need the end of the connection as its end; the stand-in counts the copies that it sent, and the test of cut copies checks that each was sent on the connection in use.

--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -86,7 +86,7 @@
     if (!Target) {
       asio::post(Session.Io, [self = shared_from_this(), owner = Session.weak_from_this()] {
         if (std::shared_ptr<CallerSession> session = owner.lock(); session && !session->Closed)
-          self->onConnectionLost(http::ConnectionLoss::NotConnected);
+          self->onConnectionLost(http::ConnectionLoss::NotAvailable);
       });
       return {};
     }
@@ -278,7 +278,9 @@
 /// Returns whether the next request on the connection may begin. One that follows a response that
 /// closes the connection would be passed on and never answered; callers send it again elsewhere.
 bool CallerSession::mayParseNext() const {
-  return !CloseAnnounced && !(Stopping && !Requests.empty());
+  // A response to HTTP/1.0 may need the end of the connection as its end.
+  const bool mayClose = !Requests.empty() && (Stopping || Requests.back()->Http10);
+  return !CloseAnnounced && !mayClose;
 }
 
 void CallerSession::sweep(core::Time now) {
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -422,8 +422,8 @@
   return response.find(Context.Names.NotRun).has_value() || response.Status == 421;
 }
 
-/// Returns whether the response to a request that was run says nothing to the caller that is not
-/// true.
+/// Returns whether the status of a request that was run may be passed on: it promises nothing, or
+/// the route is idempotent.
 bool Exchange::mayPassOn(const http::Head &response) const {
   return Route->Idempotent || !promisesNotRun(response.Status);
 }
@@ -438,7 +438,7 @@
       refuse({503, "the target did not run it", Context.RetryAfter.afterBusy(Id)}, now);
     return;
   }
-  bool failed = Response.Status >= 500;
+  bool failed = Response.Status >= 500 || !mayPassOn(Response);
   recordOutcome(Response.Status == 504 ? TargetOutcome::DeadlineExceeded
                 : failed               ? TargetOutcome::Failed
                                        : TargetOutcome::Success,
@@ -476,13 +476,17 @@
   }
   if (State != AtTarget)
     return;
-  if (loss == http::ConnectionLoss::NotConnected) {
-    Evidence = NotRunEvidence::NotConnected;
-    recordOutcome(TargetOutcome::ConnectFailed, now);
+  const bool isUnavailable = loss == http::ConnectionLoss::NotAvailable;
+  if (isUnavailable || loss == http::ConnectionLoss::NotConnected) {
+    Evidence = isUnavailable ? NotRunEvidence::NotSent : NotRunEvidence::NotConnected;
+    // That this VM has no connection left says nothing about the target.
+    recordOutcome(isUnavailable ? TargetOutcome::Cancelled : TargetOutcome::ConnectFailed, now);
+    const char *reason = isUnavailable ? "all connections to the target are in use"
+                                       : "the target could not be reached";
     if (mayRetry(/*arrived=*/false, now))
-      retry("the target could not be reached", now);
+      retry(reason, now);
     else
-      refuse({503, "the target could not be reached", Context.RetryAfter.afterBusy(Id)}, now);
+      refuse({503, reason, Context.RetryAfter.afterBusy(Id)}, now);
     return;
   }
   MayHaveRun = true;
--- a/src/entry/TargetSelection.cpp
+++ b/src/entry/TargetSelection.cpp
@@ -161,6 +161,8 @@
   }
   const ProcessingTime time = Processing.of(*request.Route, request.Service);
   double meanTime = Processing.mean(request.Service);
+  // Each request in progress occupies a connection.
+  const int ownLimit = static_cast<int>(maxConnections(request.Service));
   std::map<core::RegionId, Candidate> bestOf;
   for (size_t i = 0; i < usable.size(); ++i) {
     State &state = *usable[i];
@@ -170,7 +172,7 @@
       continue;
     }
     Candidate it = evaluate(state, affinities[i], request, time, meanTime, now);
-    if (it.Load >= state.Info.Slots * Settings.MaxLoadPerSlot) {
+    if (it.Load >= state.Info.Slots * Settings.MaxLoadPerSlot || state.OwnRequests >= ownLimit) {
       ++LastFailure.Full;
       continue;
     }
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -111,8 +111,8 @@
   size_t Usable = 0; ///< Targets that are not draining, ejected, evacuated, already tried or in a
                      ///< region that is not allowed.
   size_t Cold = 0;   ///< Of the usable targets, those that are cold and may get no request now.
-  size_t Full = 0;   ///< Of the usable targets, those with full queues.
-  size_t Paused = 0; ///< Targets that asked for no requests for now; not among the usable ones.
+  size_t Full = 0; ///< Of the usable targets, those with full queues or without a free connection.
+  size_t Paused = 0;    ///< Targets that asked for no requests for now; not among the usable ones.
   core::Time ResumesAt; ///< Earliest end of these pauses.
   size_t Late = 0;      ///< Of the usable targets, those that would respond after the deadline.
   bool RegionLimited = false; ///< The best target is in a region whose planned share is used up.
--- a/src/entry/testing/CopyingTarget.h
+++ b/src/entry/testing/CopyingTarget.h
@@ -45,6 +45,7 @@
     return it == Runs.end() ? 0 : it->second;
   }
   size_t connections() const { return Accepted; }
+  size_t copies() const { return CopiesSent; } ///< Copies, also partial ones, that were sent.
 
   int RefuseFirst = 0;
   size_t CutCopyAt = 0;
@@ -94,6 +95,7 @@
   }
 
   void serve(const PeerPtr &peer, const std::string &head) {
+    CopiesSent += peer->Copy.empty() ? 0 : 1;
     send(peer, std::exchange(peer->Copy, ""));
     const std::string id = valueOf(head, Names.RequestId);
     const std::string after = std::exchange(peer->After, "");
@@ -179,6 +181,7 @@
   asio::ip::tcp::acceptor Acceptor;
   std::map<std::string, int> Runs;
   size_t Accepted = 0;
+  size_t CopiesSent = 0;
 };
 
 } // namespace briarspar::entry::testing
--- a/src/entry/tests/CallerSessionTest.cpp
+++ b/src/entry/tests/CallerSessionTest.cpp
@@ -82,9 +82,10 @@
 
 /// The same with a configuration and one target, whose responses the test writes.
 struct FixtureWithTarget : Fixture {
-  FixtureWithTarget() : TargetAcceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}) {
+  explicit FixtureWithTarget(bool idempotent = true)
+      : TargetAcceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}) {
     TargetAcceptor.non_blocking(true);
-    entry::testing::configure(Context, entry::testing::oneOpenRoute(/*idempotent=*/true), {"t"},
+    entry::testing::configure(Context, entry::testing::oneOpenRoute(idempotent), {"t"},
                               TargetAcceptor.local_endpoint().port(), Clock.now());
   }
 
@@ -113,6 +114,19 @@
     return found;
   }
 
+  /// Sends a request and waits until the target has received it.
+  void sendToTarget(const std::string &request) {
+    send(request);
+    const size_t before = TargetReceived.size();
+    for (int n = 0; n < MaxPolls && TargetReceived.size() == before; ++n)
+      pollAll();
+  }
+
+  void pollUntilReceived(const std::string &text) {
+    for (int n = 0; n < MaxPolls && Received.find(text) == std::string::npos; ++n)
+      pollAll();
+  }
+
   asio::ip::tcp::acceptor TargetAcceptor;
   std::vector<asio::ip::tcp::socket> AtTarget;
   std::string TargetReceived;
@@ -151,3 +165,36 @@
   cr_assert(f.Received.find("onnection: close") != std::string::npos);
   cr_assert(f.Ended);
 }
+
+/// Guards against streaming a long response whose status promises that the request has not run,
+/// though its target does not say so.
+Test(CallerSession, longResponseWithUnfoundedPromiseIsNotStreamed) {
+  FixtureWithTarget f(/*idempotent=*/false);
+  f.sendToTarget("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n" +
+                 f.Context.Names.RequestId + ": a\r\n\r\n");
+  const std::string head =
+      "HTTP/1.1 503 No\r\nContent-Length: 100000\r\n" + f.Context.Names.RequestId + ": a\r\n\r\n";
+  asio::write(f.AtTarget.at(0), asio::buffer(head + std::string(100'000, 'x')));
+  f.pollUntilReceived("\r\n\r\n");
+  cr_assert_eq(f.Received.substr(9, 3), std::string("502"));
+}
+
+/// Guards against passing a request on that follows one of HTTP/1.0 on its connection, when the
+/// response to the first can only end with the connection.
+Test(CallerSession, requestBehindOneOfHttp10WaitsForItsResponse) {
+  FixtureWithTarget f(/*idempotent=*/false);
+  auto request = [&f](const std::string &id) {
+    return "POST /" + id +
+           " HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\nContent-Length: 0\r\n" +
+           f.Context.Names.RequestId + ": " + id + "\r\n\r\n";
+  };
+  f.sendToTarget(request("first") + request("second"));
+  asio::write(f.AtTarget.at(0),
+              asio::buffer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" +
+                           f.Context.Names.RequestId + ": first\r\n\r\n186a0\r\n" +
+                           std::string(100'000, 'x') + "\r\n0\r\n\r\n"));
+  for (int n = 0; n < 500; ++n)
+    f.pollAll();
+  cr_assert_neq(f.Received.find("onnection: close"), std::string::npos);
+  cr_assert_eq(f.TargetReceived.find("/second"), std::string::npos);
+}
--- a/src/entry/tests/RefusalTest.cpp
+++ b/src/entry/tests/RefusalTest.cpp
@@ -121,6 +121,8 @@
       f.Target.WorkTime = std::chrono::milliseconds(1);
       cr_assert_eq(f.exchange("first"), 503);
       checkStatus(f, f.exchange("second"), "second", 0, static_cast<int>(cut));
+      cr_assert_eq(f.Target.copies(), 1);
+      cr_assert_eq(f.Target.connections(), 1);
     }
   }
 }
@@ -140,3 +142,23 @@
     cr_assert_eq(f.Target.connections(), 2);
   }
 }
+
+/// Guards against ejecting a sound target because this VM has no connection left for it.
+Test(Refusal, connectionLimitDoesNotEjectTarget) {
+  Fixture f(CopyTime::Never, {NewId});
+  catalog::Catalog catalog = entry::testing::oneOpenRoute(/*idempotent=*/false);
+  catalog::Change change;
+  catalog::Service service;
+  service.Name = entry::testing::ServiceName;
+  service.MaxConnections = 2;
+  change.Services.push_back({catalog::ItemVersion(3), service, service.Name});
+  cr_assert(catalog.apply(change, core::LogIndex(3)).ok());
+  f.Context.Targets.setCatalog(catalog, f.Clock.now());
+  std::string requests;
+  for (int n = 0; n < 4; ++n)
+    requests += "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n" + f.Context.Names.RequestId +
+                ": " + std::to_string(n) + "\r\n\r\n";
+  f.exchangeBytes(requests);
+  cr_assert(f.Context.Targets.takeEjections().empty());
+  cr_assert_eq(f.exchange("later"), 200);
+}
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -17,6 +17,7 @@
 
 /// Why an exchange ended without a complete response.
 enum class ConnectionLoss : uint8_t {
+  NotAvailable, ///< No connection was tried, as the limit is reached; nothing was sent.
   NotConnected, ///< The connection was not established; nothing was sent.
   Closed,       ///< The connection ended after part of the request may have been sent.
   Malformed,    ///< The received bytes are not a response to this request.
