--- /dev/null
+++ b/tests/soak/test_checker.py
@@ -0,0 +1,170 @@
+"""Feeds the checker records that break a rule, so that a check that can't fail is found without a fault in the system."""
+import collections
+import random
+import unittest
+
+import http1
+from checker import Checker, Request, body_of
+from targets import Copier
+
+ATTEMPT = "00010000002a"
+TARGET = "i-101-1"
+
+
+class CheckerTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 0.0
+        self.planned = self.disturbed = False
+        self.checker = Checker(lambda *_: None, lambda _: {"alpha"}, lambda *_: self.planned, lambda *_: self.disturbed)
+
+    def send(self, kind="unsafe", attempt=ATTEMPT, body=b"x"):
+        self.checker.sent(attempt, Request("write", kind, "POST", f"/write/{attempt}", body, "127.0.0.1", 0.0))
+
+    def run_at(self, target=TARGET, service="alpha", attempt=ATTEMPT, status=200, size=100, **changed):
+        message = http1.Message(f"{changed.get('method', 'POST')} {changed.get('path', f'/write/{attempt}')} HTTP/1.1",
+                                {"attempt-id": attempt, "tenant": changed.get("tenant", "tenant1")}, changed.get("body", b"x"))
+        return self.checker.ran(target, service, message, status, size)
+
+    def answer(self, status, seal=None, body=b"", attempt=ATTEMPT, **headers):
+        headers.setdefault("attempt-id", attempt)
+        if seal is not None:
+            headers["response-seal"] = seal
+        self.checker.answered(attempt, http1.Message(f"HTTP/1.1 {status} X", headers, body))
+
+    def rules(self):
+        return [it.rule for it in self.checker.violations]
+
+    def whole_body(self, run):
+        return body_of(run.attempt, run.target, run.number, run.size)
+
+    def test_sound_request_breaks_no_rule(self):
+        """Fails if the checker blames what is allowed."""
+        self.send()
+        run = self.run_at()
+        self.answer(200, run.seal, self.whole_body(run))
+        self.send("safe", "2")
+        self.run_at(attempt="2", status=500)
+        run = self.run_at("i-102-1", attempt="2")
+        self.answer(200, run.seal, self.whole_body(run), "2")
+        self.send(attempt="3")
+        self.answer(503, attempt="3")
+        self.assertEqual(self.rules(), [])
+
+    def test_promises_after_a_run_break_refused(self):
+        """Fails if one of the statuses that promise 'not run' is accepted for a request that has run."""
+        for n, status in enumerate((408, 421, 429, 503)):
+            self.send(attempt=str(n))
+            self.run_at(attempt=str(n))
+            self.answer(status, attempt=str(n))
+        self.assertEqual(self.rules(), ["REFUSED"] * 4)
+
+    def test_run_after_a_promise_breaks_refused(self):
+        """Fails if a request may run after it has been refused."""
+        self.send()
+        self.answer(503)
+        self.run_at()
+        self.assertEqual(self.rules(), ["REFUSED"])
+
+    def test_second_run_breaks_twice(self):
+        """Fails if an unsafe request may run at two targets."""
+        self.send()
+        self.run_at()
+        self.run_at("i-102-1")
+        self.assertEqual(self.rules(), ["TWICE"])
+
+    def test_success_without_seal_breaks_mixed(self):
+        """Fails if a 2xx without the seal of a run counts as an answer."""
+        self.send()
+        run = self.run_at()
+        self.answer(200, None, self.whole_body(run))
+        self.assertEqual(self.rules(), ["MIXED"])
+
+    def test_success_with_foreign_seal_breaks_mixed(self):
+        """Fails if the answer to another request passes."""
+        self.send()
+        self.send(attempt="2")
+        self.run_at()
+        other = self.run_at(attempt="2")
+        self.answer(200, other.seal, self.whole_body(other))
+        self.assertEqual(self.rules(), ["MIXED"])
+
+    def test_foreign_id_breaks_mixed(self):
+        """Fails if a failure that bears the id of another request passes."""
+        self.send()
+        self.answer(500, **{"attempt-id": "2"})
+        self.assertEqual(self.rules(), ["MIXED"])
+
+    def test_torn_body_breaks_mixed(self):
+        """Fails if a body that is short, or has a foreign byte, passes as whole."""
+        self.send("safe")
+        run = self.run_at()
+        body = self.whole_body(run)
+        self.answer(200, run.seal, body[:-1])
+        self.answer(200, run.seal, body[:50] + b"#" + body[51:])
+        self.assertEqual(self.rules(), ["MIXED"] * 2)
+
+    def test_changed_status_breaks_mixed(self):
+        """Fails if a target's failure may reach the caller as a success, or under another status with its seal."""
+        self.send("safe")
+        run = self.run_at(status=500)
+        self.answer(200, run.seal, self.whole_body(run))
+        self.answer(504, run.seal)
+        self.assertEqual(self.rules(), ["MIXED"] * 2)
+
+    def test_bytes_without_request_break_mixed(self):
+        """Fails if a success or rubbish may come on an idle connection."""
+        self.checker.unexpected("127.0.0.1", b"HTTP/1.1 200 OK\r\n")
+        self.checker.unexpected("127.0.0.1", b"rubbish")
+        self.checker.unexpected("127.0.0.1", b"HTTP/1.1 408 Request Timeout\r\n")
+        self.checker.malformed(ATTEMPT, "rubbish")
+        self.assertEqual(self.rules(), ["MIXED"] * 3)
+
+    def test_changed_request_breaks_unasked(self):
+        """Fails if a target may run something that no caller sent."""
+        self.send("safe")
+        self.run_at(attempt="unknown")
+        for changed in ({"path": "/write/other"}, {"method": "PUT"}, {"body": b"y"}, {"tenant": "tenant2"}):
+            self.run_at(**changed)
+        self.assertEqual(self.rules(), ["UNASKED"] * 5)
+
+    def test_foreign_service_breaks_route(self):
+        """Fails if a service that no configuration allows may run a request."""
+        self.send()
+        self.run_at(service="beta")
+        self.assertEqual(self.rules(), ["ROUTE"])
+
+    def test_close_without_answer_breaks_lost_around_planned_work(self):
+        """Fails if a planned stop may cut a request that a sound target ran."""
+        self.send()
+        run = self.run_at()
+        self.checker.closed(ATTEMPT, 1.0, True)
+        self.assertEqual(self.rules(), [])
+        self.planned = True
+        self.checker.closed(ATTEMPT, 1.0, True)
+        self.assertEqual(self.rules(), ["LOST"])
+        self.checker.closed(ATTEMPT, 1.0, False)
+        self.disturbed = True
+        self.checker.closed(ATTEMPT, 1.0, True)
+        self.disturbed, run.clean = False, False
+        self.checker.closed(ATTEMPT, 1.0, True)
+        self.assertEqual(self.rules(), ["LOST"])
+
+
+class CopierTest(unittest.TestCase):
+    def test_every_kind_of_copy_is_sent(self):
+        """Fails if a kind of copy is listed but never played."""
+        counts = collections.Counter()
+        copier = Copier(random.Random(1), counts)
+        sent = b""
+        for _ in range(2000):
+            at_once, idle = copier.copies_after(503, {"Attempt-Id": ATTEMPT, "Not-Executed": "1"}, b"HTTP/1.1 503 X\r\n\r\n")
+            sent += at_once + idle + b"".join(copier.take_waiting())
+            copier.copies_after(200, {"Attempt-Id": ATTEMPT}, b"HTTP/1.1 200 OK\r\n\r\n")
+            sent += b"".join(copier.take_waiting())
+        self.assertEqual({it[5:] for it in counts},
+                         {"at_once", "before_next", "pieces", "twice", "other_status", "after_answer", "cut", "idle"})
+        self.assertGreater(len(sent), 1000)
+
+
+if __name__ == "__main__":
+    unittest.main()
