--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -81,7 +81,7 @@
         kinds = {name: it["Kind"] for name, it in self.operator.routes.items()}
         route = route or self.rng.choice(list(kinds))
         if body is None:
-            size = self.rng.choice([0, 0, 0, 100, 100, 5000]) if self.rng.random() < 0.99 else 150_000
+            size = self.rng.choice([0, 0, 0, 100, 100, 5000]) if self.rng.random() < 0.98 else 150_000
             body = bytes([65 + self.serial % 26]) * size
         key = KEYS[0] if self.rng.random() < 0.9 else self.rng.choice(KEYS)
         return Call(f"{self.number:04x}{self.serial:08x}", route, kinds[route], body, bool(body) and self.rng.random() < 0.4,
@@ -117,8 +117,10 @@
         return None
 
     def register(self, call, connection):
-        self.checker.sent(call.attempt, Request(call.route, call.kind, call.method, call.path, call.body,
-                                                connection.entry.address, self.checker.timeline.now()))
+        request = Request(call.route, call.kind, call.method, call.path, call.body, connection.entry.address,
+                          self.checker.timeline.now(), call.key == KEYS[0])
+        request.bound = min(call.deadline, self.operator.shortest_timeout[call.route] / 1000)
+        self.checker.sent(call.attempt, request)
 
     async def request(self):
         """One request with its retries, each with a new id on a new connection."""
@@ -154,7 +156,6 @@
         """Sends the calls and returns the answers that came. Those without an answer are told to the checker."""
         for it in calls:
             self.register(it, connection)
-        start = self.checker.timeline.now()
         limit = max(it.deadline for it in calls) + 0.5
         gives_up = self.rng.random() < 0.03
         answers = []
@@ -169,7 +170,7 @@
                         break
             if answers[-1].closes:
                 connection.close()
-                self.close_rest(calls[len(answers):], start)
+                self.checker.closed([it.attempt for it in calls[len(answers):]], self.checker.timeline.now())
         except asyncio.TimeoutError:
             connection.close()
             for it in calls[len(answers):]:
@@ -179,11 +180,5 @@
             self.checker.malformed(calls[len(answers)].attempt, error)
         except (http1.Cut, ConnectionError):
             connection.close()
-            self.close_rest(calls[len(answers):], start)
+            self.checker.closed([it.attempt for it in calls[len(answers):]], self.checker.timeline.now())
         return answers
-
-    def close_rest(self, calls, start):
-        """The connection ended with these calls unanswered."""
-        now = self.checker.timeline.now()
-        bounds = {it.attempt: min(it.deadline, self.operator.shortest_timeout[it.route] / 1000) for it in calls}
-        self.checker.closed(list(bounds), now, lambda attempt: now - start < 0.7 * bounds[attempt])
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -22,12 +22,15 @@
 class Request:
     """What a caller sent under one attempt id, and what became of it."""
 
-    def __init__(self, route, kind, method, path, body, entry, sent_at):
+    def __init__(self, route, kind, method, path, body, entry, sent_at, always_allowed=True):
         self.route, self.kind, self.method, self.path = route, kind, method, path
+        self.always_allowed = always_allowed  # Whether every configuration of the run has its route and key.
         self.digest = hashlib.sha256(body).digest()
         self.entry, self.sent_at = entry, sent_at
+        self.bound = float("inf")  # Seconds from its sending in which an answer is owed.
         self.runs = []
         self.promise = None
+        self.failed_at = None  # When an answer that promises nothing and bears no seal came.
 
 
 class Run:
@@ -65,6 +68,7 @@
         self.requests = {}
         self.violations = []
         self.counts = collections.Counter()
+        self.denied = []
 
     def violate(self, rule, attempt, text):
         it = Violation(rule, attempt, text)
@@ -100,6 +104,12 @@
                 self.violate("REFUSED", attempt, f"was answered {request.promise} and runs later at {target}")
         return run
 
+    def body_read_late(self, attempt, body):
+        """A target has read the body of a request that it had answered before."""
+        request = self.requests.get(attempt)
+        if request is None or hashlib.sha256(body).digest() != request.digest:
+            self.violate("UNASKED", attempt, "other bytes come where the rest of its body is due")
+
     def answered(self, attempt, response):
         """A caller receives a whole answer."""
         request, status, headers = self.requests[attempt], response.status, response.headers
@@ -110,6 +120,10 @@
         if "content-encoding" in headers:
             self.violate("MIXED", attempt, "gets an encoded body")
         self.check_seal(attempt, request, response)
+        if status >= 500 and status != 503 and "response-seal" not in headers:
+            request.failed_at = self.timeline.now()
+        if 300 <= status < 500 and status not in PROMISES and request.always_allowed:
+            self.denied.append(attempt)
         if request.kind == "unsafe" and status in PROMISES:
             request.promise = status
             if request.runs:
@@ -137,20 +151,35 @@
         if not data.startswith(b"HTTP/1.1 ") or data.startswith(b"HTTP/1.1 2"):
             self.violate("MIXED", "-", f"{entry} sends {data[:60]!r} on a connection with no request waiting")
 
-    def closed(self, attempts, now, in_time):
-        """A caller's connection ends with these requests, in their order, unanswered. `in_time(attempt)` tells whether deadline
-        and time-out of the route were still far. An answer that its target broke off ends the connection for all behind it."""
+    def closed(self, attempts, now):
+        """A caller's connection ends with these requests, in their order, unanswered. An answer that its target broke off ends
+        the connection for all behind it."""
         excused = False
         for it in attempts:
             request = self.requests[it]
             self.counts["no answer"] += 1
             self.timeline("closed", it, "by", request.entry)
             excused = excused or not all(run.clean for run in request.runs)
-            if excused or not request.runs or not in_time(it):
+            if excused or not request.runs or now - request.sent_at >= 0.7 * request.bound:
                 continue
             if self.planned(request.entry, request.sent_at, now) and not self.disturbed(request.entry, request.sent_at, now):
                 self.violate("LOST", it, f"ran at {request.runs[0].target}, and {request.entry} closed without an answer")
 
+    def check_denied(self):
+        """At the end of a run: some few proper requests may be ended with a 3xx or 4xx."""
+        if len(self.denied) > 5 + self.counts["requests"] / 500:
+            self.violate("DENIED", self.denied[0], f"and {len(self.denied) - 1} others are ended though they are allowed")
+
+    def check_replaced(self):
+        """At the end of a run: a planned stop may not cut a sound run and put an answer of its own in its place."""
+        for attempt, it in self.requests.items():
+            if it.failed_at is None or it.failed_at - it.sent_at >= 0.7 * it.bound:
+                continue
+            cut = [run for run in it.runs if run.cut_by_peer]
+            if cut and all(run.clean for run in it.runs) and self.planned(it.entry, it.sent_at, it.failed_at) \
+                    and not self.disturbed(it.entry, it.sent_at, it.failed_at):
+                self.violate("LOST", attempt, f"{it.entry} broke off its run at {cut[0].target} and answered itself")
+
     def given_up(self, attempt):
         self.counts["given up"] += 1
         self.timeline("given up", attempt)
--- a/tests/soak/configuration.py
+++ b/tests/soak/configuration.py
@@ -104,15 +104,19 @@
         if answer is None or answer.status != 200:
             return ["nothing comes when the configuration is read back"]
         lists = json.loads(answer.body)
-        lists = lists.get("Upsert", lists)
-        held = {it["Name"]: it for host in lists["Hosts"] for it in host["Paths"]}
-        held.update({it["Name"]: it for it in lists["Tenants"]})
-        wrong = []
-        for name, item in self.acknowledged.items():
-            if name not in held:
-                wrong.append(f"{name} is missing, version {item['Version']} was acknowledged")
-            elif held[name]["Version"] < item["Version"]:
-                wrong.append(f"{name} is at version {held[name]['Version']}, {item['Version']} was acknowledged")
-            elif held[name]["Version"] == item["Version"] and any(held[name].get(it) != item[it] for it in item):
-                wrong.append(f"{name} is not what was sent under version {item['Version']}")
-        return wrong
+        return differences(self.acknowledged, lists.get("Upsert", lists))
+
+
+def differences(acknowledged, lists):
+    """Returns what breaks the promise that acknowledged items stay: missing, older, or other content under their version."""
+    held = {it["Name"]: it for host in lists["Hosts"] for it in host["Paths"]}
+    held.update({it["Name"]: it for it in lists["Tenants"]})
+    wrong = []
+    for name, item in acknowledged.items():
+        if name not in held:
+            wrong.append(f"{name} is missing, version {item['Version']} was acknowledged")
+        elif held[name]["Version"] < item["Version"]:
+            wrong.append(f"{name} is at version {held[name]['Version']}, {item['Version']} was acknowledged")
+        elif held[name]["Version"] == item["Version"] and any(held[name].get(it) != item[it] for it in item):
+            wrong.append(f"{name} is not what was sent under version {item['Version']}")
+    return wrong
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,12 +12,15 @@
 
 # Weights of the kinds of a run. `planned` has no unplanned disruption, so that lost answers count.
 SHAPES = {
-    "targets": {"restart_target": 8, "crash_target": 2, "drain_target": 1, "reuse_address": 2, "reset_target": 1},
+    "targets": {"restart_target": 8, "crash_target": 2, "drain_target": 1, "reuse_address": 2, "reset_target": 1,
+                "cut_link": 2, "silence_link": 1, "trickle_link": 1},
+    "addresses": {"restart_target": 6, "reuse_address": 2, "crash_target": 1},
     "planned": {"term_entry": 4, "hup_entry": 2, "term_control": 1, "hup_control": 1, "restart_target": 4, "drain_target": 2,
                 "move_route": 2, "split_route": 1, "change_timeout": 1, "change_keys": 1},
     "mixed": {"term_entry": 3, "kill_entry": 2, "freeze_entry": 2, "hup_entry": 2, "term_control": 1, "kill_control": 1,
               "freeze_control": 1, "hup_control": 1, "restart_target": 6, "crash_target": 2, "drain_target": 1,
-              "reuse_address": 2, "reset_target": 2, "silence_target": 1, "move_route": 2, "split_route": 1,
+              "reuse_address": 2, "reset_target": 2, "silence_target": 1, "cut_link": 3, "silence_link": 2,
+              "trickle_link": 1, "move_route": 2, "split_route": 1,
               "change_timeout": 1, "change_keys": 1},
 }
 
@@ -64,6 +67,8 @@
             subject = rng.choice(self.fleet.entries if kind == "entry" else self.fleet.controls)
         elif kind in ("target", "address"):
             subject = rng.choice(self.targets)
+        elif kind == "link":
+            subject = rng.choice([it for it in self.targets if it.link is not None])
         else:
             subject = "operator"
         controls = sum(it in self.busy for it in self.fleet.controls)
@@ -145,6 +150,24 @@
     async def silence_target(self, target, rng):
         target.silent_until = asyncio.get_running_loop().time() + rng.uniform(0.2, 2)
 
+    async def cut_link(self, target, rng):
+        """All connections are reset after some bytes more of answers."""
+        target.disturb_link(1)
+        target.link.cut_after = rng.randrange(1, 2000)
+        await asyncio.sleep(1)
+
+    async def silence_link(self, target, rng):
+        seconds = rng.uniform(0.2, 2)
+        target.disturb_link(seconds + 1)
+        target.link.silent[rng.choice(["to", "from"])] = asyncio.get_running_loop().time() + seconds
+        await asyncio.sleep(seconds)
+
+    async def trickle_link(self, target, rng):
+        seconds = rng.uniform(0.5, 2)
+        target.disturb_link(seconds + 1)
+        target.link.trickles_until = asyncio.get_running_loop().time() + seconds
+        await asyncio.sleep(seconds)
+
     async def move_route(self, _, rng):
         await self.operator.change_route(rng.choice(list(self.operator.routes)), Service=rng.choice(SERVICES))
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -20,7 +20,7 @@
 }
 ZONES = {"kozep-a": "kozep", "kelet-a": "kelet", "nyugat-a": "nyugat", "kozep-b": "kozep", "kelet-b": "kelet"}
 PORTS = ["front", "ready", "control", "directory", "peer", "metrics", "list", "target"]
-LIST_HOST, FIRST_TARGET_HOST = 50, 101
+LIST_HOST, FIRST_TARGET_HOST, FIRST_HIDDEN_HOST = 50, 101, 201
 
 
 class CannotRun(Exception):
@@ -113,7 +113,8 @@
     def __init__(self, binary, folder, timeline, controls, entries, targets):
         self.binary, self.folder, self.timeline = binary, folder, timeline
         self.base = f"127.{random.randrange(10, 250)}.{random.randrange(1, 250)}"
-        numbers = [*range(1, controls + entries + 1), LIST_HOST, *range(FIRST_TARGET_HOST, FIRST_TARGET_HOST + targets)]
+        numbers = [*range(1, controls + entries + 1), LIST_HOST, *range(FIRST_TARGET_HOST, FIRST_TARGET_HOST + targets),
+                   *range(FIRST_HIDDEN_HOST, FIRST_HIDDEN_HOST + targets)]
         self.ports = dict(zip(PORTS, free_ports([f"{self.base}.{it}" for it in numbers], len(PORTS))))
         self.list = TargetList(f"{self.base}.{LIST_HOST}:{self.ports['list']}")
         self.seeds = []
@@ -130,6 +131,10 @@
     def target_address(self, number):
         return f"{self.base}.{FIRST_TARGET_HOST + number}:{self.ports['target']}"
 
+    def hidden_address(self, number):
+        """Where a target listens that is behind a link."""
+        return f"{self.base}.{FIRST_HIDDEN_HOST + number}:{self.ports['target']}"
+
     async def start(self):
         if not os.access(self.binary, os.X_OK):
             raise CannotRun(f"{self.binary} is no program")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -41,6 +41,8 @@
     if name == "large":
         return Shape("mixed", 5, 12, 18, 70, 0.2, 0.3)
     faults = rng.choice(list(SHAPES)) if name == "any" else name
+    if faults == "addresses":
+        return Shape(faults, 3, 4, 9, 40, 0.08, 0.1)
     return Shape(faults, 5 if rng.random() < 0.5 else 3, rng.choice([2, 4]), 9, rng.choice([20, 40]),
                  rng.choice([0.08, 0.15]), rng.choice([0.25, 0.5, 1.0]))
 
@@ -59,7 +61,8 @@
         self.checker = Checker(self.timeline, self.operator.allowed, self.fleet.planned_between, self.fleet.disturbed_between)
         zones = list(ZONES)[:3]  # One of each region, each with targets of every service.
         self.targets = [Target(self.fleet.target_address(n), SERVICES[n % 3], zones[n // 3 % 3], seed,
-                               self.checker, self.counts) for n in range(self.shape.targets)]
+                               self.checker, self.counts, self.fleet.hidden_address(n) if n % 3 == n // 3 % 3 else None)
+                        for n in range(self.shape.targets)]
         self.fleet.list.targets = self.targets
         self.callers = [Caller(n + 1, seed, self.fleet, self.operator, self.checker, self.shape.think)
                         for n in range(self.shape.callers)]
@@ -76,6 +79,8 @@
     async def load_and_judge(self):
         for it in self.targets:
             await it.start()
+            if it.link is not None:
+                await it.link.start()
         await self.fleet.start()
         first = self.operator.first()
         if await self.operator.accept(first, *first["Upsert"]["Tenants"], *first["Upsert"]["Hosts"][0]["Paths"]) is None:
@@ -96,6 +101,8 @@
         for it in done:
             it.result()
         await asyncio.sleep(SETTLE_S)
+        self.checker.check_denied()
+        self.checker.check_replaced()
         for it in await self.operator.read_back():
             self.checker.violate("CONFIG", "-", it)
         for it in self.fleet.vms:
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -3,13 +3,14 @@
 import collections
 import json
 import random
-import socket
-import struct
 
 import http1
 from checker import body_of
+from link import Link, reset
 
 COLUMNS = ["Service", "Addr", "Zone", "Version", "Slots", "State", "ColdLeftMs", "Id"]
+LONG_BODY = 50_000
+EARLY_REFUSALS = 0.2  # Share of the requests with a long body.
 HISTORY = 4  # Answers of a connection of which copies may come.
 
 
@@ -95,7 +96,11 @@
     async def serve(self):
         try:
             while not self.writer.is_closing():
-                message = await http1.read_request(self.reader)
+                message = await http1.read_head(self.reader)
+                if self.target.refuses_early(message):
+                    await self.target.refuse_early(self, message)
+                    continue
+                message.body = await http1.read_body(self.reader, message.headers)
                 if not await self.target.handle(self, message):
                     break
         except (http1.Cut, http1.Malformed, ConnectionError):
@@ -121,11 +126,7 @@
             self.writer.write(idle)
 
     def reset(self):
-        """Ends the connection so that the peer sees a reset."""
-        it = self.writer.get_extra_info("socket")
-        if it is not None and it.fileno() >= 0:
-            it.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self.writer.transport.abort()
+        reset(self.writer)
 
     async def work(self, seconds):
         """Waits while a request runs. Returns False if the peer closed the connection."""
@@ -139,10 +140,14 @@
 
 
 class Target:
-    """A target at one address. `restart` gives it a new id or service at the same address."""
+    """A target at one address. `restart` gives it a new id or service at the same address. With `behind`, an address of its own,
+    a link stands between it and the entry VMs."""
 
-    def __init__(self, address, service, zone, seed, checker, counts, slots=8):
+    def __init__(self, address, service, zone, seed, checker, counts, behind=None, slots=8):
         self.address, self.service, self.zone, self.slots = address, service, zone, slots
+        self.listens_at = behind or address
+        self.link = Link(address, behind) if behind else None
+        self.link_disturbed_until = 0.0
         self.rng = random.Random(f"{seed}/{address.split('.')[-1]}/{service}")
         self.checker, self.counts = checker, counts
         self.serial = 0
@@ -158,7 +163,7 @@
         return f"i-{self.address.split(':')[0].split('.')[-1]}-{self.serial}"
 
     async def start(self):
-        host, port = self.address.rsplit(":", 1)
+        host, port = self.listens_at.rsplit(":", 1)
         self.server = await asyncio.start_server(self.accept, host, int(port))
 
     async def accept(self, reader, writer):
@@ -182,10 +187,19 @@
 
     def reset_connections(self):
         """Resets all connections; what runs on them may end without an answer."""
+        self.excuse_runs()
         for it in list(self.connections):
+            it.reset()
+
+    def excuse_runs(self):
+        for it in self.connections:
             if it.run is not None:
                 it.run.clean = False
-            it.reset()
+
+    def disturb_link(self, seconds):
+        """Notes that answers may be lost on the link for that long."""
+        self.excuse_runs()
+        self.link_disturbed_until = asyncio.get_running_loop().time() + seconds
 
     async def handle(self, connection, message):
         """Answers one request. Returns whether the connection stays open."""
@@ -218,6 +232,18 @@
             self.running -= 1
             connection.run = None
 
+    def refuses_early(self, message):
+        return int(message.headers.get("content-length", 0)) > LONG_BODY and self.rng.random() < EARLY_REFUSALS
+
+    async def refuse_early(self, connection, message):
+        """Refuses a request before its body is read, keeps the connection, and reads the rest of the body later."""
+        attempt = message.headers.get("attempt-id", "")
+        self.counts["refusal early"] += 1
+        self.checker.timeline("refusal", attempt, "503 before the body by", self.id)
+        connection.writer.write(http1.encode_response(503, {"Attempt-Id": attempt, "Not-Executed": "1"}))
+        await asyncio.sleep(self.rng.uniform(0, 0.05))
+        self.checker.body_read_late(attempt, await http1.read_body(connection.reader, message.headers))
+
     async def run(self, connection, message, fields, trouble):
         status = {"own_500": 500, "own_503": 503, "own_429": 429, "own_504": 504}.get(trouble, 200)
         size = self.rng.choice([0, 40, 400, 400, 4000, 20000]) if self.rng.random() < 0.98 else 400_000
@@ -226,7 +252,8 @@
         if trouble:
             self.counts[f"trouble {trouble}"] += 1
             self.checker.timeline("trouble", run.attempt, trouble, "by", self.id)
-        run.clean = trouble not in ("lost", "broken_off", "until_close_cut", "nonsense")
+        sound_link = asyncio.get_running_loop().time() >= self.link_disturbed_until
+        run.clean = sound_link and trouble not in ("lost", "broken_off", "until_close_cut", "nonsense")
         if not await connection.work(self.rng.uniform(0.002, 0.03) + (0.4 if trouble == "slow" else 0)):
             run.cut_by_peer = True
             self.checker.timeline("dropped", run.attempt, "by", self.id, "as its connection was closed")
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -1,21 +1,34 @@
 """Feeds the checker records that break a rule, so that a check that can't fail is found without a fault in the system."""
 import collections
 import random
+import subprocess
 import unittest
 
 import http1
 from checker import Checker, Request, body_of
+from configuration import differences
+from fleet import Vm
 from targets import Copier
 
 ATTEMPT = "00010000002a"
 TARGET = "i-101-1"
 
 
+class NoTimeline:
+    """Drops what is noted."""
+
+    def __call__(self, *words):
+        pass
+
+    def now(self):
+        return 1.0
+
+
 class CheckerTest(unittest.TestCase):
     def setUp(self):
         self.now = 0.0
         self.planned = self.disturbed = False
-        self.checker = Checker(lambda *_: None, lambda _: {"alpha"}, lambda *_: self.planned, lambda *_: self.disturbed)
+        self.checker = Checker(NoTimeline(), lambda _: {"alpha"}, lambda *_: self.planned, lambda *_: self.disturbed)
 
     def send(self, kind="unsafe", attempt=ATTEMPT, body=b"x"):
         self.checker.sent(attempt, Request("write", kind, "POST", f"/write/{attempt}", body, "127.0.0.1", 0.0))
@@ -125,7 +138,9 @@
         self.run_at(attempt="unknown")
         for changed in ({"path": "/write/other"}, {"method": "PUT"}, {"body": b"y"}, {"tenant": "tenant2"}):
             self.run_at(**changed)
-        self.assertEqual(self.rules(), ["UNASKED"] * 5)
+        self.checker.body_read_late(ATTEMPT, b"x")
+        self.checker.body_read_late(ATTEMPT, b"HTTP/1.1")
+        self.assertEqual(self.rules(), ["UNASKED"] * 6)
 
     def test_foreign_service_breaks_route(self):
         """Fails if a service that no configuration allows may run a request."""
@@ -137,16 +152,18 @@
         """Fails if a planned stop may cut a request that a sound target ran."""
         self.send()
         run = self.run_at()
-        self.checker.closed([ATTEMPT], 1.0, lambda _: True)
+        self.checker.closed([ATTEMPT], 1.0)
         self.assertEqual(self.rules(), [])
         self.planned = True
-        self.checker.closed([ATTEMPT], 1.0, lambda _: True)
+        self.checker.closed([ATTEMPT], 1.0)
         self.assertEqual(self.rules(), ["LOST"])
-        self.checker.closed([ATTEMPT], 1.0, lambda _: False)
+        self.checker.requests[ATTEMPT].bound = 1.0
+        self.checker.closed([ATTEMPT], 1.0)
+        self.checker.requests[ATTEMPT].bound = 3.0
         self.disturbed = True
-        self.checker.closed([ATTEMPT], 1.0, lambda _: True)
+        self.checker.closed([ATTEMPT], 1.0)
         self.disturbed, run.clean = False, False
-        self.checker.closed([ATTEMPT], 1.0, lambda _: True)
+        self.checker.closed([ATTEMPT], 1.0)
         self.assertEqual(self.rules(), ["LOST"])
 
     def test_pipelined_requests_are_lost_unless_the_answer_before_them_was_broken_off(self):
@@ -155,20 +172,77 @@
         for n in "12":
             self.send("safe", n)
         first, _ = self.run_at(attempt="1"), self.run_at(attempt="2")
-        self.checker.closed(["1", "2"], 1.0, lambda _: True)
+        self.checker.closed(["1", "2"], 1.0)
         self.assertEqual(self.rules(), ["LOST"] * 2)
         first.clean = False
-        self.checker.closed(["1", "2"], 1.0, lambda _: True)
+        self.checker.closed(["1", "2"], 1.0)
         self.assertEqual(self.rules(), ["LOST"] * 2)
-        self.checker.closed(["2"], 1.0, lambda _: True)
+        self.checker.closed(["2"], 1.0)
         self.assertEqual(self.rules(), ["LOST"] * 3)
 
 
+    def test_own_answer_in_place_of_a_running_one_breaks_lost(self):
+        """Fails if a planned stop may break off a run and answer 502 itself."""
+        self.send()
+        run = self.run_at()
+        self.answer(502)
+        self.planned = True
+        self.checker.check_replaced()
+        self.assertEqual(self.rules(), [])
+        run.cut_by_peer = True
+        self.checker.check_replaced()
+        self.assertEqual(self.rules(), ["LOST"])
+        run.clean = False
+        self.checker.check_replaced()
+        self.assertEqual(self.rules(), ["LOST"])
+
+    def test_denied_requests_break_denied(self):
+        """Fails if allowed requests may be ended with a 4xx, or if a withdrawn key counts as allowed."""
+        for n in range(8):
+            self.checker.sent(str(n), Request("write", "safe", "GET", "/", b"", "127.0.0.1", 0.0, always_allowed=False))
+            self.answer(401, attempt=str(n))
+        self.checker.check_denied()
+        self.assertEqual(self.rules(), [])
+        for n in range(8, 16):
+            self.send(attempt=str(n))
+            self.answer(404, attempt=str(n))
+        self.checker.check_denied()
+        self.assertEqual(self.rules(), ["DENIED"])
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_lost_older_and_changed_items_are_found(self):
+        """Fails if an acknowledged item may be missing, go back, or change under its version."""
+        item = {"Name": "write", "Version": "00000009", "TimeoutMs": 100}
+
+        def found(*held):
+            return len(differences({"write": item}, {"Hosts": [{"Paths": list(held)}], "Tenants": []}))
+
+        self.assertEqual(found(item), 0)
+        self.assertEqual(found({**item, "Version": "0000000b", "TimeoutMs": 5}), 0)
+        self.assertEqual(found(), 1)
+        self.assertEqual(found({**item, "Version": "00000007"}), 1)
+        self.assertEqual(found({**item, "TimeoutMs": 5}), 1)
+
+
+class VmTest(unittest.TestCase):
+    def test_own_end_of_a_process_is_found(self):
+        """Fails if a process that ends by itself passes as running or as stopped."""
+        vm = Vm.__new__(Vm)
+        vm.stopping, vm.process = False, subprocess.Popen(["sleep", "10"])
+        self.assertFalse(vm.ended_by_itself())
+        vm.process.kill()
+        vm.process.wait()
+        self.assertTrue(vm.ended_by_itself())
+        vm.stopping = True
+        self.assertFalse(vm.ended_by_itself())
+
+
 class CopierTest(unittest.TestCase):
     def test_every_kind_of_copy_is_sent(self):
         """Fails if a kind of copy is listed but never played."""
         counts = collections.Counter()
-        copier = Copier(random.Random(1), counts, lambda *_: None)
+        copier = Copier(random.Random(1), counts, NoTimeline())
         sent = b""
         for _ in range(2000):
             at_once, idle = copier.copies_after(503, {"Attempt-Id": ATTEMPT, "Not-Executed": "1"}, b"HTTP/1.1 503 X\r\n\r\n")
