Play a power loss of all control VMs together with lost disks

Cause: the platform may take disks while all other machines lose power at the same moment. The tests of the group lost power and disks only one VM at a time, on a storage in memory that makes every rename durable. Change: MemberFleet runs on FileLogStorage and FaultFileSystem, whose power can be cut after any change of a file; creations, renames and removals that were not synced survive one by one, and in a third of the losses none does. The fleet checks in addition that a member that may answer reads holds every acknowledged command.

--- a/src/agreement/testing/FaultFileSystem.h
+++ b/src/agreement/testing/FaultFileSystem.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -25,17 +26,28 @@
     Next = fault;
   }
 
+  /// Makes all writes fail while the disk is full.
+  void setFull(bool full) { IsFull = full; }
+
+  /// Cuts the power after `operations` further changes: all later operations fail without effect
+  /// until `losePower`.
+  void cutPowerAfter(size_t operations) { ChangesLeft = operations; }
+
+  bool isPowerCut() const { return ChangesLeft && *ChangesLeft == 0; }
+
   /// Simulates a power loss: a random prefix of the unsynced bytes survives, possibly corrupted,
-  /// and an unsynced rename may or may not survive. Locks are released and injected errors cleared.
+  /// and each unsynced creation, rename and removal may or may not survive. After some power losses
+  /// nothing survives that was not synced. Locks are released and injected errors cleared.
   void losePower() {
-    for (auto &[path, file] : Durable)
-      if (Rng() % 2 == 0 && Names.count(path) != 0)
-        file = Names[path];
+    if (Rng() % 3 != 0)
+      keepSomeNames();
     Names = Durable;
     for (auto &[path, file] : Names)
       tearUnsynced(*file);
     Locked.clear();
     Next = Fault::None;
+    IsFull = false;
+    ChangesLeft.reset();
   }
 
   /// Returns the stored bytes of a file, for corruption by tests.
@@ -51,11 +63,15 @@
   }
 
   absl::StatusOr<std::unique_ptr<File>> create(const std::string &path) override {
+    if (!takeChange())
+      return powerCutError();
     Names[path] = std::make_shared<Inode>();
     return std::make_unique<MemoryFile>(*this, Names[path]);
   }
 
   absl::StatusOr<std::string> read(const std::string &path) override {
+    if (isPowerCut())
+      return powerCutError();
     auto it = Names.find(path);
     if (it == Names.end())
       return absl::NotFoundError(path);
@@ -63,17 +79,23 @@
   }
 
   absl::Status rename(const std::string &from, const std::string &to) override {
+    if (!takeChange())
+      return powerCutError();
     Names[to] = Names[from];
     Names.erase(from);
     return absl::OkStatus();
   }
 
   absl::Status remove(const std::string &path) override {
+    if (!takeChange())
+      return powerCutError();
     Names.erase(path);
     return absl::OkStatus();
   }
 
   absl::Status syncFolder(const std::string &path) override {
+    if (!takeChange())
+      return powerCutError();
     if (takeInjectedFault(Fault::SyncError))
       return absl::InternalError("fsync error");
     Durable = Names;
@@ -98,7 +120,9 @@
         : Files(files), Node(std::move(inode)) {}
 
     absl::StatusOr<size_t> write(std::string_view bytes) override {
-      if (Files.takeInjectedFault(Fault::DiskFull))
+      if (!Files.takeChange())
+        return powerCutError();
+      if (Files.IsFull || Files.takeInjectedFault(Fault::DiskFull))
         return absl::ResourceExhaustedError("disk full");
       size_t n = Files.takeInjectedFault(Fault::ShortWrite) ? bytes.size() / 2 : bytes.size();
       if (n < bytes.size())
@@ -108,6 +132,8 @@
     }
 
     absl::Status sync() override {
+      if (!Files.takeChange())
+        return powerCutError();
       if (Files.takeInjectedFault(Fault::SyncError))
         return absl::InternalError("fsync error");
       Node->Synced = Node->Bytes.size();
@@ -118,6 +144,31 @@
     std::shared_ptr<Inode> Node;
   };
 
+  static absl::Status powerCutError() { return absl::UnavailableError("the power is cut"); }
+
+  /// Returns false if the power is cut.
+  bool takeChange() {
+    if (isPowerCut())
+      return false;
+    if (ChangesLeft)
+      --*ChangesLeft;
+    return true;
+  }
+
+  /// Makes a random part of the changes of names durable that were not synced.
+  void keepSomeNames() {
+    std::map<std::string, std::shared_ptr<Inode>> all = Durable;
+    all.insert(Names.begin(), Names.end());
+    for (const auto &[path, file] : all) {
+      if (Rng() % 2 == 0)
+        continue;
+      if (auto it = Names.find(path); it != Names.end())
+        Durable[path] = it->second;
+      else
+        Durable.erase(path);
+    }
+  }
+
   bool takeInjectedFault(Fault fault) {
     if (Next != fault)
       return false;
@@ -145,6 +196,8 @@
   std::set<std::string> Locked;
   size_t Remaining = 0;
   Fault Next = Fault::None;
+  bool IsFull = false;
+  std::optional<size_t> ChangesLeft; ///< Changes until the power is cut.
 };
 
 } // namespace briarspar::agreement::testing
--- a/src/agreement/testing/MemberFleet.h
+++ b/src/agreement/testing/MemberFleet.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "agreement/FileLogStorage.h"
 #include "agreement/GroupMember.h"
 #include "agreement/testing/Cluster.h"
+#include "agreement/testing/FaultFileSystem.h"
 
 #include <algorithm>
 #include <deque>
@@ -15,15 +17,18 @@
 
 namespace briarspar::agreement::testing {
 
-/// Control VMs over a FaultNetwork in simulated time. VMs are killed, frozen, cut off, replaced by
-/// VMs with another id, and lose their disks; disks fill and stall. Checks after every step that a
-/// term has at most one leader, that all state machines apply the same sequence, that every
-/// acknowledged command is in it, and that a leader changes one voter at a time.
+/// Control VMs with files on simulated disks, over a FaultNetwork in simulated time. VMs are
+/// killed, frozen, cut off, replaced by VMs with another id, and lose power or their disks; disks
+/// fill and stall. Checks after every step that a term has at most one leader, that all state
+/// machines apply the same sequence, that a member which may answer reads holds every acknowledged
+/// command, and that a leader changes one voter at a time.
 class MemberFleet {
 public:
   struct Vm {
     core::VmId Id;
-    std::unique_ptr<MemoryLogStorage> Storage;
+    std::unique_ptr<FaultFileSystem> Disk;
+    bool Founds = false; ///< Has not lost its disk since the group was created by it and others.
+    std::unique_ptr<FileLogStorage> Storage; ///< Null while the process is down.
     std::unique_ptr<ListStateMachine> Machine;
     std::unique_ptr<GroupMember> Process; ///< Null while the process is down.
     size_t CheckedLength = 0; ///< Number of commands already compared with AppliedSequence.
@@ -32,29 +37,36 @@
   };
 
   /// Starts `count` VMs at the same moment, of which the first three are the seeds.
-  MemberFleet(uint32_t count, uint64_t seed) : Random(seed), Net(seed, {}) {
+  MemberFleet(uint32_t count, uint64_t seed, const GroupMemberSettings &settings = {})
+      : Settings(settings), Random(seed), Net(seed, {}) {
     std::set<VoterId> initial;
     for (uint32_t n = 0; n < SeedCount; ++n)
       initial.insert({idOf(n), InitialData});
-    Configuration first = makeConfiguration(initial);
+    First = makeConfiguration(initial);
     for (uint32_t n = 0; n < count; ++n) {
-      bool isSeed = n < SeedCount;
       Vm &vm = Vms.emplace_back();
       vm.Id = idOf(n);
-      VoterId self{vm.Id, isSeed ? InitialData : core::Incarnation(wallClockMs())};
-      vm.Storage =
-          std::make_unique<MemoryLogStorage>(Identity{Group, self}, isSeed ? &first : nullptr);
+      vm.Founds = n < SeedCount;
+      vm.Disk = std::make_unique<FaultFileSystem>(Random.next());
     }
     for (uint32_t n = 0; n < count; ++n)
       start(n);
   }
 
+  /// Kills the process. Its files stay as they are.
   void kill(uint32_t n) {
     Vms[n].Process.reset();
-    Vms[n].Storage->crash();
+    Vms[n].Storage.reset();
+    Vms[n].Disk->setFull(false);
     Net.setDown(n, true);
   }
 
+  /// Ends the process by a loss of power. What was not synced may be missing afterwards.
+  void losePower(uint32_t n) {
+    kill(n);
+    Vms[n].Disk->losePower();
+  }
+
   void start(uint32_t n) {
     Vm &vm = Vms[n];
     if (vm.Process != nullptr || vm.Gone)
@@ -62,25 +74,30 @@
     Net.setDown(n, false);
     vm.Machine = std::make_unique<ListStateMachine>();
     vm.CheckedLength = 0;
-    GroupMemberSettings settings = Settings;
-    settings.Vm = vm.Id;
-    vm.Process = std::make_unique<GroupMember>(settings, *vm.Storage, *vm.Machine, Random);
-    vm.Process->setSeeds(seeds());
-    if (absl::Status status = vm.Process->open(Clock.now()); !status.ok())
-      throw InvariantViolation("open failed: " + std::string(status.message()));
+    absl::Status status = openStorage(vm);
+    if (status.ok())
+      status = openMember(vm);
+    if (status.ok())
+      return;
+    vm.Process.reset();
+    vm.Storage.reset();
+    if (!vm.Disk->isPowerCut())
+      throw InvariantViolation("start failed: " + std::string(status.message()));
   }
 
   /// Kills the process and deletes its data.
   void wipe(uint32_t n) {
     kill(n);
-    initialize(n);
+    Vms[n].Disk = std::make_unique<FaultFileSystem>(Random.next());
+    Vms[n].Founds = false;
   }
 
   /// Adds a VM with an empty disk and returns its number.
   uint32_t add() {
     auto n = static_cast<uint32_t>(Vms.size());
-    Vms.emplace_back().Id = idOf(n);
-    initialize(n);
+    Vm &vm = Vms.emplace_back();
+    vm.Id = idOf(n);
+    vm.Disk = std::make_unique<FaultFileSystem>(Random.next());
     start(n);
     return n;
   }
@@ -107,9 +124,7 @@
     }
   }
 
-  void setDiskFull(uint32_t n, bool full) {
-    Vms[n].Storage->setFailure(full ? absl::ResourceExhaustedError("disk full") : absl::OkStatus());
-  }
+  void setDiskFull(uint32_t n, bool full) { Vms[n].Disk->setFull(full); }
 
   /// Proposes the next command at every member that has the leader role.
   void propose() {
@@ -196,6 +211,7 @@
 
   static constexpr uint32_t SeedCount = 3;
   static constexpr uint32_t MaxVms = 64;
+  static constexpr const char *Folder = "data";
   const GroupId Group{"g"};
   GroupMemberSettings Settings;
   SeededRandomSource Random;
@@ -214,9 +230,29 @@
     return static_cast<uint32_t>(std::stoul(vm.Value.substr(1)));
   }
 
-  void initialize(uint32_t n) {
-    VoterId self{Vms[n].Id, core::Incarnation(wallClockMs())};
-    Vms[n].Storage = std::make_unique<MemoryLogStorage>(Identity{Group, self}, nullptr);
+  /// Opens the files of a VM, or creates them on an empty disk.
+  absl::Status openStorage(Vm &vm) {
+    auto storage = FileLogStorage::open(*vm.Disk, Folder);
+    if (absl::IsNotFound(storage.status())) {
+      VoterId self{vm.Id, vm.Founds ? InitialData : core::Incarnation(wallClockMs())};
+      absl::Status status =
+          FileLogStorage::initialize(*vm.Disk, Folder, {Group, self}, vm.Founds ? &First : nullptr);
+      if (!status.ok())
+        return status;
+      storage = FileLogStorage::open(*vm.Disk, Folder);
+    }
+    if (!storage.ok())
+      return storage.status();
+    vm.Storage = *std::move(storage);
+    return absl::OkStatus();
+  }
+
+  absl::Status openMember(Vm &vm) {
+    GroupMemberSettings settings = Settings;
+    settings.Vm = vm.Id;
+    vm.Process = std::make_unique<GroupMember>(settings, *vm.Storage, *vm.Machine, Random);
+    vm.Process->setSeeds(seeds());
+    return vm.Process->open(Clock.now());
   }
 
   /// The wall clock starts long before the simulation.
@@ -263,6 +299,7 @@
   void executeActions(uint32_t n) {
     MemberActions actions = Vms[n].Process->takeActions();
     checkSequence(Vms[n]);
+    checkReads(Vms[n]);
     for (const Envelope &it : actions.Log.Messages)
       Net.send(n, indexOf(it.To.Vm), encodeEnvelope(it), Clock.now());
     for (const MembershipMessage &it : actions.Membership)
@@ -299,11 +336,18 @@
     auto it = Pending.find({n, result.Index.Value});
     if (it == Pending.end())
       throw InvariantViolation("result without a pending proposal");
-    if (result.Answer.ok())
+    if (result.Answer.ok()) {
       Acknowledged.push_back(it->second);
+      AcknowledgedLength = std::max<size_t>(AcknowledgedLength, std::stoul(*result.Answer));
+    }
     Pending.erase(it);
   }
 
+  void checkReads(const Vm &vm) {
+    if (vm.Process->isLeading(Clock.now()) && vm.Machine->Commands.size() < AcknowledgedLength)
+      throw InvariantViolation("a leader lacks acknowledged commands");
+  }
+
   void checkSequence(Vm &vm) {
     const std::vector<std::string> &commands = vm.Machine->Commands;
     vm.CheckedLength = std::min(vm.CheckedLength, commands.size());
@@ -320,6 +364,8 @@
   std::map<core::Term, std::set<VoterId>> VotersOfTerm;
   std::map<std::pair<uint32_t, uint64_t>, std::string> Pending;
   size_t Proposed = 0;
+  size_t AcknowledgedLength = 0; ///< Length of the sequence up to the last acknowledged command.
+  Configuration First;
 };
 
 } // namespace briarspar::agreement::testing
