Let a VM without state join through those that send to its old identity

Operators would see: after two control VMs lost their disks, the group goes on with three voters of five and never has five again, if the settings of the two name only each other and a VM that was replaced. Cause: a VM without state asked its seeds only. Change: it asks the senders of messages to its earlier identity, too, which the leader keeps sending.

--- a/src/agreement/GroupMember.cpp
+++ b/src/agreement/GroupMember.cpp
@@ -66,6 +66,10 @@
   // A removed voter that is back asks for votes before it asks to be added.
   if (answerRetired(envelope.From))
     return;
+  // A VM that lost its disk learns the members from messages to its earlier identity, since its
+  // seeds may all be without state.
+  if (envelope.To != Instance->self())
+    LastMembers.insert(envelope.From.Vm);
   Instance->receive(envelope, now);
 }
 
--- a/src/agreement/GroupMember.h
+++ b/src/agreement/GroupMember.h
@@ -107,7 +107,8 @@
   const std::string EmptyState; ///< Snapshot of the state machine without any command.
   std::unique_ptr<Replica> Instance;
   std::vector<core::VmId> Seeds;
-  std::set<core::VmId> LastMembers; ///< Members that earlier identities of this process knew.
+  /// Members that know an earlier identity of this VM, or were known to it.
+  std::set<core::VmId> LastMembers;
   core::Time LastReopen;
   core::Time LastJoin;
   core::Time LastLeader; ///< When a leader was last known, or this member led.
--- a/src/agreement/testing/MemberFleet.h
+++ b/src/agreement/testing/MemberFleet.h
@@ -219,6 +219,7 @@
   core::testing::FaultNetwork<std::variant<std::string, MembershipMessage>> Net;
   std::deque<Vm> Vms;
   core::Duration WallClockStep;             ///< By how much the wall clocks have been set forward.
+  std::vector<uint32_t> Seeds;              ///< VMs that the settings name, if not empty.
   std::vector<std::string> AppliedSequence; ///< Commands in order of application.
   std::vector<std::string> Acknowledged;
 
@@ -260,9 +261,13 @@
     return static_cast<uint64_t>(1'000'000 + Clock.now().Ms + WallClockStep.Ms);
   }
 
-  /// The platform names three VMs that exist.
+  /// Unless set, the platform names three VMs that exist.
   std::vector<core::VmId> seeds() const {
     std::vector<core::VmId> out;
+    for (uint32_t n : Seeds)
+      out.push_back(idOf(n));
+    if (!out.empty())
+      return out;
     for (const Vm &it : Vms)
       if (!it.Gone && out.size() < SeedCount)
         out.push_back(it.Id);
--- a/src/agreement/tests/PowerLossTest.cpp
+++ b/src/agreement/tests/PowerLossTest.cpp
@@ -212,3 +212,22 @@
     cr_assert_not(fleet.acknowledgesWithin({20'000}));
   }
 }
+
+/// Guards against VMs that stay out of the group after they lost their disks, because no seed of
+/// theirs is a member.
+Test(PowerLoss, vmsWhoseSeedsHaveNoStateRejoin) {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    MemberFleet fleet(5, seed);
+    fleet.run(JoinTime);
+    fleet.remove(0);
+    fleet.run({1000});
+    fleet.add();
+    fleet.Seeds = {0, 1, 2};
+    losePowerEverywhere(fleet);
+    fleet.wipe(1);
+    fleet.wipe(2);
+    for (uint32_t n = 1; n < fleet.Vms.size(); ++n)
+      fleet.start(n);
+    checkService(fleet);
+  }
+}
