Make a data folder durable that the process creates

Cause: the first start may create its data folder. The files in it were synced, their folder's entry in the parent was not, so a power loss could take the voter's whole state, with all that it had acknowledged. A folder that exists already, as on the platform, is not affected. Change: initialize syncs the parent of a folder that it has created. FaultFileSystem loses a folder whose parent was not synced. Not covered: a process that is killed between the two steps finds the folder there and does not sync its parent.

--- a/src/agreement/FileLogStorage.cpp
+++ b/src/agreement/FileLogStorage.cpp
@@ -4,6 +4,7 @@
 #include "agreement/Cbor.h"
 #include "agreement/RecordFile.h"
 
+#include <filesystem>
 #include <utility>
 
 namespace briarspar::agreement {
@@ -186,13 +187,23 @@
   return absl::OkStatus();
 }
 
+/// Creates a folder that survives a power loss. One that exists is left as it is: its parent may be
+/// out of reach.
+absl::Status createDurableFolder(FileSystem &files, const std::string &folder) {
+  absl::StatusOr<bool> created = files.createFolder(folder);
+  if (!created.ok() || !*created)
+    return created.status();
+  std::string parent = std::filesystem::path(folder).parent_path();
+  return files.syncFolder(parent.empty() ? "." : parent);
+}
+
 } // namespace
 
 absl::Status FileLogStorage::initialize(FileSystem &files, const std::string &folder,
                                         const Identity &owner, const Configuration *first) {
   if (first != nullptr && !first->isVoter(owner.Self))
     return absl::InvalidArgumentError("the first configuration does not list this voter");
-  if (absl::Status status = files.createFolder(folder); !status.ok())
+  if (absl::Status status = createDurableFolder(files, folder); !status.ok())
     return status;
   absl::StatusOr<std::unique_ptr<FolderLock>> lock = files.lockFolder(folder);
   if (!lock.ok())
--- a/src/agreement/FileSystem.h
+++ b/src/agreement/FileSystem.h
@@ -34,8 +34,9 @@
 public:
   virtual ~FileSystem() = default;
 
-  /// Creates a folder if it is missing; its parent must exist.
-  virtual absl::Status createFolder(const std::string &path) = 0;
+  /// Creates a folder if it is missing and returns whether it was; its parent must exist. Durable
+  /// after `syncFolder` of the parent.
+  virtual absl::StatusOr<bool> createFolder(const std::string &path) = 0;
 
   /// Returns FailedPrecondition when another process holds the lock.
   virtual absl::StatusOr<std::unique_ptr<FolderLock>> lockFolder(const std::string &path) = 0;
--- a/src/agreement/PosixFileSystem.cpp
+++ b/src/agreement/PosixFileSystem.cpp
@@ -75,10 +75,12 @@
 
 } // namespace
 
-absl::Status PosixFileSystem::createFolder(const std::string &path) {
-  if (::mkdir(path.c_str(), FolderMode) != 0 && errno != EEXIST)
-    return errnoStatus(errno, "mkdir", path);
-  return absl::OkStatus();
+absl::StatusOr<bool> PosixFileSystem::createFolder(const std::string &path) {
+  if (::mkdir(path.c_str(), FolderMode) == 0)
+    return true;
+  if (errno == EEXIST)
+    return false;
+  return errnoStatus(errno, "mkdir", path);
 }
 
 absl::StatusOr<std::unique_ptr<FolderLock>> PosixFileSystem::lockFolder(const std::string &path) {
--- a/src/agreement/PosixFileSystem.h
+++ b/src/agreement/PosixFileSystem.h
@@ -7,7 +7,7 @@
 /// FileSystem of the operating system.
 class PosixFileSystem final : public FileSystem {
 public:
-  absl::Status createFolder(const std::string &path) override;
+  absl::StatusOr<bool> createFolder(const std::string &path) override;
   absl::StatusOr<std::unique_ptr<FolderLock>> lockFolder(const std::string &path) override;
   absl::StatusOr<std::unique_ptr<File>> create(const std::string &path) override;
   absl::StatusOr<std::string> read(const std::string &path) override;
--- a/src/agreement/testing/FaultFileSystem.h
+++ b/src/agreement/testing/FaultFileSystem.h
@@ -12,7 +12,8 @@
 
 namespace briarspar::agreement::testing {
 
-/// In-memory FileSystem with injected errors and power loss. Data is durable only once synced.
+/// In-memory FileSystem with one data folder, injected errors and power loss. Data is durable only
+/// once synced.
 class FaultFileSystem final : public FileSystem {
 public:
   enum class Fault { None, DiskFull, ShortWrite, SyncError };
@@ -37,13 +38,17 @@
 
   /// Simulates a power loss: a random prefix of the unsynced bytes survives, possibly corrupted,
   /// and each unsynced creation, rename and removal may or may not survive. After some power losses
-  /// nothing survives that was not synced. Locks are released and injected errors cleared.
+  /// nothing survives that was not synced. A folder that is not durable is lost. Locks are released
+  /// and injected errors cleared.
   void losePower() {
     if (Rng() % 3 != 0)
       keepSomeNames();
     Names = Durable;
+    for (const std::string &folder : UnsyncedFolders)
+      loseFolder(folder);
     for (auto &[path, file] : Names)
       tearUnsynced(*file);
+    UnsyncedFolders.clear();
     Locked.clear();
     Next = Fault::None;
     IsFull = false;
@@ -54,7 +59,14 @@
   std::string &content(const std::string &path) { return Names.at(path)->Bytes; }
   void erase(const std::string &path) { Names.erase(path); }
 
-  absl::Status createFolder(const std::string &path) override { return absl::OkStatus(); }
+  absl::StatusOr<bool> createFolder(const std::string &path) override {
+    if (!takeChange())
+      return powerCutError();
+    bool isNew = Folders.insert(path).second;
+    if (isNew)
+      UnsyncedFolders.insert(path);
+    return isNew;
+  }
 
   absl::StatusOr<std::unique_ptr<FolderLock>> lockFolder(const std::string &path) override {
     if (!Locked.insert(path).second)
@@ -98,7 +110,10 @@
       return powerCutError();
     if (takeInjectedFault(Fault::SyncError))
       return absl::InternalError("fsync error");
-    Durable = Names;
+    if (Folders.count(path) != 0)
+      Durable = Names;
+    else
+      UnsyncedFolders.clear();
     return absl::OkStatus();
   }
 
@@ -155,6 +170,13 @@
     return true;
   }
 
+  void loseFolder(const std::string &folder) {
+    Folders.erase(folder);
+    for (auto it = Names.begin(); it != Names.end();)
+      it = it->first.rfind(folder + "/", 0) == 0 ? Names.erase(it) : std::next(it);
+    Durable = Names;
+  }
+
   /// Makes a random part of the changes of names durable that were not synced.
   void keepSomeNames() {
     std::map<std::string, std::shared_ptr<Inode>> all = Durable;
@@ -193,6 +215,8 @@
   pcg32 Rng;
   std::map<std::string, std::shared_ptr<Inode>> Names;
   std::map<std::string, std::shared_ptr<Inode>> Durable;
+  std::set<std::string> Folders;
+  std::set<std::string> UnsyncedFolders; ///< Folders whose parent was not synced since.
   std::set<std::string> Locked;
   size_t Remaining = 0;
   Fault Next = Fault::None;
--- a/src/agreement/tests/FileLogStorageTest.cpp
+++ b/src/agreement/tests/FileLogStorageTest.cpp
@@ -173,6 +173,17 @@
   }
 }
 
+/// Guards against the loss of a data folder that the process has created itself, with all that it
+/// acknowledged.
+Test(FileLogStorage, createdFolderSurvivesPowerLoss) {
+  FaultFileSystem files;
+  storageWith(files, 3).reset();
+  files.losePower();
+  absl::StatusOr<StoredState> state = openStorage(files)->load();
+  cr_assert(state.ok(), "%s", state.status().ToString().c_str());
+  cr_assert_eq(state->Entries.size(), 4);
+}
+
 /// Guards against a new identity that is found with state of the old one, and against a folder that
 /// a power loss during the change makes unreadable.
 Test(FileLogStorage, renewedIdentityHasNoState) {
