Set wall clocks off in the outages of the control group

Cause: a VM without state takes its new identity from the wall clock, which may be back after a power loss. Change: the outages of PowerLoss set it 30 s forward or back.

--- a/src/agreement/tests/PowerLossTest.cpp
+++ b/src/agreement/tests/PowerLossTest.cpp
@@ -25,6 +25,7 @@
   std::vector<int64_t> StartAt; ///< Ms after the outage at which each VM is back.
   int64_t After = 0;            ///< Ms from the proposal of the last command to the outage.
   int64_t Again = 0;            ///< Ms until all lose power once more, if not 0.
+  int64_t ClockStep = 0;        ///< Ms by which the wall clocks are off after the outage.
   bool Replaces = false;        ///< A VM is replaced by a new one some time before.
 };
 
@@ -38,7 +39,7 @@
   os << ", start";
   for (int64_t ms : it.StartAt)
     os << ' ' << ms;
-  return os << ", after " << it.After << ", again " << it.Again
+  return os << ", after " << it.After << ", again " << it.Again << ", clock " << it.ClockStep
             << (it.Replaces ? ", replaces" : "");
 }
 
@@ -57,6 +58,7 @@
     }
     out.After = *rc::gen::inRange<int64_t>(0, 120);
     out.Again = *rc::gen::arbitrary<bool>() ? 0 : *rc::gen::inRange<int64_t>(1, 2500);
+    out.ClockStep = *rc::gen::element<int64_t>(0, 0, -30'000, 30'000);
     out.Replaces = *rc::gen::inRange(0, 3) == 0;
     return out;
   });
@@ -76,6 +78,7 @@
     Fleet.propose();
     Fleet.run({outage.After});
     losePower(vms);
+    Fleet.WallClockStep = {outage.ClockStep};
     size_t lost = 0;
     for (uint32_t k : outage.Order)
       if (k < vms.size() && lost < std::min<size_t>(outage.LostDisks, BorneLosses)) {
