--- a/tests/soak/http1.py
+++ b/tests/soak/http1.py
@@ -109,8 +109,9 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
-def encode_response(status, headers, body=b"", framing="length"):
-    return encode(f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}", headers, body, framing)
+def encode_response(status, headers, body=b"", framing="length", reason=None):
+    reason = REASONS.get(status, "Status") if reason is None else reason
+    return encode(f"HTTP/1.1 {status} {reason}", headers, body, framing)
 
 
 async def call(address, method, path, body=None, timeout=1.0):
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -11,6 +11,7 @@
 COLUMNS = ["Service", "Addr", "Zone", "Version", "Slots", "State", "ColdLeftMs", "Id"]
 LONG_BODY = 50_000
 EARLY_REFUSALS = 0.2  # Share of the requests with a long body.
+REASONS = [None, None, "", "Done: at once", "a/b 1.1 200"]
 HISTORY = 4  # Answers of a connection of which copies may come.
 
 
@@ -30,8 +31,10 @@
         return None
 
 
-COPIES = Troubles(at_once=0.02, before_next=0.08, pieces=0.03, twice=0.03, other_status=0.04, after_answer=0.02, cut=0.05, idle=0.02)
-REFUSAL_COPIES = Troubles(at_once=0.03, before_next=0.4, pieces=0.1, twice=0.1, other_status=0.1, cut=0.1, idle=0.03)
+COPIES = Troubles(at_once=0.02, before_next=0.08, pieces=0.03, twice=0.03, other_status=0.04, after_answer=0.02, cut=0.05, cut_at_once=0.02,
+                 idle=0.02)
+REFUSAL_COPIES = Troubles(at_once=0.03, before_next=0.4, pieces=0.1, twice=0.1, other_status=0.1, cut=0.1, cut_at_once=0.04,
+                         idle=0.03)
 FAILURES = Troubles(own_500=0.01, own_503=0.01, own_429=0.004, own_504=0.003, lost=0.01, broken_off=0.01, nonsense=0.004,
                     close=0.02, until_close=0.01, until_close_cut=0.004, refuse=0.04, slow=0.02)
 
@@ -51,6 +54,11 @@
             headers["Not-Executed"] = "1"
         return http1.encode_response(other, headers)
 
+    def cut(self, data):
+        """Returns the beginning of an answer, which mostly ends within its head."""
+        end = data.index(b"\r\n\r\n") + 4 if self.rng.random() < 0.8 else len(data)
+        return data[:self.rng.randrange(1, end)]
+
     def copies_after(self, status, headers, data):
         """Called with each answer. Returns (bytes to send at once, bytes to send when the connection is idle)."""
         kind = (REFUSAL_COPIES if "Not-Executed" in headers else COPIES).draw(self.rng)
@@ -74,8 +82,9 @@
         elif kind == "after_answer":
             at_once = self.rng.choice(self.history)
         elif kind == "cut":
-            end = data.index(b"\r\n\r\n") + 4 if self.rng.random() < 0.8 else len(data)
-            self.waiting = [data[:self.rng.randrange(1, end)]]
+            self.waiting = [self.cut(data)]
+        elif kind == "cut_at_once":
+            at_once = self.cut(data)
         elif kind == "idle":
             idle = data
         return at_once, idle
@@ -112,7 +121,7 @@
         """Sends an answer and the copies that are due around it."""
         if self.target.rng.random() < 0.5:  # The id may be the first or the last header.
             headers = dict(reversed(headers.items()))
-        data = http1.encode_response(status, headers, body, framing)
+        data = http1.encode_response(status, headers, body, framing, self.target.rng.choice(REASONS))
         waiting = self.copier.take_waiting()
         for it in waiting:
             self.writer.write(it)
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -7,6 +7,7 @@
 import http1
 from checker import Checker, Request, body_of
 from configuration import differences
+from faults import plan
 from fleet import Vm
 from targets import Copier
 
@@ -238,6 +239,18 @@
         self.assertFalse(vm.ended_by_itself())
 
 
+class PlanTest(unittest.TestCase):
+    def test_seed_repeats_its_faults(self):
+        """Fails if a seed that broke a rule can't be played again, or if all seeds play the same."""
+
+        def played(seed):
+            return [(str(it), it.seed) for it in plan(seed, "mixed", 15, 0.3)]
+
+        self.assertEqual(played(7), played(7))
+        self.assertNotEqual(played(7), played(8))
+        self.assertGreater(len(played(7)), 10)
+
+
 class CopierTest(unittest.TestCase):
     def test_every_kind_of_copy_is_sent(self):
         """Fails if a kind of copy is listed but never played."""
@@ -250,7 +263,7 @@
             copier.copies_after(200, {"Attempt-Id": ATTEMPT}, b"HTTP/1.1 200 OK\r\n\r\n")
             sent += b"".join(copier.take_waiting())
         self.assertEqual({it[5:] for it in counts},
-                         {"at_once", "before_next", "pieces", "twice", "other_status", "after_answer", "cut", "idle"})
+                         {"at_once", "before_next", "pieces", "twice", "other_status", "after_answer", "cut", "cut_at_once", "idle"})
         self.assertGreater(len(sent), 1000)
 
 
