--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -136,7 +136,7 @@
         run = Run(seed, options, folder)
         asyncio.run(asyncio.wait_for(run.play(), options.seconds + 90))
     except Exception as it:  # Whatever else goes wrong is no verdict about the rules.
-        traceback.print_exc(file=open(folder / "error.txt", "w", encoding="utf-8"))
+        (folder / "error.txt").write_text(traceback.format_exc())
         error = f"{type(it).__name__}: {it}"
     finally:
         if run is not None:
@@ -146,9 +146,8 @@
     rules = [it.rule for it in run.checker.violations] if run is not None else []
     if error:
         line += f" (DID NOT FINISH: {error})"
-    else:
-        if not run.served():
-            rules.append("NOTHING SERVED")
+    elif not run.served():
+        rules.append("NOTHING SERVED")
     if rules or error:
         shown = "".join(f"\n    {it}" for it in run.checker.violations[:8]) if run is not None else ""
         line += f"{shown}\n    kept: {folder}"
@@ -174,6 +173,8 @@
     parser.add_argument("--keep-all", action="store_true", help="keep the folders of all seeds")
     options = parser.parse_args()
     options.binary = options.binary.resolve()
+    if options.keep:
+        pathlib.Path(options.keep).mkdir(parents=True, exist_ok=True)
     total, unfinished = collections.Counter(), 0
     with concurrent.futures.ProcessPoolExecutor(options.parallel) as pool:
         for line, rules in pool.map(play_seed, options.seeds, [options] * len(options.seeds)):
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -31,8 +31,8 @@
         return None
 
 
-COPIES = Troubles(at_once=0.02, before_next=0.08, pieces=0.03, twice=0.03, other_status=0.04, after_answer=0.02, cut=0.05, cut_at_once=0.02,
-                 idle=0.02)
+COPIES = Troubles(at_once=0.02, before_next=0.08, pieces=0.03, twice=0.03, other_status=0.04, after_answer=0.02, cut=0.05,
+                 cut_at_once=0.02, idle=0.02)
 REFUSAL_COPIES = Troubles(at_once=0.03, before_next=0.4, pieces=0.1, twice=0.1, other_status=0.1, cut=0.1, cut_at_once=0.04,
                          idle=0.03)
 FAILURES = Troubles(own_500=0.01, own_503=0.01, own_429=0.004, own_504=0.003, lost=0.01, broken_off=0.01, nonsense=0.004,
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -258,12 +258,14 @@
         copier = Copier(random.Random(1), counts, NoTimeline())
         sent = b""
         for _ in range(2000):
-            at_once, idle = copier.copies_after(503, {"Attempt-Id": ATTEMPT, "Not-Executed": "1"}, b"HTTP/1.1 503 X\r\n\r\n")
+            refusal = {"Attempt-Id": ATTEMPT, "Not-Executed": "1"}
+            at_once, idle = copier.copies_after(503, refusal, b"HTTP/1.1 503 X\r\n\r\n")
             sent += at_once + idle + b"".join(copier.take_waiting())
             copier.copies_after(200, {"Attempt-Id": ATTEMPT}, b"HTTP/1.1 200 OK\r\n\r\n")
             sent += b"".join(copier.take_waiting())
-        self.assertEqual({it[5:] for it in counts},
-                         {"at_once", "before_next", "pieces", "twice", "other_status", "after_answer", "cut", "cut_at_once", "idle"})
+        self.assertEqual({it[len("copy "):] for it in counts},
+                         {"at_once", "before_next", "pieces", "twice", "other_status", "after_answer",
+                          "cut", "cut_at_once", "idle"})
         self.assertGreater(len(sent), 1000)
 
 
