--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -7,6 +7,7 @@
 import http1
 from checker import Checker, Request, body_of
 from configuration import differences
+from faults import plan
 from fleet import Vm
 from targets import Copier
 
@@ -238,6 +239,18 @@
         self.assertFalse(vm.ended_by_itself())
 
 
+class PlanTest(unittest.TestCase):
+    def test_seed_repeats_its_faults(self):
+        """Fails if a seed that broke a rule can't be played again, or if all seeds play the same."""
+
+        def played(seed):
+            return [(str(it), it.seed) for it in plan(seed, "mixed", 15, 0.3)]
+
+        self.assertEqual(played(7), played(7))
+        self.assertNotEqual(played(7), played(8))
+        self.assertGreater(len(played(7)), 10)
+
+
 class CopierTest(unittest.TestCase):
     def test_every_kind_of_copy_is_sent(self):
         """Fails if a kind of copy is listed but never played."""
@@ -245,12 +258,14 @@
         copier = Copier(random.Random(1), counts, NoTimeline())
         sent = b""
         for _ in range(2000):
-            at_once, idle = copier.copies_after(503, {"Attempt-Id": ATTEMPT, "Not-Executed": "1"}, b"HTTP/1.1 503 X\r\n\r\n")
+            refusal = {"Attempt-Id": ATTEMPT, "Not-Executed": "1"}
+            at_once, idle = copier.copies_after(503, refusal, b"HTTP/1.1 503 X\r\n\r\n")
             sent += at_once + idle + b"".join(copier.take_waiting())
             copier.copies_after(200, {"Attempt-Id": ATTEMPT}, b"HTTP/1.1 200 OK\r\n\r\n")
             sent += b"".join(copier.take_waiting())
-        self.assertEqual({it[5:] for it in counts},
-                         {"at_once", "before_next", "pieces", "twice", "other_status", "after_answer", "cut", "idle"})
+        self.assertEqual({it[len("copy "):] for it in counts},
+                         {"at_once", "before_next", "pieces", "twice", "other_status", "after_answer",
+                          "cut", "cut_at_once", "idle"})
         self.assertGreater(len(sent), 1000)
 
 
