Refuse requests that begin late in a planned stop

Callers saw: a request that had reached its target ended with its connection, without an answer (rule LOST around planned stops). Cause: a response head made before SIGTERM keeps its connection open; written late, it lets the next request be passed on after 3 s, and the end of the process at 5.5 s cut it. Change: once a stopping VM accepts no new connections, a request that begins on an open one is refused at once and the connection ends.

--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -47,7 +47,11 @@
   }
 
   void start() {
-    Execution.start(now());
+    // A request that arrives late in a stop could be cut at its target by the end of the process.
+    if (Session.CloseIdle)
+      Execution.refuseStopping(now());
+    else
+      Execution.start(now());
     schedule();
   }
 
@@ -270,9 +274,10 @@
   return Requests.empty() && !WritePending && Unparsed.empty() && !Parser.isInsideMessage();
 }
 
-/// While stopping, the response to the last request that was parsed closes the connection.
+/// While stopping, the response to the last request that was parsed closes the connection. Early in
+/// the stop, one that has arrived in part is still received.
 bool CallerSession::shouldCloseAfter(const PendingRequest &request) const {
-  return Stopping && Requests.back().get() == &request && !Parser.isInsideMessage();
+  return Stopping && Requests.back().get() == &request && (CloseIdle || !Parser.isInsideMessage());
 }
 
 /// Returns whether the next request on the connection may begin. One that follows a response that
@@ -287,7 +292,7 @@
   if (Closed)
     return;
   if (Lingering) {
-    if (now - LastActivity > LingerSpan)
+    if (now - LastActivity >= LingerSpan)
       close();
     return;
   }
--- a/src/entry/CallerSession.h
+++ b/src/entry/CallerSession.h
@@ -36,7 +36,8 @@
   void start();
 
   /// Lets the requests received so far complete, then closes the connection. With `closeIdle`, a
-  /// connection without pending requests is closed immediately.
+  /// connection without pending requests is closed immediately, and requests that arrive later are
+  /// refused.
   void startStopping(bool closeIdle);
 
   /// Closes connections that exceed the idle timeout or the timeout for a request head. To be
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -98,6 +98,11 @@
     dispatch(now);
 }
 
+void Exchange::refuseStopping(core::Time now) {
+  BodyEnded = Request.BodyFraming == http::Framing::NoBody;
+  refuse({503, "this VM is stopping", Context.RetryAfter.afterBusy(Id)}, now);
+}
+
 bool Exchange::admit(core::Time now) {
   if (!Context.Routes) {
     refuse({503, "no configuration yet", Context.RetryAfter.afterStarting(Id, now)}, now);
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -107,6 +107,9 @@
   /// Authorizes and dispatches the request; to be called once, after construction.
   void start(core::Time now);
 
+  /// Refuses the request, in place of start(), because this VM is about to end.
+  void refuseStopping(core::Time now);
+
   void onCallerBody(std::string_view bytes, core::Time now);
   void onCallerEnd(core::Time now);
   void onCallerGone(core::Time now);
--- a/src/entry/tests/CallerSessionTest.cpp
+++ b/src/entry/tests/CallerSessionTest.cpp
@@ -198,3 +198,32 @@
   cr_assert_neq(f.Received.find("onnection: close"), std::string::npos);
   cr_assert_eq(f.TargetReceived.find("/second"), std::string::npos);
 }
+
+/// Guards against passing on a request late in a planned stop, on a connection whose last response
+/// was made before the stop and did not announce its end.
+Test(CallerSession, requestLateInStopIsRefused) {
+  FixtureWithTarget f;
+  f.sendToTarget(requestFor("first"));
+  f.sendToTarget(requestFor("second"));
+  auto answer = [&f](const std::string &id) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" + f.Context.Names.RequestId + ": " + id +
+           "\r\n\r\n";
+  };
+  const bool isFirst = f.TargetReceived.find("/first") < f.TargetReceived.find("/second");
+  asio::write(f.AtTarget.at(isFirst ? 1 : 0), asio::buffer(answer("second") + "two."));
+  for (int n = 0; n < 300; ++n)
+    f.pollAll();
+  f.Session->startStopping(/*closeIdle=*/false);
+  f.advance({2500});
+  f.Session->startStopping(/*closeIdle=*/true);
+  asio::write(f.AtTarget.at(isFirst ? 0 : 1), asio::buffer(answer("first") + "one."));
+  f.pollUntilReceived("two.");
+  cr_assert_eq(f.Received.find("onnection: close"), std::string::npos);
+  f.send(requestFor("third"));
+  f.pollUntilReceived("HTTP/1.1 503");
+  f.advance({2000});
+  cr_assert_neq(f.Received.find("HTTP/1.1 503"), std::string::npos);
+  cr_assert_neq(f.Received.find("onnection: close"), std::string::npos);
+  cr_assert_eq(f.TargetReceived.find("/third"), std::string::npos);
+  cr_assert(f.Ended);
+}
