Keep what targets said for the whole retention time

Cause: a notice was kept for 30 s after the last change of the list that named its target, so that one list without the target, after a quiet time, ended it at once. Change: the time runs from the first list without the target.

--- a/src/entry/TargetNotices.cpp
+++ b/src/entry/TargetNotices.cpp
@@ -9,7 +9,6 @@
 
 bool TargetNotices::recordLeaving(const core::TargetId &id, core::Time now) {
   Notice &notice = Notices[id];
-  notice.ListedAt = now;
   if (notice.LeavingSince)
     return false;
   notice.LeavingSince = now;
@@ -20,7 +19,6 @@
   if (span.Ms <= 0)
     return false;
   Notice &notice = Notices[id];
-  notice.ListedAt = now;
   const core::Time until = now + std::min(span, Settings.MaxPause);
   if (until <= notice.PausedUntil)
     return false;
@@ -44,9 +42,12 @@
 void TargetNotices::onList(const std::function<bool(const core::TargetId &)> &isListed,
                            core::Time now) {
   for (auto it = Notices.begin(); it != Notices.end();) {
+    std::optional<core::Time> &since = it->second.UnlistedSince;
     if (isListed(it->first))
-      it->second.ListedAt = now;
-    const bool isOver = now - it->second.ListedAt > Settings.Retention;
+      since.reset();
+    else if (!since)
+      since = now;
+    const bool isOver = since && now - *since > Settings.Retention;
     it = isOver ? Notices.erase(it) : std::next(it);
   }
 }
--- a/src/entry/TargetNotices.h
+++ b/src/entry/TargetNotices.h
@@ -14,7 +14,7 @@
   /// Longest time for which a target can ask for no requests. A target that wants none for longer
   /// is expected to leave the target list.
   core::Duration MaxPause{600'000};
-  /// Notices are kept for this long after a target was last listed, because a list of another
+  /// Notices are kept for this long after a target is no longer listed, because a list of another
   /// leader or a late one can lack a target for a moment. Targets that leave serve for some
   /// seconds.
   core::Duration Retention{30'000};
@@ -54,7 +54,7 @@
   struct Notice {
     std::optional<core::Time> LeavingSince;
     core::Time PausedUntil;
-    core::Time ListedAt; ///< Time of the notice or of the last list with the target.
+    std::optional<core::Time> UnlistedSince; ///< Time of the first list without the target.
   };
 
   const TargetNoticesSettings Settings;
