Log what a VM believes of cold targets and of ended connections

Change: TargetChosen names the remaining cold time and its evidence, TargetCold is new for each target that becomes cold as far as the VM knows, TargetConnectionEnded for each idle connection that a target ends.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -261,6 +261,12 @@
                   {"load", it.Load},
                   {"failure_share", it.FailureShare},
                   {"list", Context.ListVersion}}});
+  for (const TargetTable::ColdStart &it : Context.Targets.takeColdStarts())
+    Events.emit({core::EventId::TargetCold,
+                 {{"target", it.Target},
+                  {"for_ms", it.Remaining},
+                  {"by", nameOf(it.Evidence)},
+                  {"list", Context.ListVersion}}});
   for (const core::VmId &vm : Context.Rates.takeUnresponsive())
     Events.emit({core::EventId::RateHolderSilent, {{"vm", vm}, {"entries", Entries.digest()}}});
   probe();
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -332,6 +332,8 @@
                                     {"expected_ms", std::round(pick.Expected)},
                                     {"load", std::round(pick.Load * 10) / 10},
                                     {"value", std::round(pick.Value * 100) / 100},
+                                    {"cold_ms", pick.Cold},
+                                    {"cold_by", nameOf(pick.ColdBy)},
                                     {"slowness", std::round(pick.Slowness * 10) / 10},
                                     {"send", Sends},
                                     {"left_ms", Deadline - now},
--- a/src/entry/TargetPool.cpp
+++ b/src/entry/TargetPool.cpp
@@ -180,6 +180,17 @@
                  {"exchange", connection.exchanges()}}});
 }
 
+void TargetPool::onIdleConnectionEnded(const http::ClientConnection &connection,
+                                       core::Duration idle) {
+  if (Events != nullptr)
+    Events->emit({core::EventId::TargetConnectionEnded,
+                  {{"target", connection.peer()},
+                   {"address", absl::StrCat(connection.host(), ":", connection.port())},
+                   {"connection", connection.number()},
+                   {"exchanges", connection.exchanges()},
+                   {"idle_ms", idle}}});
+}
+
 size_t TargetPool::openConnections() const {
   size_t n = 0;
   for (const auto &[key, peer] : Peers)
--- a/src/entry/TargetPool.h
+++ b/src/entry/TargetPool.h
@@ -18,7 +18,7 @@
 namespace briarspar::entry {
 
 /// Pool of open connections to targets. Runs on the thread of the io_context.
-class TargetPool final : private http::UnexpectedResponseObserver {
+class TargetPool final : private http::ConnectionObserver {
 public:
   /// Called with the head of each response that no exchange handles, and whether a request was due
   /// for it. It must not use the pool.
@@ -75,6 +75,8 @@
   ConnectionPtr takeIdle(Peer &peer, const Requirements &requirements) const;
   void onUnexpectedResponse(const http::ClientConnection &connection, http::UnexpectedResponse kind,
                             const http::Head *head, std::string_view reason) override;
+  void onIdleConnectionEnded(const http::ClientConnection &connection,
+                             core::Duration idle) override;
 
   asio::io_context &Io;
   const core::Clock &Clock;
--- a/src/entry/TargetSelection.cpp
+++ b/src/entry/TargetSelection.cpp
@@ -64,7 +64,11 @@
   if (request.Object)
     recordServed(state, *request.Object, now);
   Spillover.recordUsed(spilloverRegion(state.Region));
-  return toPick(*chosen, request.Service);
+  Pick pick = toPick(*chosen, request.Service);
+  pick.Cold = {std::max<int64_t>(0, (std::max(state.ColdUntil, state.AssumedColdUntil) - now).Ms)};
+  if (pick.Cold.Ms > 0)
+    pick.ColdBy = now < state.ColdUntil ? state.ColdBy : ColdEvidence::Returned;
+  return pick;
 }
 
 Pick TargetTable::toPick(const Candidate &candidate, const std::string &service) {
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -1,6 +1,7 @@
 #include "entry/TargetTable.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace briarspar::entry {
@@ -36,6 +37,11 @@
 
 } // namespace
 
+const char *nameOf(ColdEvidence evidence) {
+  constexpr std::array<const char *, 4> names{"", "list", "probe", "returned"};
+  return names[static_cast<size_t>(evidence)];
+}
+
 TargetTable::TargetTable(VmLocation own, const TargetTableSettings &settings)
     : Own(std::move(own)), Settings(settings), Notices(settings.Notices),
       Processing(settings.Processing), Affinity(settings.Affinity),
@@ -64,7 +70,7 @@
     auto region = Own.Regions.find(info.Domain);
     state.Region = region == Own.Regions.end() ? core::RegionId() : region->second;
     if (info.ColdUntil > now)
-      state.ColdUntil = info.ColdUntil;
+      setColdUntil(state, info.ColdUntil, ColdEvidence::List, now);
     ByService[info.Service].push_back(&state);
     ByKey[link::targetKey(id)] = &state;
   }
@@ -109,6 +115,14 @@
   Cold.setEntries(entries);
 }
 
+void TargetTable::setColdUntil(State &state, core::Time until, ColdEvidence evidence,
+                               core::Time now) {
+  if (now >= state.ColdUntil)
+    NewColdStarts.push_back({state.Info.Id, until - now, evidence});
+  state.ColdUntil = until;
+  state.ColdBy = evidence;
+}
+
 bool TargetTable::isCold(const State &state, core::Time now) const {
   return now < state.ColdUntil || now < state.AssumedColdUntil;
 }
@@ -342,7 +356,7 @@
   state.FailureShare = 0;
   state.Slowness = 1;
   if (cold.Ms > 0)
-    state.ColdUntil = now + cold;
+    setColdUntil(state, now + cold, ColdEvidence::Probe, now);
   state.AssumedColdUntil = now + AssumedColdSpan;
 }
 
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace briarspar::entry {
@@ -91,6 +92,17 @@
   core::Duration Left;   ///< Time until the deadline of the request.
 };
 
+/// What shows that a target is cold.
+enum class ColdEvidence : uint8_t {
+  None,     ///< It is not cold.
+  List,     ///< The target list.
+  Probe,    ///< Its response to a health probe.
+  Returned, ///< It passed a probe after it had failed, and may have started again.
+};
+
+/// Returns the name of an evidence in log events.
+const char *nameOf(ColdEvidence evidence);
+
 struct Pick {
   core::TargetId Id;
   std::string Host;
@@ -104,6 +116,8 @@
   double Slowness = 1;       ///< Factor applied to the remaining part for this target.
   double Load = 0;           ///< Estimated number of requests at the target before this one.
   double Value = 0;
+  core::Duration Cold; ///< Remaining time for which the target is taken for cold.
+  ColdEvidence ColdBy = ColdEvidence::None;
 };
 
 /// Why no target was selected.
@@ -227,6 +241,16 @@
   /// Returns the ejections since the last call.
   std::vector<Ejection> takeEjections();
 
+  /// A target that has become cold, as far as this VM knows.
+  struct ColdStart {
+    core::TargetId Target;
+    core::Duration Remaining;
+    ColdEvidence Evidence = ColdEvidence::None;
+  };
+
+  /// Returns the targets that have become cold since the last call.
+  std::vector<ColdStart> takeColdStarts() { return std::exchange(NewColdStarts, {}); }
+
   /// Records the result of a health probe.
   void recordProbe(const core::TargetId &id, bool healthy, core::Duration cold, core::Time now);
 
@@ -262,6 +286,7 @@
     core::Time ProbedAt;
     bool Leaving = false;
     core::Time ColdUntil;
+    ColdEvidence ColdBy = ColdEvidence::None; ///< Source of ColdUntil.
     core::Time ColdNext;         ///< Earliest time of the next request while it is cold.
     core::Time AssumedColdUntil; ///< The target has returned, and the target list does not show yet
                                  ///< whether it is cold.
@@ -298,6 +323,7 @@
   }
   bool mayUseColdTarget(const State &state, core::Time now) const;
   bool isCold(const State &state, core::Time now) const;
+  void setColdUntil(State &state, core::Time until, ColdEvidence evidence, core::Time now);
   double coldRate(const State &state) const;
   std::optional<Candidate> selectBest(absl::Span<State *const> targets, const PickRequest &request,
                                       Versions versions, core::Time now);
@@ -343,6 +369,7 @@
   core::RegionId PrimaryRegion; ///< Region of the primary target of the request being placed;
                                 ///< without an object, the region of this VM.
   std::vector<Ejection> NewEjections;
+  std::vector<ColdStart> NewColdStarts;
   std::map<core::DomainId, double> RoundTrip; ///< Measured, in ms.
   std::map<std::string, double> RolloutCredit;
   std::map<std::string, std::map<std::string, double>> SplitCredit; ///< By route and service.
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -161,6 +161,8 @@
     return;
   if (ec) {
     Reusable = false;
+    if (Listener == nullptr && Observer != nullptr)
+      Observer->onIdleConnectionEnded(*this, Clock.now() - LastUse);
     if (ec == asio::error::eof && Listener != nullptr && !Skipping && Parser.finish().ok() &&
         Listener == nullptr) {
       closeSocket();
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -47,15 +47,19 @@
 
 class ClientConnection;
 
-/// Is told of responses that are not delivered to the listener of an exchange.
-class UnexpectedResponseObserver {
+/// Is told of what happens on connections outside of their exchanges.
+class ConnectionObserver {
 public:
-  virtual ~UnexpectedResponseObserver() = default;
+  virtual ~ConnectionObserver() = default;
 
   /// Called while received bytes are processed; must not use the connection. `head` is null if the
   /// bytes were not parsed; `reason` tells what is wrong with malformed ones.
   virtual void onUnexpectedResponse(const ClientConnection &connection, UnexpectedResponse kind,
                                     const Head *head, std::string_view reason) = 0;
+
+  /// Called when the server has ended a connection without an exchange in progress, which has been
+  /// idle for `idle`; must not use the connection.
+  virtual void onIdleConnectionEnded(const ClientConnection &connection, core::Duration idle) = 0;
 };
 
 struct ClientConnectionSettings {
@@ -92,7 +96,7 @@
 
   /// Sets a number that identifies the connection in log events, and the observer, which must
   /// outlive the connection.
-  void observe(uint64_t number, UnexpectedResponseObserver &observer) {
+  void observe(uint64_t number, ConnectionObserver &observer) {
     Number = number;
     Observer = &observer;
   }
@@ -172,7 +176,7 @@
   std::string IdHeader;
   std::string Peer;
   uint64_t Number = 0;
-  UnexpectedResponseObserver *Observer = nullptr;
+  ConnectionObserver *Observer = nullptr;
   asio::ip::tcp::socket Socket;
   asio::steady_timer ConnectTimer;
   MessageParser Parser;
