Add a failing test of a target that starts again under its id

Entry VMs with kept connections, a list that lags, and a target that falls for 150 ms or more, without I/O.

--- /dev/null
+++ b/src/entry/tests/open/RestartTest.cpp
@@ -0,0 +1,24 @@
+#include "core/testing/Property.h"
+#include "entry/testing/RestartFleet.h"
+
+using namespace briarspar;
+using namespace briarspar::core;
+using namespace briarspar::entry::testing;
+
+/// Guards against a flood of a target that starts again under its id within less time than the
+/// target list takes to show it.
+Test(Restart, coldProcessIsNotFloodedAfterAShortFall) {
+  testing::checkProperty("requests to a cold process", [] {
+    RestartPlan plan;
+    plan.Fall = Duration{*rc::gen::inRange<int64_t>(150, 5000)};
+    plan.Falls = *rc::gen::inRange<size_t>(1, 4);
+    plan.ListLag = Duration{*rc::gen::inRange<int64_t>(300, 2000)};
+    plan.Seed = *rc::gen::arbitrary<uint32_t>();
+    RestartFleet fleet(plan);
+    fleet.play();
+    const size_t worst = fleet.worstSecond();
+    RC_LOG() << worst << " requests in one second, allowed " << RestartFleet::AllowedRatePerS
+             << std::endl;
+    RC_ASSERT(static_cast<double>(worst) <= RestartFleet::AllowedRatePerS);
+  });
+}
