Decode the start of a target's process from the target list

Cause: the platform lets a target start again under the id that it had, and its list says in a column when the process started. The list was read without it, so that nothing told two processes of one id apart. Change: discovery::Target::Process, on the list and in its deltas. Of two rows with one id, the later process counts.

--- a/src/discovery/Target.h
+++ b/src/discovery/Target.h
@@ -13,7 +13,10 @@
 
 /// One target process of the platform list.
 struct Target {
-  core::TargetId Id; ///< Identifies the process; a restart usually creates a new id.
+  core::TargetId Id;
+  /// Distinguishes the processes that have run under the id: the start of this one, in Unix
+  /// milliseconds of its own clock. 0 if the list does not show it.
+  core::Incarnation Process;
   std::string Service;
   std::string Host; ///< IP address.
   uint16_t Port = 0;
--- a/src/discovery/TargetList.cpp
+++ b/src/discovery/TargetList.cpp
@@ -14,14 +14,16 @@
 bool isSame(const Target &a, const Target &b, core::Time now) {
   bool sameColdUntil = std::abs((a.ColdUntil - b.ColdUntil).Ms) < ColdUntilTolerance.Ms ||
                        (a.ColdUntil <= now && b.ColdUntil <= now);
-  return a.Service == b.Service && a.Host == b.Host && a.Port == b.Port && a.Domain == b.Domain &&
-         a.Version == b.Version && a.Slots == b.Slots && a.Draining == b.Draining && sameColdUntil;
+  return a.Process == b.Process && a.Service == b.Service && a.Host == b.Host && a.Port == b.Port &&
+         a.Domain == b.Domain && a.Version == b.Version && a.Slots == b.Slots &&
+         a.Draining == b.Draining && sameColdUntil;
 }
 
 core::Json encode(const Target &it, core::Time now) {
-  return {it.Id,    it.Service,  it.Host,
-          it.Port,  it.Domain,   it.Version,
-          it.Slots, it.Draining, std::max<int64_t>(0, (it.ColdUntil - now).Ms)};
+  return {it.Id,     it.Service,  it.Host,
+          it.Port,   it.Domain,   it.Version,
+          it.Slots,  it.Draining, std::max<int64_t>(0, (it.ColdUntil - now).Ms),
+          it.Process};
 }
 
 Target decode(const core::Json &j, core::Time now) {
@@ -35,6 +37,8 @@
   j.at(6).get_to(it.Slots);
   j.at(7).get_to(it.Draining);
   it.ColdUntil = now + core::Duration{j.at(8).get<int64_t>()};
+  if (j.size() > 9) // Control VMs of earlier builds do not send it.
+    j.at(9).get_to(it.Process);
   return it;
 }
 
@@ -53,8 +57,12 @@
   uint64_t next = Version.Sequence + 1;
   bool changed = false;
   std::map<core::TargetId, Target> current;
-  for (const Target &it : snapshot)
-    current.emplace(it.Id, it);
+  for (const Target &it : snapshot) {
+    // A process that has ended may still be listed beside the next one with its id.
+    auto [at, isNew] = current.emplace(it.Id, it);
+    if (!isNew && at->second.Process < it.Process)
+      at->second = it;
+  }
   for (const auto &[id, target] : current) {
     auto existing = Targets.find(id);
     if (existing != Targets.end() && isSame(existing->second, target, now))
--- a/src/discovery/TargetList.h
+++ b/src/discovery/TargetList.h
@@ -23,8 +23,8 @@
   /// effect.
   void startEpoch(uint64_t epoch);
 
-  /// Applies a complete snapshot and removes targets that are not in it. Returns whether anything
-  /// changed.
+  /// Applies a complete snapshot and removes targets that are not in it. Of several entries with
+  /// the same id, the one of the latest process counts. Returns whether anything changed.
   bool update(const std::vector<Target> &snapshot, core::Time now);
 
   /// Applies the draining flags of part of a snapshot, before the rest has arrived. Targets that
