--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -61,7 +61,7 @@
                    [this](const http::BufferedRequest &request, const Responder &respond) {
                      onHttp(request, respond);
                    }),
-      TickTimer(io), Targets(listFormat, settings.Targets),
+      TickTimer(io), NoticeTimer(io), Targets(listFormat, settings.Targets),
       Responses(Machine.catalog(), Targets.targets(), Entries,
                 core::hash64(settings.Vm.Value, wallClockMs())),
       Fetch(
@@ -190,6 +190,7 @@
 void ControlNode::lead(core::Time now) {
   if (!Leading) {
     Leading = true;
+    ProcessNotices.clear();
     Responses.becomeLeader(Member->replica().term(), Machine.entries(), now);
     Evaluator.becomeLeader();
     RolloutPending.clear();
@@ -238,6 +239,10 @@
     processReports();
     return;
   }
+  if (message.Kind == link::kind::ProcessNotices) {
+    onProcessNotices(message);
+    return;
+  }
   LastContact[message.From] = now;
   if (Member == nullptr)
     return;
@@ -280,6 +285,35 @@
                {{"peer", peer}, {"reason", std::string(status.message())}}});
 }
 
+void ControlNode::onProcessNotices(const transport::PeerMessage &message) {
+  absl::StatusOr<link::ProcessNotices> notices = link::decodeProcessNotices(message.Body);
+  if (!notices.ok()) {
+    rejectMessage(message.From, notices.status());
+    return;
+  }
+  if (Member == nullptr || !isLeading(Clock.now()))
+    return;
+  const bool isWaiting = ProcessNotices.hasPending();
+  ProcessNotices.receive(notices->Notices, Clock.now());
+  if (isWaiting || !ProcessNotices.hasPending())
+    return;
+  NoticeTimer.expires_after(std::chrono::milliseconds(Settings.NoticeDelay.Ms));
+  NoticeTimer.async_wait([this](const asio::error_code &ec) {
+    if (!ec)
+      passOnProcessNotices();
+  });
+}
+
+void ControlNode::passOnProcessNotices() {
+  const core::Time now = Clock.now();
+  const link::ProcessNotices notices{ProcessNotices.take(now)};
+  if (notices.Notices.empty() || !isLeading(now))
+    return;
+  const std::string bytes = encode(notices);
+  for (const core::VmId &vm : Entries.live(now))
+    Peers.send(vm, link::kind::ProcessNotices, bytes);
+}
+
 void ControlNode::processReports() {
   if (ReportsScheduled || Reports.size() == 0)
     return;
@@ -301,10 +335,14 @@
     rejectMessage(message.From, report.status());
     return;
   }
-  if (Entries.report(message.From, message.FromIncarnation, *report, now))
+  const bool isNewEntry = Entries.report(message.From, message.FromIncarnation, *report, now);
+  if (isNewEntry)
     Events.emit(
         {core::EventId::EntryJoined,
          {{"vm", message.From}, {"address", report->Address}, {"run", message.FromIncarnation}}});
+  if (isNewEntry && isLeading(now))
+    if (link::ProcessNotices notices{ProcessNotices.current(now)}; !notices.Notices.empty())
+      Peers.send(message.From, link::kind::ProcessNotices, encode(notices));
   Responses.recordSyncedVersions(message.From, message.FromIncarnation, *report, now);
   link::ControlResponse answer = makeResponse(message.From, now);
   answer.Sequence = report->Sequence;
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -11,6 +11,7 @@
 #include "control/EntryRegistry.h"
 #include "control/ListClient.h"
 #include "control/OperatorCall.h"
+#include "control/ProcessNoticeRelay.h"
 #include "control/ReportQueue.h"
 #include "control/RolloutEvaluator.h"
 #include "control/TargetWatcher.h"
@@ -45,7 +46,9 @@
   uint16_t ListPort = 0;
   agreement::GroupId Group{"main"};
   core::Duration Tick{25}; ///< Tick interval of the agreement group; elections take 600 ms or more.
-  core::Duration LookupTtl{2000};         ///< Callers cache a look-up result for this long.
+  core::Duration LookupTtl{2000}; ///< Callers cache a look-up result for this long.
+  /// Notices on target processes are passed on this long after the first one arrived, all together.
+  core::Duration NoticeDelay{15};
   core::Duration RetryAfterNoLeader{300}; ///< About half the duration of an election.
   TargetWatcherSettings Targets;
   /// A control VM that sent nothing for this long is not named to operators.
@@ -101,6 +104,8 @@
   void onListPage(int status, const std::string &body);
   void rejectMessage(const core::VmId &peer, const absl::Status &status);
   void processReports();
+  void onProcessNotices(const transport::PeerMessage &message);
+  void passOnProcessNotices();
   void onReport(const transport::PeerMessage &message);
   link::ControlResponse makeResponse(const core::VmId &vm, core::Time now);
   void proposeEntry(const core::VmId &vm, bool present);
@@ -134,6 +139,8 @@
   http::BufferedServer OperatorServer;
   http::BufferedServer LookupServer;
   asio::steady_timer TickTimer;
+  ProcessNoticeRelay ProcessNotices;
+  asio::steady_timer NoticeTimer; ///< Runs while notices wait to be passed on together.
 
   RolloutEvaluator Evaluator;
   TargetWatcher Targets;
--- a/src/core/EventCatalogue.h
+++ b/src/core/EventCatalogue.h
@@ -67,8 +67,9 @@
   X(1314, TargetLeaving, "target said that it is leaving")                                         \
   X(1315, TargetPaused, "target asked for no requests for some time")                              \
   X(1316, TargetHeaderIgnored, "value of a target's header could not be read")                     \
-  X(1317, TargetConnectionEnded, "target ended an idle connection")                                \
+  X(1317, TargetConnectionEnded, "connection to a target ended unannounced")                                \
   X(1318, TargetCold, "target is cold, or is taken for cold")                                      \
+  X(1319, ProcessNoticesReceived, "other entry VMs found out about processes of targets")          \
   /* control */                                                                                    \
   X(1400, ItemsChanged, "operator command applied")                                                \
   X(1401, OrderRefused, "operator command refused")                                                \
--- a/src/entry/CallerSession.cpp
+++ b/src/entry/CallerSession.cpp
@@ -83,10 +83,10 @@
   TargetSend sendToTarget(const Pick &target, const http::Head &head, bool mustBeOpen) override {
     BodyToTarget = head.BodyFraming;
     const std::string id(head.find(Session.Context.Names.RequestId).value_or(""));
-    Target =
-        Session.Pool.acquire(target.Host, target.Port,
-                             {id, target.Id, Session.Context.Targets.maxConnections(target.Service),
-                              mustBeOpen, http::ClientConnection::needsOwnConnection(head, id)});
+    Target = Session.Pool.acquire(
+        target.Host, target.Port,
+        {id, target.Id, Session.Context.Targets.maxConnections(target.Service), mustBeOpen,
+         http::ClientConnection::needsOwnConnection(head, id), target.OpenedBy});
     if (!Target) {
       asio::post(Session.Io, [self = shared_from_this(), owner = Session.weak_from_this()] {
         if (std::shared_ptr<CallerSession> session = owner.lock(); session && !session->Closed)
@@ -98,6 +98,17 @@
     return {Target->number(), Target->exchanges()};
   }
 
+  bool mayReuseConnection(const std::string &host, uint16_t port, const http::Head &head,
+                          bool mustBeOpen, core::Time openedBy) override {
+    const std::string id(head.find(Session.Context.Names.RequestId).value_or(""));
+    TargetPool::Requirements requirements;
+    requirements.RequestId = id;
+    requirements.MustBeOpen = mustBeOpen;
+    requirements.MustBeNew = http::ClientConnection::needsOwnConnection(head, id);
+    requirements.OpenedBy = openedBy;
+    return Session.Pool.canReuse(host, port, requirements);
+  }
+
   void sendBodyToTarget(std::string_view bytes) override {
     if (Target)
       Target->write(bytes);
@@ -181,7 +192,13 @@
 
   // ResponseListener
 
-  void onConnected(core::Duration time) override { Execution.onTargetConnected(time); }
+  void onConnected(core::Duration time) override {
+    std::shared_ptr<CallerSession> session = Session.shared_from_this();
+    std::shared_ptr<PendingRequest> self = shared_from_this();
+    Execution.onTargetConnected(time, now());
+    schedule();
+    session->flush();
+  }
 
   void onResponseHead(http::Head head) override {
     Execution.onResponseHead(std::move(head), now());
--- a/src/entry/ColdTargetLimiter.cpp
+++ b/src/entry/ColdTargetLimiter.cpp
@@ -31,12 +31,15 @@
     return false;
   if (static_cast<double>(Entries.size()) <= maxTotalRatePerS(ratePerS))
     return true;
+  return static_cast<double>(rank(target) + 1) <= maxTotalRatePerS(ratePerS);
+}
+
+size_t ColdTargetLimiter::rank(const core::TargetId &target) const {
   uint64_t seed = core::hash64(target.Value);
   uint64_t ownHash = core::hash64(Own.Value, seed);
-  auto ahead = std::count_if(Entries.begin(), Entries.end(), [&](const core::VmId &it) {
-    return core::hash64(it.Value, seed) > ownHash;
-  });
-  return static_cast<double>(ahead + 1) <= maxTotalRatePerS(ratePerS);
+  return static_cast<size_t>(
+      std::count_if(Entries.begin(), Entries.end(),
+                    [&](const core::VmId &it) { return core::hash64(it.Value, seed) > ownHash; }));
 }
 
 core::Duration ColdTargetLimiter::interval(double ratePerS) const {
--- a/src/entry/ColdTargetLimiter.h
+++ b/src/entry/ColdTargetLimiter.h
@@ -33,6 +33,10 @@
   /// True when this VM is among those that may send to the target while it is cold.
   bool maySend(const core::TargetId &target, const core::RegionId &region, double ratePerS) const;
 
+  /// Returns how many VMs of this region come before this one for the target, in an order on which
+  /// all VMs agree.
+  size_t rank(const core::TargetId &target) const;
+
   /// Returns the minimum time between two requests of this VM to the same cold target.
   core::Duration interval(double ratePerS) const;
 
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -49,7 +49,7 @@
     Timeout.expires_after(chronoMs(ProbeTimeout));
     Timeout.async_wait([self = weak_from_this()](const asio::error_code &ec) {
       if (std::shared_ptr<Probe> probe = self.lock(); probe && !ec)
-        probe->end(false, {0});
+        probe->end(ProbeResult::Failed, {0});
     });
     Connection->start(head, "", *this);
     Connection->finishRequest();
@@ -65,7 +65,7 @@
   void onResponseBody(std::string_view bytes) override {
     BodyBytes += bytes.size();
     if (BodyBytes > MaxProbeBodyBytes)
-      end(false, {0});
+      end(ProbeResult::Failed, {0});
   }
 
   void onResponseEnd() override {
@@ -73,21 +73,25 @@
     std::optional<double> cold =
         core::parseNumber<double>(Response.find(Node.Context.Names.ColdRemaining).value_or("0"));
     std::optional<std::string_view> id = Response.find(Node.Context.Names.TargetId);
-    end(Response.Status == 200 && (!id || *id == Target.Id.Value),
+    const bool isOther = id && *id != Target.Id.Value;
+    end(isOther                  ? ProbeResult::Failed
+        : Response.Status == 200 ? ProbeResult::Passed
+                                 : ProbeResult::Rejected,
         {static_cast<int64_t>(cold.value_or(0))});
   }
 
-  void onConnectionLost(http::ConnectionLoss) override { end(false, {0}); }
+  void onConnectionLost(http::ConnectionLoss) override { end(ProbeResult::Failed, {0}); }
 
 private:
-  void end(bool healthy, core::Duration cold) {
+  void end(ProbeResult result, core::Duration cold) {
     auto self = shared_from_this();
     if (std::exchange(Ended, true))
       return;
     Timeout.cancel();
     Connection->close();
-    Node.Context.Targets.recordProbe(Target.Id, healthy, cold, Node.Clock.now());
-    if (healthy)
+    Node.Context.Targets.recordProbe(Target.Id, result, cold, Node.Clock.now());
+    Node.checkDoubts();
+    if (result == ProbeResult::Passed)
       Node.Events.emit({core::EventId::TargetReturned,
                         {{"target", Target.Id}, {"cold_ms", cold}, {"service", Target.Service}}});
     Node.Probes.erase(self);
@@ -122,10 +126,15 @@
           &events,
           0,
           0},
-      Pool(io, clock, settings.Names.RequestId, &events,
-           [this](const core::TargetId &target, const http::Head &head, bool isDue) {
-             recordNotices(Context, target, head, isDue, Clock.now());
-           }),
+      Pool(
+          io, clock, settings.Names.RequestId, &events,
+          [this](const core::TargetId &target, const http::Head &head, bool isDue) {
+            recordNotices(Context, target, head, isDue, Clock.now());
+          },
+          [this](const core::TargetId &target, core::Time lastHeard, bool isSilent) {
+            Context.Targets.recordConnectionEnded(target, lastHeard, isSilent, Clock.now());
+            startDoubtTimer();
+          }),
       ReadyServer(
           io, events,
           [this](const http::BufferedRequest &, const http::BufferedServer::Responder &respond) {
@@ -136,7 +145,7 @@
       CallerConnections(io, events,
                         [this](asio::ip::tcp::socket socket) { acceptCaller(std::move(socket)); }),
       Reports(settings.Location.Vm, settings.Reports), ReportTimer(io), SweepTimer(io),
-      RateTimer(io), Seeds(settings.Seeds) {
+      DoubtTimer(io), RateTimer(io), Seeds(settings.Seeds) {
   ControlVms.insert(Seeds.begin(), Seeds.end());
 }
 
@@ -269,10 +278,11 @@
                   {"list", Context.ListVersion}}});
   for (const core::VmId &vm : Context.Rates.takeUnresponsive())
     Events.emit({core::EventId::RateHolderSilent, {{"vm", vm}, {"entries", Entries.digest()}}});
-  probe();
+  checkDoubts();
   if (!LeaderLost && now - LeaderHeard > Settings.ControlTimeout) {
     LeaderLost = true;
     Context.RetryAfter.setLeaderKnown(false);
+    Context.Targets.setControlLost(LeaderHeard);
     Events.emit(
         {core::EventId::ControlLost, {{"leader", Leader}, {"silent_ms", now - LeaderHeard}}});
   }
@@ -291,11 +301,49 @@
   }
 }
 
+/// Tells the leader of processes that may have ended, and asks those that are due.
+void EntryNode::checkDoubts() {
+  const core::Time now = Clock.now();
+  std::vector<link::ProcessNotice> notices = Context.Targets.takeProcessNotices(
+      [this](const std::string &host, uint16_t port, core::Time openedBy) {
+        return Pool.isOpen(host, port, openedBy);
+      },
+      now);
+  if (!notices.empty() && !Leader.empty())
+    Peers.send(Leader, link::kind::ProcessNotices, encode(link::ProcessNotices{notices}));
+  probe();
+  startDoubtTimer();
+}
+
+void EntryNode::startDoubtTimer() {
+  if (!Context.Targets.hasOpenDoubts(Clock.now()) || std::exchange(DoubtTimerRuns, true))
+    return;
+  DoubtTimer.expires_after(chronoMs(Settings.DoubtInterval));
+  DoubtTimer.async_wait([this](const asio::error_code &ec) {
+    DoubtTimerRuns = false;
+    if (!ec)
+      checkDoubts();
+  });
+}
+
+void EntryNode::onProcessNotices(const transport::PeerMessage &message) {
+  absl::StatusOr<link::ProcessNotices> notices = link::decodeProcessNotices(message.Body);
+  if (!notices.ok()) {
+    rejectMessage(message.From, notices.status());
+    return;
+  }
+  Context.Targets.applyProcessNotices(notices->Notices, Clock.now());
+  Events.emit({core::EventId::ProcessNoticesReceived,
+               {{"notices", notices->Notices.size()}, {"leader", message.From}}});
+}
+
 void EntryNode::onMessage(const transport::PeerMessage &message) {
   if (message.Kind == link::kind::RateRequest)
     onRateRequest(message);
   if (message.Kind == link::kind::RatePermit)
     onRatePermit(message);
+  if (message.Kind == link::kind::ProcessNotices)
+    onProcessNotices(message);
   if (message.Kind != link::kind::Response)
     return;
   absl::StatusOr<link::ControlResponse> answer = link::decodeControlResponse(message.Body);
@@ -363,6 +411,7 @@
   Leader = leader;
   LeaderLost = false;
   Context.RetryAfter.setLeaderKnown(true);
+  Context.Targets.setControlLost(std::nullopt);
   Events.emit({core::EventId::LeaderChanged, {{"leader", leader}}});
 }
 
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -42,6 +42,8 @@
   uint32_t BriefReportEvery = 3;
   /// Interval of the checks for idle connections, due probes and events to emit.
   core::Duration SweepInterval{200};
+  /// Interval of the checks of targets whose process may have ended.
+  core::Duration DoubtInterval{40};
   /// The leader counts as lost when it has not replied for this long.
   core::Duration ControlTimeout{1000};
   /// After a stop signal, new connections are still accepted for this long, because callers may
@@ -82,6 +84,9 @@
   void reportSoon();
   void sweep();
   void probe();
+  void checkDoubts();
+  void startDoubtTimer();
+  void onProcessNotices(const transport::PeerMessage &message);
   void onResponse(const link::ControlResponse &answer);
   void onRateRequest(const transport::PeerMessage &message);
   void onRatePermit(const transport::PeerMessage &message);
@@ -109,6 +114,8 @@
   ReportSchedule Reports;
   asio::steady_timer ReportTimer;
   asio::steady_timer SweepTimer;
+  asio::steady_timer DoubtTimer; ///< Runs while processes of targets may have ended.
+  bool DoubtTimerRuns = false;
   asio::steady_timer RateTimer; ///< Runs while rate requests to other VMs are outstanding.
   bool RateTimerRuns = false;
   core::Time SampledAt;        ///< Time of the last sample of the demand for services.
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -252,6 +252,9 @@
   request.Priority = Customer && Customer->Priority ? *Customer->Priority : Route->Priority;
   request.Waited = now - ArrivedAt;
   request.Left = Deadline - now;
+  request.MayReuse = [this](const std::string &host, uint16_t port, core::Time openedBy) {
+    return Actions.mayReuseConnection(host, port, Request, !Route->Idempotent, openedBy);
+  };
   std::optional<Pick> pick;
   if (request.Left > Context.Settings.MinSendTime)
     pick = Context.Targets.pick(request, now);
@@ -334,6 +337,7 @@
                                     {"value", std::round(pick.Value * 100) / 100},
                                     {"cold_ms", pick.Cold},
                                     {"cold_by", nameOf(pick.ColdBy)},
+                                    {"limited", pick.IsLimited},
                                     {"slowness", std::round(pick.Slowness * 10) / 10},
                                     {"send", Sends},
                                     {"left_ms", Deadline - now},
@@ -362,9 +366,22 @@
   return head;
 }
 
-void Exchange::onTargetConnected(core::Duration time) {
-  if (Target)
-    Context.Targets.recordRoundTrip(Target->Id, time);
+void Exchange::onTargetConnected(core::Duration time, core::Time now) {
+  if (!Target)
+    return;
+  Context.Targets.recordRoundTrip(Target->Id, time);
+  // A request whose body is still arriving cannot be moved to another target.
+  const bool canMove = BodyBuffered && BodyEnded;
+  if (State != AtTarget || !canMove || Context.Targets.confirmSend(*Target, now))
+    return;
+  Actions.cancelTargetRequest();
+  Evidence = NotRunEvidence::NotSent;
+  recordOutcome(TargetOutcome::Cancelled, now);
+  constexpr const char *reason = "the target may have started again";
+  if (mayRetry(/*arrived=*/false, now))
+    retry(reason, now);
+  else
+    refuse({503, reason, Context.RetryAfter.afterBusy(Id)}, now);
 }
 
 void Exchange::onResponseHead(http::Head head, core::Time now) {
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -84,6 +84,10 @@
   /// onRateDecided() later.
   virtual std::optional<bool> requestRate(const std::string &customer) = 0;
 
+  /// Returns whether sendToTarget() could use an open connection that was established by a time.
+  virtual bool mayReuseConnection(const std::string &host, uint16_t port, const http::Head &head,
+                                  bool mustBeOpen, core::Time openedBy) = 0;
+
   /// Closes the connection to the target, which cancels the request there.
   virtual void cancelTargetRequest() = 0;
 
@@ -117,7 +121,8 @@
   /// Handles a rate decision that requestRate() left pending.
   void onRateDecided(bool granted, core::Time now);
 
-  void onTargetConnected(core::Duration time);
+  /// Handles that a new connection to the target is open; nothing has been sent on it yet.
+  void onTargetConnected(core::Duration time, core::Time now);
   void onResponseHead(http::Head head, core::Time now);
   void onResponseBody(std::string_view bytes, core::Time now);
   void onResponseEnd(core::Time now);
--- a/src/entry/TargetNotices.cpp
+++ b/src/entry/TargetNotices.cpp
@@ -39,6 +39,16 @@
   return it->second.PausedUntil;
 }
 
+void TargetNotices::keepProcess(const core::TargetId &id, core::Incarnation process) {
+  auto it = Notices.find(id);
+  if (it == Notices.end() || process.Value == 0)
+    return;
+  if (it->second.Process.Value == 0)
+    it->second.Process = process;
+  else if (it->second.Process != process)
+    Notices.erase(it);
+}
+
 void TargetNotices::onList(const std::function<bool(const core::TargetId &)> &isListed,
                            core::Time now) {
   for (auto it = Notices.begin(); it != Notices.end();) {
--- a/src/entry/TargetNotices.h
+++ b/src/entry/TargetNotices.h
@@ -22,8 +22,8 @@
 
 /// What targets said about themselves in their responses: that they are leaving, or want no
 /// requests for some time. This VM learns it before the target list shows it and without contact to
-/// the control group, and no list takes it back: a notice ends with the process that gave it, which
-/// has another id or address then. Not thread-safe.
+/// the control group, and no list takes it back: a notice ends with the process that gave it, as
+/// the list shows another process under its id or at another address then. Not thread-safe.
 class TargetNotices {
 public:
   explicit TargetNotices(const TargetNoticesSettings &settings = {}) : Settings(settings) {}
@@ -44,6 +44,10 @@
   /// Discards the notices of a target whose process is another one now.
   void discard(const core::TargetId &id) { Notices.erase(id); }
 
+  /// Discards the notices of a listed target if another process has given them. `process` has no
+  /// value if the list does not tell processes apart.
+  void keepProcess(const core::TargetId &id, core::Incarnation process);
+
   /// Discards the notices of targets that have not been listed for the retention time. To be called
   /// with each new list.
   void onList(const std::function<bool(const core::TargetId &)> &isListed, core::Time now);
@@ -52,6 +56,7 @@
 
 private:
   struct Notice {
+    core::Incarnation Process; ///< As listed when the notice was first on a list; 0 before.
     std::optional<core::Time> LeavingSince;
     core::Time PausedUntil;
     std::optional<core::Time> UnlistedSince; ///< Time of the first list without the target.
--- a/src/entry/TargetPool.cpp
+++ b/src/entry/TargetPool.cpp
@@ -56,10 +56,10 @@
 };
 
 TargetPool::TargetPool(asio::io_context &io, const core::Clock &clock, std::string idHeader,
-                       core::EventSink *events, OnHead onHead,
+                       core::EventSink *events, OnHead onHead, OnEnded onEnded,
                        const http::ClientConnectionSettings &settings)
     : Io(io), Clock(clock), IdHeader(std::move(idHeader)), Events(events),
-      HandleHead(std::move(onHead)), Settings(settings) {}
+      HandleHead(std::move(onHead)), HandleEnded(std::move(onEnded)), Settings(settings) {}
 
 TargetPool::~TargetPool() {
   for (auto &[key, discarder] : Discarders)
@@ -69,6 +69,33 @@
       it->close();
 }
 
+/// Returns whether a connection that may be reused suits the request.
+bool TargetPool::meets(const http::ClientConnection &connection, const Requirements &requirements) {
+  const bool isKnown = !requirements.OpenedBy || connection.openedAt() <= *requirements.OpenedBy;
+  return isKnown && !connection.hasSent(requirements.RequestId);
+}
+
+bool TargetPool::canReuse(const std::string &host, uint16_t port,
+                          const Requirements &requirements) const {
+  auto peer = Peers.find({host, port});
+  if (requirements.MustBeNew || peer == Peers.end())
+    return false;
+  const core::Time now = Clock.now();
+  return std::any_of(
+      peer->second.Idle.begin(), peer->second.Idle.end(), [&](const ConnectionPtr &it) {
+        return it->mayReuse(now, requirements.MustBeOpen) && meets(*it, requirements);
+      });
+}
+
+bool TargetPool::isOpen(const std::string &host, uint16_t port, core::Time openedBy) const {
+  auto peer = Peers.find({host, port});
+  return peer != Peers.end() &&
+         std::any_of(peer->second.All.begin(), peer->second.All.end(), [&](const auto &it) {
+           ConnectionPtr connection = it.lock();
+           return connection && connection->isOpen() && connection->openedAt() <= openedBy;
+         });
+}
+
 /// Returns the most recently used idle connection that meets the requirements, or null, and closes
 /// connections that can no longer be reused.
 TargetPool::ConnectionPtr TargetPool::takeIdle(Peer &peer, const Requirements &requirements) const {
@@ -79,7 +106,7 @@
     const auto at = peer.Idle.begin() + static_cast<std::ptrdiff_t>(i);
     ConnectionPtr connection = *at;
     const bool isUsable = connection->mayReuse(now, requirements.MustBeOpen);
-    if (isUsable && connection->hasSent(requirements.RequestId))
+    if (isUsable && !meets(*connection, requirements))
       continue;
     peer.Idle.erase(at);
     if (isUsable)
@@ -96,6 +123,8 @@
     connection->setPeer(requirements.Target.Value);
     return connection;
   }
+  if (requirements.OpenedBy)
+    return nullptr;
   const auto removeEnded = [&peer] {
     peer.All.erase(std::remove_if(peer.All.begin(), peer.All.end(),
                                   [](const auto &it) {
@@ -180,15 +209,18 @@
                  {"exchange", connection.exchanges()}}});
 }
 
-void TargetPool::onIdleConnectionEnded(const http::ClientConnection &connection,
-                                       core::Duration idle) {
+void TargetPool::onConnectionEnded(const http::ClientConnection &connection, bool isSilent) {
+  if (HandleEnded)
+    HandleEnded(core::TargetId(connection.peer()), connection.lastHeard(), isSilent);
   if (Events != nullptr)
     Events->emit({core::EventId::TargetConnectionEnded,
                   {{"target", connection.peer()},
                    {"address", absl::StrCat(connection.host(), ":", connection.port())},
                    {"connection", connection.number()},
                    {"exchanges", connection.exchanges()},
-                   {"idle_ms", idle}}});
+                   {"idle", connection.isIdle()},
+                   {"silent", isSilent},
+                   {"quiet_ms", Clock.now() - connection.lastHeard()}}});
 }
 
 size_t TargetPool::openConnections() const {
--- a/src/entry/TargetPool.h
+++ b/src/entry/TargetPool.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -24,9 +25,14 @@
   /// for it. It must not use the pool.
   using OnHead = std::function<void(const core::TargetId &, const http::Head &, bool isDue)>;
 
-  /// `events` is told of unexpected responses; it may be null, and so may `onHead`.
+  /// Called when a connection has ended that its target had not announced to close, with the time
+  /// at which it was last known to work. `isSilent` is as in http::ConnectionObserver. It must not
+  /// use the pool.
+  using OnEnded = std::function<void(const core::TargetId &, core::Time lastHeard, bool isSilent)>;
+
+  /// `events` is told of unexpected responses; it may be null, and so may the functions.
   TargetPool(asio::io_context &io, const core::Clock &clock, std::string idHeader,
-             core::EventSink *events, OnHead onHead = nullptr,
+             core::EventSink *events, OnHead onHead = nullptr, OnEnded onEnded = nullptr,
              const http::ClientConnectionSettings &settings = {});
   ~TargetPool() override;
 
@@ -37,6 +43,8 @@
     size_t MaxConnections = 1; ///< To the same address.
     bool MustBeOpen = false;   ///< The target cannot have closed a reused connection.
     bool MustBeNew = false;    ///< See http::ClientConnection::needsOwnConnection().
+    std::optional<core::Time> OpenedBy =
+        std::nullopt; ///< It was established by then, so it is not a new one.
   };
 
   /// Returns an idle connection that has not carried a request with the same id, or a new one; null
@@ -44,6 +52,12 @@
   std::shared_ptr<http::ClientConnection> acquire(const std::string &host, uint16_t port,
                                                   const Requirements &requirements);
 
+  /// Returns whether acquire() would return an idle connection.
+  bool canReuse(const std::string &host, uint16_t port, const Requirements &requirements) const;
+
+  /// Returns whether a connection to the address is open that was established by a given time.
+  bool isOpen(const std::string &host, uint16_t port, core::Time openedBy) const;
+
   /// Returns a connection whose exchange has ended to the pool.
   void release(const std::shared_ptr<http::ClientConnection> &connection);
 
@@ -72,17 +86,18 @@
     std::vector<std::weak_ptr<http::ClientConnection>> All;
   };
 
+  static bool meets(const http::ClientConnection &connection, const Requirements &requirements);
   ConnectionPtr takeIdle(Peer &peer, const Requirements &requirements) const;
   void onUnexpectedResponse(const http::ClientConnection &connection, http::UnexpectedResponse kind,
                             const http::Head *head, std::string_view reason) override;
-  void onIdleConnectionEnded(const http::ClientConnection &connection,
-                             core::Duration idle) override;
+  void onConnectionEnded(const http::ClientConnection &connection, bool isSilent) override;
 
   asio::io_context &Io;
   const core::Clock &Clock;
   const std::string IdHeader;
   core::EventSink *const Events;
   const OnHead HandleHead;
+  const OnEnded HandleEnded;
   const http::ClientConnectionSettings Settings;
   std::map<Key, Peer> Peers;
   std::map<http::ClientConnection *, std::unique_ptr<Discarder>> Discarders;
--- a/src/entry/TargetSelection.cpp
+++ b/src/entry/TargetSelection.cpp
@@ -59,15 +59,20 @@
     return std::nullopt;
   State &state = *chosen->Target;
   ++state.OwnRequests;
-  if (isCold(state, now))
-    state.ColdNext = now + Cold.interval(coldRate(state));
+  if (!chosen->OpenedBy)
+    state.LastSentAt = now;
   if (request.Object)
     recordServed(state, *request.Object, now);
   Spillover.recordUsed(spilloverRegion(state.Region));
   Pick pick = toPick(*chosen, request.Service);
-  pick.Cold = {std::max<int64_t>(0, (std::max(state.ColdUntil, state.AssumedColdUntil) - now).Ms)};
+  pick.OpenedBy = chosen->OpenedBy;
+  pick.IsLimited = chosen->IsLimited;
+  pick.Cold = {
+      std::max<int64_t>(0, (std::max(state.Process.coldUntil(), state.AssumedColdUntil) - now).Ms)};
   if (pick.Cold.Ms > 0)
-    pick.ColdBy = now < state.ColdUntil ? state.ColdBy : ColdEvidence::Returned;
+    pick.ColdBy = state.Process.isCold(now) ? state.Process.coldBy() : ColdEvidence::Returned;
+  else if (pick.IsLimited || pick.OpenedBy)
+    pick.ColdBy = state.Process.doubt(now);
   return pick;
 }
 
@@ -168,14 +173,25 @@
   // Each request in progress occupies a connection.
   const int ownLimit = static_cast<int>(maxConnections(request.Service));
   std::map<core::RegionId, Candidate> bestOf;
+  std::vector<Candidate> doubtful; // Not usable until their processes have been asked.
   for (size_t i = 0; i < usable.size(); ++i) {
     State &state = *usable[i];
     ++LastFailure.Usable;
-    if (isCold(state, now) && !mayUseColdTarget(state, now)) {
+    const bool isDoubtful = !isCold(state, now) && isDoubted(state, now);
+    std::optional<core::Time> openedBy;
+    if (isDoubtful && request.MayReuse &&
+        request.MayReuse(state.Info.Host, state.Info.Port, knownUntil(state, now)))
+      openedBy = knownUntil(state, now);
+    const bool isLimited = !openedBy && (isDoubtful || isCold(state, now));
+    if (isLimited && !mayUseColdTarget(state, now)) {
       ++LastFailure.Cold;
+      if (isDoubtful)
+        doubtful.push_back(evaluate(state, affinities[i], request, time, meanTime, now));
       continue;
     }
     Candidate it = evaluate(state, affinities[i], request, time, meanTime, now);
+    it.OpenedBy = openedBy;
+    it.IsLimited = isLimited;
     if (it.Load >= state.Info.Slots * Settings.MaxLoadPerSlot || state.OwnRequests >= ownLimit) {
       ++LastFailure.Full;
       continue;
@@ -188,7 +204,14 @@
     if (known == bestOf.end() || it.Value > known->second.Value)
       bestOf[state.Region] = it;
   }
-  return chooseRegion(bestOf, request.Service, now);
+  std::optional<Candidate> chosen = chooseRegion(bestOf, request.Service, now);
+  if (chosen && chosen->IsLimited)
+    doubtful.push_back(*chosen);
+  auto wanted = std::max_element(doubtful.begin(), doubtful.end(),
+                                 [](const auto &a, const auto &b) { return a.Value < b.Value; });
+  if (wanted != doubtful.end() && (!chosen || wanted->Value >= chosen->Value))
+    markWanted(*wanted->Target, now);
+  return chosen;
 }
 
 std::optional<TargetTable::Candidate>
@@ -236,8 +259,8 @@
   it.Load = load(state, now);
   it.Network = network(state);
   it.Slowness = slowness(state, now);
-  it.ObjectCached =
-      affinity.IsPrimary || (request.Object && hasCached(state, *request.Object, now));
+  it.ObjectCached = (affinity.IsPrimary && !isCold(state, now)) ||
+                    (request.Object && hasCached(state, *request.Object, now));
   double slots = state.Info.Slots;
   double processingMs = (it.ObjectCached ? time.CachedMs : time.UncachedMs) * it.Slowness;
   if (isCold(state, now))
@@ -291,7 +314,8 @@
 }
 
 bool TargetTable::mayUseColdTarget(const State &state, core::Time now) const {
-  return now >= state.ColdNext && Cold.maySend(state.Info.Id, state.Region, coldRate(state));
+  return now - state.LastSentAt >= Cold.interval(coldRate(state)) &&
+         Cold.maySend(state.Info.Id, state.Region, coldRate(state));
 }
 
 } // namespace briarspar::entry
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -1,7 +1,6 @@
 #include "entry/TargetTable.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 namespace briarspar::entry {
@@ -28,6 +27,33 @@
 /// whether it is.
 constexpr core::Duration AssumedColdSpan{2500};
 
+/// A process that may have ended is asked after this time, so that it has a chance to be back.
+constexpr core::Duration FirstAskDelay{80};
+
+/// Added for each VM that comes before this one for the target, as its result is passed on.
+constexpr core::Duration AskDelayPerRank{80};
+constexpr size_t MaxAskRank = 12;
+
+/// Added on VMs of other regions than the target's.
+constexpr core::Duration RemoteAskDelay{400};
+
+/// Time until a process that rejected the question is asked again.
+constexpr core::Duration AskInterval{500};
+
+/// The other connections of an ended process are found to be closed within this time.
+constexpr core::Duration CloseSpread{30};
+
+/// An unsettled doubt is passed on again after this time, up to AnnounceSpan, as messages may be
+/// lost.
+constexpr core::Duration AnnounceInterval{400};
+constexpr core::Duration AnnounceSpan{2000};
+
+/// Upper bound of the time that a notice is in transit between two VMs.
+constexpr core::Duration NoticeTransit{300};
+
+/// Without contact to the leader, a response of a process that is not cold counts for this long.
+constexpr core::Duration WarmValidity{500};
+
 /// Fraction of the connection limit of a target that all entry VMs together use.
 constexpr double ConnectionLimitShare = 0.7;
 
@@ -37,11 +63,6 @@
 
 } // namespace
 
-const char *nameOf(ColdEvidence evidence) {
-  constexpr std::array<const char *, 4> names{"", "list", "probe", "returned"};
-  return names[static_cast<size_t>(evidence)];
-}
-
 TargetTable::TargetTable(VmLocation own, const TargetTableSettings &settings)
     : Own(std::move(own)), Settings(settings), Notices(settings.Notices),
       Processing(settings.Processing), Affinity(settings.Affinity),
@@ -61,19 +82,24 @@
     auto known = old.find(id);
     if (known != old.end())
       state = std::move(known->second);
-    bool moved = state.Info.Host != info.Host || state.Info.Port != info.Port;
-    if (known != old.end() && moved) {
-      state = {};
+    if (known != old.end() && isOtherProcess(state, info, now)) {
+      state.beginProcess();
       Notices.discard(id);
     }
     state.Info = info;
+    Notices.keepProcess(id, info.Process);
     auto region = Own.Regions.find(info.Domain);
     state.Region = region == Own.Regions.end() ? core::RegionId() : region->second;
-    if (info.ColdUntil > now)
-      setColdUntil(state, info.ColdUntil, ColdEvidence::List, now);
+    if (info.ColdUntil > now) {
+      if (!state.Process.isCold(now))
+        NewColdStarts.push_back({id, info.ColdUntil - now, ColdEvidence::List});
+      state.Process.listCold(info.ColdUntil, now);
+    }
     ByService[info.Service].push_back(&state);
     ByKey[link::targetKey(id)] = &state;
   }
+  for (auto it = Doubted.begin(); it != Doubted.end();)
+    it = Targets.count(*it) != 0 ? std::next(it) : Doubted.erase(it);
   Notices.onList([this](const core::TargetId &id) { return Targets.count(id) != 0; }, now);
   for (const auto &[service, states] : ByService) {
     if (Baseline.count(service) != 0)
@@ -115,16 +141,182 @@
   Cold.setEntries(entries);
 }
 
-void TargetTable::setColdUntil(State &state, core::Time until, ColdEvidence evidence,
-                               core::Time now) {
-  if (now >= state.ColdUntil)
+bool TargetTable::isCold(const State &state, core::Time now) const {
+  return state.Process.isCold(now) || now < state.AssumedColdUntil;
+}
+
+/// Returns whether a new connection to the target may lead to another process than the known one.
+bool TargetTable::isDoubted(const State &state, core::Time now) const {
+  if (state.Process.isDoubted(now))
+    return true;
+  const std::optional<core::Time> warmAt = state.Process.warmAt();
+  return ControlLostAt && !(warmAt && now - *warmAt < WarmValidity);
+}
+
+/// Returns up to when a connection that is still open was opened to the known process of a doubted
+/// target.
+core::Time TargetTable::knownUntil(const State &state, core::Time now) const {
+  if (state.Process.isDoubted(now) || !ControlLostAt)
+    return state.Process.lastKnown();
+  return std::max(*ControlLostAt, state.Process.warmAt().value_or(core::Time()));
+}
+
+/// Returns whether a list entry shows another process than the one before it.
+bool TargetTable::isOtherProcess(const State &state, const discovery::Target &info,
+                                 core::Time now) const {
+  const bool isMoved = state.Info.Host != info.Host || state.Info.Port != info.Port;
+  const bool isLater = state.Info.Process != info.Process && info.Process.Value != 0;
+  // Where the list does not tell processes apart: no process takes back that it is leaving.
+  const bool isBack =
+      info.Process.Value == 0 && state.Info.Draining && !info.Draining && info.ColdUntil > now;
+  return isMoved || isLater || isBack;
+}
+
+void TargetTable::State::beginProcess() {
+  State fresh;
+  fresh.Info = std::move(Info);
+  fresh.OwnRequests = OwnRequests;
+  // What VMs found out is newer than the list, which shows this process late.
+  fresh.Process = Process;
+  fresh.LastSentAt = LastSentAt;
+  fresh.AssumedColdUntil = AssumedColdUntil;
+  fresh.AskAt = AskAt;
+  fresh.IsWanted = IsWanted;
+  fresh.LostSilently = LostSilently;
+  fresh.AnnouncedAt = AnnouncedAt;
+  fresh.Ejected = Ejected;
+  fresh.EjectedUntil = EjectedUntil;
+  fresh.Ejections = Ejections;
+  fresh.Probing = Probing;
+  fresh.ProbedAt = ProbedAt;
+  *this = std::move(fresh);
+}
+
+void TargetTable::doubt(State &state, core::Time lastKnown, ColdEvidence evidence, core::Time now) {
+  if (!state.Process.suspect(lastKnown, evidence, now))
+    return;
+  Doubted.insert(state.Info.Id);
+  state.AskAt = now + askDelay(state);
+  state.IsWanted = false;
+  state.LostSilently = false;
+  state.AnnouncedAt = {};
+}
+
+void TargetTable::settleCold(State &state, core::Time until, ColdEvidence evidence,
+                             core::Time now) {
+  if (!state.Process.isCold(now)) {
     NewColdStarts.push_back({state.Info.Id, until - now, evidence});
-  state.ColdUntil = until;
-  state.ColdBy = evidence;
+    state.Served.clear();
+  }
+  state.Process.learnCold(until, evidence, now);
+  Doubted.erase(state.Info.Id);
 }
 
-bool TargetTable::isCold(const State &state, core::Time now) const {
-  return now < state.ColdUntil || now < state.AssumedColdUntil;
+void TargetTable::settleWarm(State &state, core::Time now) {
+  state.Process.learnWarm(now);
+  Doubted.erase(state.Info.Id);
+}
+
+core::Duration TargetTable::askDelay(const State &state) const {
+  const auto rank = static_cast<int64_t>(std::min(MaxAskRank, Cold.rank(state.Info.Id)));
+  const core::Duration remote = state.Region == Own.Region ? core::Duration{0} : RemoteAskDelay;
+  return FirstAskDelay + AskDelayPerRank * rank + remote;
+}
+
+void TargetTable::recordConnectionEnded(const core::TargetId &id, core::Time lastHeard,
+                                        bool isSilent, core::Time now) {
+  auto it = Targets.find(id);
+  if (it == Targets.end())
+    return;
+  it->second.Served.clear();
+  doubt(it->second, lastHeard, ColdEvidence::Lost, now);
+  it->second.LostSilently = it->second.LostSilently || isSilent;
+}
+
+bool TargetTable::confirmSend(const Pick &pick, core::Time now) {
+  auto it = Targets.find(pick.Id);
+  if (it == Targets.end() || pick.IsLimited)
+    return true;
+  State &state = it->second;
+  if (!isCold(state, now) && !state.Process.isDoubted(now))
+    return true;
+  if (!mayUseColdTarget(state, now))
+    return false;
+  state.LastSentAt = now;
+  return true;
+}
+
+void TargetTable::applyProcessNotices(absl::Span<const link::ProcessNotice> notices,
+                                      core::Time now) {
+  for (const link::ProcessNotice &it : notices) {
+    auto known = ByKey.find(it.Target);
+    if (known == ByKey.end())
+      continue;
+    State &state = *known->second;
+    switch (it.Fact) {
+    case link::ProcessFact::MayHaveEnded:
+      doubt(state, now - it.Span - NoticeTransit, ColdEvidence::LostByPeer, now);
+      break;
+    case link::ProcessFact::IsCold:
+      settleCold(state, now + it.Span, ColdEvidence::Notice, now);
+      break;
+    case link::ProcessFact::IsWarm:
+      // The process may have responded before this VM lost its connection.
+      if (state.Process.doubt(now) != ColdEvidence::Lost ||
+          now - state.Process.doubtedSince() > NoticeTransit / 2)
+        settleWarm(state, now);
+      break;
+    }
+  }
+}
+
+/// Records that requests would have been sent to a target if its process were known.
+void TargetTable::markWanted(State &state, core::Time now) {
+  if (!isDoubted(state, now))
+    return;
+  state.IsWanted = true;
+  Doubted.insert(state.Info.Id);
+}
+
+bool TargetTable::hasOpenDoubts(core::Time now) const {
+  return !NewNotices.empty() ||
+         std::any_of(Doubted.begin(), Doubted.end(), [&](const core::TargetId &id) {
+           const State &state = Targets.at(id);
+           const bool isOwn = state.Process.doubt(now) == ColdEvidence::Lost &&
+                              now - state.Process.doubtedSince() < AnnounceSpan;
+           return isOwn || state.IsWanted;
+         });
+}
+
+std::vector<link::ProcessNotice> TargetTable::takeProcessNotices(
+    const std::function<bool(const std::string &host, uint16_t port, core::Time openedBy)> &isOpen,
+    core::Time now) {
+  std::vector<link::ProcessNotice> out = std::exchange(NewNotices, {});
+  for (auto it = Doubted.begin(); it != Doubted.end();) {
+    State &state = Targets.at(*it);
+    if (!isDoubted(state, now)) {
+      it = Doubted.erase(it);
+      continue;
+    }
+    const core::Duration age = now - state.Process.doubtedSince();
+    const bool isOwn = state.Process.doubt(now) == ColdEvidence::Lost;
+    if (!isOwn || age < CloseSpread || age > AnnounceSpan ||
+        now - state.AnnouncedAt < AnnounceInterval) {
+      ++it;
+      continue;
+    }
+    const core::Time lastKnown = state.Process.lastKnown();
+    if (state.AnnouncedAt.Ms == 0 && !state.LostSilently &&
+        isOpen(state.Info.Host, state.Info.Port, lastKnown)) {
+      state.Process.withdrawDoubt();
+      it = Doubted.erase(it);
+      continue;
+    }
+    state.AnnouncedAt = now;
+    out.push_back({link::targetKey(*it), link::ProcessFact::MayHaveEnded, now - lastKnown});
+    ++it;
+  }
+  return out;
 }
 
 bool TargetTable::isFailingOver(const std::string &service, core::Time now) const {
@@ -206,6 +398,8 @@
   if (outcome == TargetOutcome::ConnectFailed || outcome == TargetOutcome::ConnectionLost) {
     // The process may have exited: its cache is lost, and it may return cold.
     state.Served.clear();
+    if (outcome == TargetOutcome::ConnectFailed)
+      doubt(state, state.AnsweredAt, ColdEvidence::Lost, now);
     bool wasEjected = state.Ejected;
     if (outcome == TargetOutcome::ConnectFailed ||
         ++state.FailuresInRow >= Settings.FailuresToEject)
@@ -324,10 +518,7 @@
 
 std::optional<Pick> TargetTable::nextProbe(core::Time now) {
   for (auto &[id, state] : Targets) {
-    if (!state.Ejected || state.Info.Draining || now < state.EjectedUntil ||
-        !Notices.mayUse(id, now))
-      continue;
-    if (state.Probing && now - state.ProbedAt < ProbeTimeout)
+    if (state.Info.Draining || !isDueForProbe(state, now) || !Notices.mayUse(id, now))
       continue;
     state.Probing = true;
     state.ProbedAt = now;
@@ -341,22 +532,48 @@
   return std::nullopt;
 }
 
-void TargetTable::recordProbe(const core::TargetId &id, bool healthy, core::Duration cold,
+bool TargetTable::isDueForProbe(const State &state, core::Time now) const {
+  if (state.Probing && now - state.ProbedAt < ProbeTimeout)
+    return false;
+  if (state.Ejected)
+    return now >= state.EjectedUntil;
+  const ColdEvidence doubt = state.Process.doubt(now);
+  const core::Time askAt = doubt == ColdEvidence::ColdOver
+                               ? std::max(state.AskAt, state.Process.coldUntil() + askDelay(state))
+                               : state.AskAt;
+  return (doubt == ColdEvidence::Lost || state.IsWanted) && isDoubted(state, now) && now >= askAt;
+}
+
+void TargetTable::recordProbe(const core::TargetId &id, ProbeResult result, core::Duration cold,
                               core::Time now) {
   auto it = Targets.find(id);
   if (it == Targets.end())
     return;
   State &state = it->second;
   state.Probing = false;
-  if (!healthy) {
-    state.EjectedUntil = now + Settings.BaseEjectionTime;
+  state.AskAt = now + AskInterval;
+  state.IsWanted = false;
+  if (result != ProbeResult::Failed && cold.Ms > 0) {
+    settleCold(state, now + cold, ColdEvidence::Probe, now);
+    NewNotices.push_back({link::targetKey(id), link::ProcessFact::IsCold, cold});
+  }
+  if (result != ProbeResult::Passed) {
+    if (state.Ejected)
+      state.EjectedUntil = now + Settings.BaseEjectionTime;
+    else if (result == ProbeResult::Failed)
+      eject(state, now);
     return;
   }
+  if (cold.Ms == 0) {
+    if (state.Process.isDoubted(now))
+      NewNotices.push_back({link::targetKey(id), link::ProcessFact::IsWarm, core::Duration{0}});
+    settleWarm(state, now);
+  }
+  if (!state.Ejected)
+    return;
   state.Ejected = false;
   state.FailureShare = 0;
   state.Slowness = 1;
-  if (cold.Ms > 0)
-    setColdUntil(state, now + cold, ColdEvidence::Probe, now);
   state.AssumedColdUntil = now + AssumedColdSpan;
 }
 
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -5,14 +5,17 @@
 #include "discovery/TargetList.h"
 #include "entry/ColdTargetLimiter.h"
 #include "entry/ObjectAffinity.h"
+#include "entry/ProcessBelief.h"
 #include "entry/ProcessingTimes.h"
 #include "entry/RegionShiftLimiter.h"
 #include "entry/TargetNotices.h"
 #include "link/Messages.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -90,19 +93,11 @@
   absl::Span<const core::TargetId> Tried;
   core::Duration Waited; ///< Time since the request arrived.
   core::Duration Left;   ///< Time until the deadline of the request.
+  /// Returns whether the request can be sent on an open connection to the address that was opened
+  /// no later than a given time. Without a function it cannot.
+  std::function<bool(const std::string &host, uint16_t port, core::Time openedBy)> MayReuse;
 };
 
-/// What shows that a target is cold.
-enum class ColdEvidence : uint8_t {
-  None,     ///< It is not cold.
-  List,     ///< The target list.
-  Probe,    ///< Its response to a health probe.
-  Returned, ///< It passed a probe after it had failed, and may have started again.
-};
-
-/// Returns the name of an evidence in log events.
-const char *nameOf(ColdEvidence evidence);
-
 struct Pick {
   core::TargetId Id;
   std::string Host;
@@ -116,8 +111,12 @@
   double Slowness = 1;       ///< Factor applied to the remaining part for this target.
   double Load = 0;           ///< Estimated number of requests at the target before this one.
   double Value = 0;
-  core::Duration Cold; ///< Remaining time for which the target is taken for cold.
+  core::Duration Cold; ///< Remaining time for which the target is known to be cold.
   ColdEvidence ColdBy = ColdEvidence::None;
+  /// Only a connection that was opened by then may be used: another one could lead to another
+  /// process.
+  std::optional<core::Time> OpenedBy;
+  bool IsLimited = false; ///< The request counts as one to a cold target.
 };
 
 /// Why no target was selected.
@@ -150,6 +149,13 @@
   Cancelled,
 };
 
+/// Result of a health probe.
+enum class ProbeResult : uint8_t {
+  Passed,   ///< The process of this id considers itself healthy.
+  Rejected, ///< It responded, but does not.
+  Failed,   ///< No response, or one of another process.
+};
+
 /// Load that a target reports about itself.
 struct LoadReport {
   uint32_t Running = 0;
@@ -225,8 +231,35 @@
   /// Records the measured time to open a connection to a target.
   void recordRoundTrip(const core::TargetId &id, core::Duration time);
 
-  /// Returns an ejected target that is due for a health probe. At most one probe per target is
-  /// outstanding.
+  /// Records that a target, or the network, ended a connection to it, which was last known to work
+  /// at `lastHeard`. `isSilent` tells that the target stopped responding, so that its other
+  /// connections may have ended as well without a sign.
+  void recordConnectionEnded(const core::TargetId &id, core::Time lastHeard, bool isSilent,
+                             core::Time now);
+
+  /// Sets the time at which the leader was heard last, while it is silent, or nullopt. Meanwhile
+  /// nobody tells this VM which processes have ended.
+  void setControlLost(std::optional<core::Time> lastHeard) { ControlLostAt = lastHeard; }
+
+  /// Returns whether a request that was chosen for `pick` may be sent over a connection that has
+  /// just been opened: the process may have become a cold one since.
+  bool confirmSend(const Pick &pick, core::Time now);
+
+  /// Applies what other VMs found out about the processes of targets.
+  void applyProcessNotices(absl::Span<const link::ProcessNotice> notices, core::Time now);
+
+  /// Returns what the other VMs are to be told of the processes of targets. A doubt is withdrawn if
+  /// `isOpen` tells of another connection to the address that was opened by the given time.
+  std::vector<link::ProcessNotice> takeProcessNotices(
+      const std::function<bool(const std::string &host, uint16_t port, core::Time openedBy)>
+          &isOpen,
+      core::Time now);
+
+  /// Returns whether takeProcessNotices() or nextProbe() may have something to do soon.
+  bool hasOpenDoubts(core::Time now) const;
+
+  /// Returns a target that is due for a health probe, because it is ejected or its process may be
+  /// another one. At most one probe per target is outstanding.
   std::optional<Pick> nextProbe(core::Time now);
 
   /// A temporary exclusion of a target, with the state that caused it.
@@ -251,8 +284,10 @@
   /// Returns the targets that have become cold since the last call.
   std::vector<ColdStart> takeColdStarts() { return std::exchange(NewColdStarts, {}); }
 
-  /// Records the result of a health probe.
-  void recordProbe(const core::TargetId &id, bool healthy, core::Duration cold, core::Time now);
+  /// Records the result of a health probe. `cold` is how much longer the target stays cold
+  /// according to its response.
+  void recordProbe(const core::TargetId &id, ProbeResult result, core::Duration cold,
+                   core::Time now);
 
   /// Returns the results by version of services with a running rollout, counted since its order.
   std::vector<link::VersionCounts> versionCounts() const;
@@ -285,13 +320,19 @@
     bool Probing = false;
     core::Time ProbedAt;
     bool Leaving = false;
-    core::Time ColdUntil;
-    ColdEvidence ColdBy = ColdEvidence::None; ///< Source of ColdUntil.
-    core::Time ColdNext;         ///< Earliest time of the next request while it is cold.
+    ProcessBelief Process;
+    core::Time LastSentAt;       ///< Last request that may have reached the current process.
     core::Time AssumedColdUntil; ///< The target has returned, and the target list does not show yet
                                  ///< whether it is cold.
+    core::Time AskAt;            ///< While in doubt: earliest time of the next probe.
+    bool IsWanted = false;       ///< While in doubt: requests would have been sent to it.
+    bool LostSilently = false;   ///< While in doubt: see recordConnectionEnded().
+    core::Time AnnouncedAt;      ///< While in doubt: the other VMs were last told then.
     /// Objects that this VM has requested from it, with the time of the last request.
     std::unordered_map<uint64_t, core::Time> Served;
+
+    /// Discards all that was observed of an earlier process under the same id.
+    void beginProcess();
   };
 
   /// A target with its estimates for a request. Contains no strings, because one is created for
@@ -304,6 +345,8 @@
     double Slowness = 1;
     double Load = 0;
     double Value = 0;
+    std::optional<core::Time> OpenedBy; ///< As in Pick.
+    bool IsLimited = false;             ///< As in Pick.
   };
 
   /// Which versions of a service are being selected from.
@@ -323,7 +366,15 @@
   }
   bool mayUseColdTarget(const State &state, core::Time now) const;
   bool isCold(const State &state, core::Time now) const;
-  void setColdUntil(State &state, core::Time until, ColdEvidence evidence, core::Time now);
+  bool isDoubted(const State &state, core::Time now) const;
+  core::Time knownUntil(const State &state, core::Time now) const;
+  bool isOtherProcess(const State &state, const discovery::Target &info, core::Time now) const;
+  void doubt(State &state, core::Time lastKnown, ColdEvidence evidence, core::Time now);
+  void settleCold(State &state, core::Time until, ColdEvidence evidence, core::Time now);
+  void settleWarm(State &state, core::Time now);
+  core::Duration askDelay(const State &state) const;
+  void markWanted(State &state, core::Time now);
+  bool isDueForProbe(const State &state, core::Time now) const;
   double coldRate(const State &state) const;
   std::optional<Candidate> selectBest(absl::Span<State *const> targets, const PickRequest &request,
                                       Versions versions, core::Time now);
@@ -370,6 +421,9 @@
                                 ///< without an object, the region of this VM.
   std::vector<Ejection> NewEjections;
   std::vector<ColdStart> NewColdStarts;
+  std::vector<link::ProcessNotice> NewNotices;
+  std::set<core::TargetId> Doubted; ///< Targets whose process may have ended.
+  std::optional<core::Time> ControlLostAt;
   std::map<core::DomainId, double> RoundTrip; ///< Measured, in ms.
   std::map<std::string, double> RolloutCredit;
   std::map<std::string, std::map<std::string, double>> SplitCredit; ///< By route and service.
--- a/src/entry/testing/RestartFleet.h
+++ b/src/entry/testing/RestartFleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catalog/Catalog.h"
+#include "control/ProcessNoticeRelay.h"
 #include "discovery/TargetList.h"
 #include "entry/TargetTable.h"
 
@@ -24,18 +25,20 @@
 
 /// What may happen to a target in a RestartFleet.
 struct RestartPlan {
-  Duration Fall{300};       ///< Time from the end of a process to the start of the next one.
-  size_t Falls = 1;         ///< Number of ends, each two seconds after the start before it.
-  double RequestsPerS = 60; ///< Over all VMs and targets.
-  size_t Objects = 4;       ///< Number of requested objects.
-  Duration ListLag{800};    ///< Age of what the platform's list shows.
-  bool Restarts = true;     ///< Otherwise connections end and the process goes on.
+  Duration Fall{300};        ///< Time from the end of a process to the start of the next one.
+  size_t Falls = 1;          ///< Number of ends, each two seconds after the start before it.
+  double RequestsPerS = 60;  ///< Over all VMs and targets.
+  size_t Objects = 4;        ///< Number of requested objects.
+  Duration ListLag{800};     ///< Age of what the platform's list shows.
+  uint64_t LossPermille = 0; ///< Notices of the leader that do not arrive.
+  bool Restarts = true;      ///< Otherwise connections end and the process goes on.
   uint64_t Seed = 1;
 };
 
 /// Entry VMs of one region that send requests to the same targets over kept connections, a platform
-/// list that lags, and a target whose process ends and starts again under its id. Time is
-/// simulated; the network takes a millisecond each way.
+/// list that lags, a leader that passes on their notices, and a target whose process ends and
+/// starts again under its id. Time is simulated; the network takes a millisecond each way to a
+/// target and forty to the leader.
 class RestartFleet {
 public:
   static constexpr size_t VmCount = 24;
@@ -79,6 +82,7 @@
     Route.Services = {{"s", 1}};
     request();
     sweep(0);
+    relay();
   }
 
   /// Plays until `span` has passed.
@@ -124,6 +128,8 @@
 private:
   struct Connection {
     uint64_t Process = 0;
+    Time OpenedAt;
+    Time LastHeard;
     Time IdleSince;
     bool Busy = false;
   };
@@ -171,6 +177,7 @@
       it.Version = core::VersionId("v1");
       it.Slots = 6;
       it.ColdUntil = Targets[i].ColdUntil;
+      it.Process = core::Incarnation(Targets[i].LastProcess);
     }
     const Duration lag = Now.Ms == 0 ? Duration{0} : Plan.ListLag + Duration{50};
     after(lag, [this, snapshot] {
@@ -185,12 +192,41 @@
   void sweep(size_t i) {
     for (std::unique_ptr<Vm> &vm : Vms) {
       (void)vm->Table.takeEjections();
-      while (std::optional<Pick> pick = vm->Table.nextProbe(Now))
-        probe(*vm, indexOf(pick->Id));
+      check(*vm);
     }
-    after(Duration{200}, [this, i] { sweep(i); });
+    after(Duration{40}, [this, i] { sweep(i); });
   }
 
+  /// Sends the notices and probes of a VM that are due.
+  void check(Vm &vm) {
+    const auto notices = vm.Table.takeProcessNotices(
+        [&vm](const std::string &host, uint16_t, Time openedBy) {
+          const auto &open = vm.Connections[targetAt(host)];
+          return std::any_of(open.begin(), open.end(), [openedBy](const auto &c) {
+            return c->Process != 0 && c->OpenedAt <= openedBy;
+          });
+        },
+        Now);
+    if (!notices.empty())
+      after(LeaderDelay, [this, notices] { Relay.receive(notices, Now); });
+    while (std::optional<Pick> pick = vm.Table.nextProbe(Now))
+      probe(vm, indexOf(pick->Id));
+  }
+
+  /// The leader passes on the notices that have arrived.
+  void relay() {
+    const auto notices = Relay.take(Now);
+    if (!notices.empty())
+      for (std::unique_ptr<Vm> &vm : Vms)
+        after(LeaderDelay, [this, &vm = *vm, notices] {
+          if (random(1000) >= Plan.LossPermille)
+            vm.Table.applyProcessNotices(notices, Now);
+        });
+    after(Duration{15}, [this] { relay(); });
+  }
+
+  static size_t targetAt(const std::string &host) { return std::stoul(host.substr(7)); }
+
   static size_t indexOf(const core::TargetId &id) { return std::stoul(id.Value.substr(1)); }
 
   void probe(Vm &vm, size_t target) {
@@ -199,7 +235,8 @@
       const bool isUp = it.Process != 0;
       const Duration cold{std::max<int64_t>(0, (it.ColdUntil - Now).Ms)};
       after(Duration{1}, [this, &vm, target, isUp, cold] {
-        vm.Table.recordProbe(targetId(target), isUp, isUp ? cold : Duration{0}, Now);
+        vm.Table.recordProbe(targetId(target), isUp ? ProbeResult::Passed : ProbeResult::Failed,
+                             isUp ? cold : Duration{0}, Now);
       });
     });
   }
@@ -219,22 +256,18 @@
     request.Object = random(2) == 0 ? 1 : 1 + random(Plan.Objects);
     request.Priority = 2;
     request.Left = Duration{2000};
+    request.MayReuse = [this, &vm](const std::string &host, uint16_t, Time openedBy) {
+      return idleConnection(vm, targetAt(host), openedBy) != nullptr;
+    };
     std::optional<Pick> pick = vm.Table.pick(request, Now);
     if (!pick)
       return;
     const size_t target = indexOf(pick->Id);
-    std::vector<std::shared_ptr<Connection>> &open = vm.Connections[target];
-    open.erase(std::remove_if(
-                   open.begin(), open.end(),
-                   [this](const auto &c) { return !c->Busy && Now - c->IdleSince > KeepAlive; }),
-               open.end());
-    auto idle = std::find_if(open.begin(), open.end(), [](const auto &c) { return !c->Busy; });
-    std::shared_ptr<Connection> connection;
-    if (idle != open.end()) {
-      connection = *idle;
-    } else {
+    std::shared_ptr<Connection> connection =
+        idleConnection(vm, target, pick->OpenedBy.value_or(Now));
+    if (!connection) {
       connection = std::make_shared<Connection>();
-      open.push_back(connection);
+      vm.Connections[target].push_back(connection);
     }
     connection->Busy = true;
     after(Duration{1}, [this, &vm, target, connection, pick = *pick, sent = Now] {
@@ -246,6 +279,15 @@
               const Pick &pick, Time sent) {
     Target &it = Targets[target];
     const bool isNew = connection->Process == 0;
+    if (isNew && it.Process != 0) {
+      connection->OpenedAt = connection->LastHeard = Now;
+      if (!vm.Table.confirmSend(pick, Now)) {
+        remove(vm, target, connection);
+        vm.Table.record(pick, Route, TargetOutcome::Cancelled, Duration{1}, 0, Now);
+        send(vm);
+        return;
+      }
+    }
     if (it.Process == 0 || (!isNew && connection->Process != it.Process)) {
       after(Duration{1}, [this, &vm, target, connection, pick, isNew] {
         lose(vm, target, connection, pick, isNew);
@@ -264,7 +306,7 @@
       if (Targets[target].Process != connection->Process || !connection->Busy)
         return;
       connection->Busy = false;
-      connection->IdleSince = Now;
+      connection->IdleSince = connection->LastHeard = Now;
       vm.Table.record(pick, Route, TargetOutcome::Success, Now - sent, 500, Now);
     });
   }
@@ -272,12 +314,26 @@
   void lose(Vm &vm, size_t target, const std::shared_ptr<Connection> &connection, const Pick &pick,
             bool isNew) {
     remove(vm, target, connection);
+    if (!isNew)
+      vm.Table.recordConnectionEnded(targetId(target), connection->LastHeard, false, Now);
     vm.Table.record(pick, Route,
                     isNew ? TargetOutcome::ConnectFailed : TargetOutcome::ConnectionLost,
                     Duration{2}, 0, Now);
     send(vm); // The retry.
   }
 
+  std::shared_ptr<Connection> idleConnection(Vm &vm, size_t target, Time openedBy) {
+    std::vector<std::shared_ptr<Connection>> &open = vm.Connections[target];
+    open.erase(std::remove_if(
+                   open.begin(), open.end(),
+                   [this](const auto &c) { return !c->Busy && Now - c->IdleSince > KeepAlive; }),
+               open.end());
+    auto idle = std::find_if(open.begin(), open.end(), [openedBy](const auto &c) {
+      return !c->Busy && c->OpenedAt <= openedBy;
+    });
+    return idle == open.end() ? nullptr : *idle;
+  }
+
   static void remove(Vm &vm, size_t target, const std::shared_ptr<Connection> &connection) {
     std::vector<std::shared_ptr<Connection>> &open = vm.Connections[target];
     open.erase(std::remove(open.begin(), open.end(), connection), open.end());
@@ -292,7 +348,10 @@
       it.Process = 0;
     for (std::unique_ptr<Vm> &vm : Vms)
       for (const std::shared_ptr<Connection> &connection :
-           std::exchange(vm->Connections[Fallen], {}))
+           std::exchange(vm->Connections[Fallen], {})) {
+        after(Duration{1}, [this, &vm = *vm, heard = connection->LastHeard] {
+          vm.Table.recordConnectionEnded(targetId(Fallen), heard, false, Now);
+        });
         if (connection->Busy && connection->Process != 0) {
           connection->Busy = false;
           Pick pick;
@@ -303,6 +362,7 @@
             send(vm);
           });
         }
+      }
     if (Plan.Restarts)
       after(Plan.Fall, [this] {
         Target &it = Targets[Fallen];
@@ -312,6 +372,7 @@
   }
 
   static constexpr Duration KeepAlive{7000};
+  static constexpr Duration LeaderDelay{40};
 
   const RestartPlan Plan;
   pcg32 Random;
@@ -320,6 +381,7 @@
   std::vector<std::unique_ptr<Vm>> Vms;
   std::vector<Target> Targets;
   discovery::TargetList List;
+  control::ProcessNoticeRelay Relay;
   catalog::Route Route;
   size_t Fallen = 0;
   bool Ended = false;
--- a/src/entry/tests/ExchangeTest.cpp
+++ b/src/entry/tests/ExchangeTest.cpp
@@ -21,6 +21,9 @@
   void sendBodyToTarget(std::string_view bytes) override { Body += bytes; }
   void endBodyToTarget() override {}
   std::optional<bool> requestRate(const std::string &) override { return RateDecision; }
+  bool mayReuseConnection(const std::string &, uint16_t, const http::Head &, bool, Time) override {
+    return false;
+  }
   void cancelTargetRequest() override {
     Open = false;
     ++Cancelled;
--- a/src/entry/tests/open/RestartTest.cpp
+++ b/src/entry/tests/RestartTest.cpp
@@ -10,8 +10,9 @@
 Test(Restart, coldProcessIsNotFloodedAfterAShortFall) {
   testing::checkProperty("requests to a cold process", [] {
     RestartPlan plan;
-    plan.Fall = Duration{*rc::gen::inRange<int64_t>(150, 5000)};
+    plan.Fall = Duration{*rc::gen::inRange<int64_t>(50, 5000)};
     plan.Falls = *rc::gen::inRange<size_t>(1, 4);
+    plan.LossPermille = *rc::gen::inRange<uint64_t>(0, 200);
     plan.ListLag = Duration{*rc::gen::inRange<int64_t>(300, 2000)};
     plan.Seed = *rc::gen::arbitrary<uint32_t>();
     RestartFleet fleet(plan);
--- a/src/entry/tests/TargetTableTest.cpp
+++ b/src/entry/tests/TargetTableTest.cpp
@@ -148,7 +148,7 @@
     std::vector<TargetTable::Ejection> ejections = fixture.Table.takeEjections();
     cr_assert_eq(ejections.size(), 1);
     ms += ejections[0].Span.Ms;
-    fixture.Table.recordProbe(pick->Id, true, Duration{0}, Time{ms});
+    fixture.Table.recordProbe(pick->Id, ProbeResult::Passed, Duration{0}, Time{ms});
     return ejections[0].Span.Ms;
   };
   auto serve = [&] {
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -133,6 +133,8 @@
     return;
   }
   Phase = Open;
+  OpenedAt = Clock.now();
+  LastHeard = OpenedAt;
   asio::error_code ignored;
   Socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   auto timeout = static_cast<unsigned int>(Settings.UserTimeout.Ms);
@@ -160,9 +162,10 @@
   if (Phase != Open)
     return;
   if (ec) {
+    if (Reusable && Observer != nullptr)
+      Observer->onConnectionEnded(*this, ec == asio::error::timed_out ||
+                                             ec == asio::error::host_unreachable);
     Reusable = false;
-    if (Listener == nullptr && Observer != nullptr)
-      Observer->onIdleConnectionEnded(*this, Clock.now() - LastUse);
     if (ec == asio::error::eof && Listener != nullptr && !Skipping && Parser.finish().ok() &&
         Listener == nullptr) {
       closeSocket();
@@ -173,6 +176,7 @@
     failExchange(Skipping ? ConnectionLoss::Malformed : ConnectionLoss::Closed);
     return;
   }
+  LastHeard = Clock.now();
   std::string bytes = Buffer.substr(0, n);
   parse(bytes);
   read();
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -57,9 +57,9 @@
   virtual void onUnexpectedResponse(const ClientConnection &connection, UnexpectedResponse kind,
                                     const Head *head, std::string_view reason) = 0;
 
-  /// Called when the server has ended a connection without an exchange in progress, which has been
-  /// idle for `idle`; must not use the connection.
-  virtual void onIdleConnectionEnded(const ClientConnection &connection, core::Duration idle) = 0;
+  /// Called when an open connection has ended that the server had not announced to close; must not
+  /// use the connection. `isSilent` tells that the server no longer acknowledged what was sent.
+  virtual void onConnectionEnded(const ClientConnection &connection, bool isSilent) = 0;
 };
 
 struct ClientConnectionSettings {
@@ -148,6 +148,12 @@
   /// Returns the number of exchanges started, which is the number of the one in progress.
   uint64_t exchanges() const { return Exchanges; }
 
+  /// Returns when the connection was established.
+  core::Time openedAt() const { return OpenedAt; }
+
+  /// Returns when bytes arrived last, or when the connection was established.
+  core::Time lastHeard() const { return LastHeard; }
+
   const std::string &host() const { return Host; }
   uint16_t port() const { return Port; }
 
@@ -195,6 +201,8 @@
   bool ReadPending = false;
   bool WritePending = false;
   core::Time ConnectStart;
+  core::Time OpenedAt;
+  core::Time LastHeard;
   core::Time LastUse;
   core::Duration KeepAlive;
   std::deque<std::string> Queue;
--- a/src/link/Messages.cpp
+++ b/src/link/Messages.cpp
@@ -60,6 +60,11 @@
   return out;
 }
 
+/// Process notices are encoded as a byte string of seven bytes each: the key, the fact, and the
+/// span in milliseconds, little-endian.
+constexpr size_t NoticeBytes = KeyBytes + 3;
+constexpr int64_t MaxNoticeSpanMs = 0xffff;
+
 double fromTenths(const Json &j) { return static_cast<double>(j.get<uint64_t>()) / 10; }
 
 } // namespace
@@ -228,6 +233,35 @@
   }
 }
 
+void to_json(Json &j, const ProcessNotices &it) {
+  std::vector<uint8_t> bytes;
+  bytes.reserve(it.Notices.size() * NoticeBytes);
+  for (const ProcessNotice &notice : it.Notices) {
+    const auto span =
+        static_cast<uint64_t>(std::clamp<int64_t>(notice.Span.Ms, 0, MaxNoticeSpanMs));
+    const uint64_t packed = notice.Target | static_cast<uint64_t>(notice.Fact) << (8 * KeyBytes) |
+                            span << (8 * KeyBytes + 8);
+    for (size_t i = 0; i < NoticeBytes; ++i)
+      bytes.push_back(static_cast<uint8_t>(packed >> (8 * i)));
+  }
+  j = Json::array({Json::binary(std::move(bytes))});
+}
+
+void from_json(const Json &j, ProcessNotices &it) {
+  const auto &bytes = j.at(0).get_binary();
+  for (size_t at = 0; at + NoticeBytes <= bytes.size(); at += NoticeBytes) {
+    uint64_t packed = 0;
+    for (size_t i = 0; i < NoticeBytes; ++i)
+      packed |= uint64_t{bytes[at + i]} << (8 * i);
+    const auto fact = static_cast<uint8_t>(packed >> (8 * KeyBytes));
+    if (fact < static_cast<uint8_t>(ProcessFact::MayHaveEnded) ||
+        fact > static_cast<uint8_t>(ProcessFact::IsWarm))
+      continue; // Of a later release.
+    it.Notices.push_back({static_cast<uint32_t>(packed), static_cast<ProcessFact>(fact),
+                          core::Duration{static_cast<int64_t>(packed >> (8 * KeyBytes + 8))}});
+  }
+}
+
 void to_json(Json &j, const EntryUnreachable &it) { j = {it.Vm, it.Run}; }
 
 void from_json(const Json &j, EntryUnreachable &it) {
@@ -242,6 +276,7 @@
 std::string encode(const RateRequest &it) { return core::encodeCbor(it); }
 std::string encode(const RatePermit &it) { return core::encodeCbor(it); }
 std::string encode(const EntryUnreachable &it) { return core::encodeCbor(it); }
+std::string encode(const ProcessNotices &it) { return core::encodeCbor(it); }
 
 uint32_t targetKey(const core::TargetId &id) {
   return static_cast<uint32_t>(core::hash64(id.Value, TargetKeySeed));
@@ -279,6 +314,10 @@
   return core::decodeCborAs<RatePermit>(bytes);
 }
 
+absl::StatusOr<ProcessNotices> decodeProcessNotices(std::string_view bytes) {
+  return core::decodeCborAs<ProcessNotices>(bytes);
+}
+
 absl::StatusOr<EntryUnreachable> decodeEntryUnreachable(std::string_view bytes) {
   return core::decodeCborAs<EntryUnreachable>(bytes);
 }
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -24,10 +24,13 @@
 /// EntryUnreachable, leader to other control VMs.
 constexpr std::string_view EntryUnreachable = "entry-gone";
 constexpr std::string_view Retired = "retired"; ///< RetiredNotice, control VM to control VM.
+/// ProcessNotices, entry VM to leader and leader to entry VMs.
+constexpr std::string_view ProcessNotices = "target-process";
 
 /// All kinds; the index of a kind is its number on the wire, so new kinds are appended.
-inline constexpr std::array All{Raft,        Join,       Report,           Response,
-                                RateRequest, RatePermit, EntryUnreachable, Retired};
+inline constexpr std::array All{Raft,          Join,       Report,           Response,
+                                RateRequest,   RatePermit, EntryUnreachable, Retired,
+                                ProcessNotices};
 } // namespace kind
 
 /// Sent by a control VM with a new data folder to ask the leader to add it to the group.
@@ -181,6 +184,28 @@
   core::Incarnation Run; ///< Incarnation of the process that was last heard from.
 };
 
+/// What an entry VM has found out about the process of a target.
+enum class ProcessFact : uint8_t {
+  MayHaveEnded = 1, ///< Its connections were lost, so another process may run under the id now.
+  IsCold = 2,       ///< It says that it is cold.
+  IsWarm = 3,       ///< It says that it is not cold.
+};
+
+/// Tells other entry VMs about the process of a target, before the target list shows it and also
+/// where they have no connection to it.
+struct ProcessNotice {
+  uint32_t Target = 0; ///< targetKey() of the target id.
+  ProcessFact Fact = ProcessFact::MayHaveEnded;
+  /// MayHaveEnded: time since the process that ended was last known to run. IsCold: how much longer
+  /// the process is cold.
+  core::Duration Span;
+};
+
+/// Message with process notices.
+struct ProcessNotices {
+  std::vector<ProcessNotice> Notices;
+};
+
 std::string encode(const JoinRequest &it);
 std::string encode(const RetiredNotice &it);
 std::string encode(const EntryReport &it);
@@ -188,6 +213,7 @@
 std::string encode(const RateRequest &it);
 std::string encode(const RatePermit &it);
 std::string encode(const EntryUnreachable &it);
+std::string encode(const ProcessNotices &it);
 
 /// The decoders return InvalidArgument for malformed bytes.
 absl::StatusOr<JoinRequest> decodeJoinRequest(std::string_view bytes);
@@ -197,5 +223,6 @@
 absl::StatusOr<RateRequest> decodeRateRequest(std::string_view bytes);
 absl::StatusOr<RatePermit> decodeRatePermit(std::string_view bytes);
 absl::StatusOr<EntryUnreachable> decodeEntryUnreachable(std::string_view bytes);
+absl::StatusOr<ProcessNotices> decodeProcessNotices(std::string_view bytes);
 
 } // namespace briarspar::link
