Let the soak's targets start again under their id, and check cold ones

Change: a target can end and start again under its id. It is then cold, says so in `Cold-Ms`, and the list shows its `ColdLeftMs` and `born` after a lag of 0.8 s; other rows appear at once as before. The check COLD counts, for each cold process, the requests that were sent by callers and arrived within any second; requests that get 421 and health checks don't count. A handler that waited in a silent target runs nothing after the end of its process.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -69,6 +69,7 @@
         self.violations = []
         self.counts = collections.Counter()
         self.denied = []
+        self.cold_arrivals = collections.defaultdict(list)  # By process: (arrival, when the caller sent it).
 
     def violate(self, rule, attempt, text):
         it = Violation(rule, attempt, text)
@@ -170,6 +171,21 @@
         if len(self.denied) > 5 + self.counts["requests"] / 500:
             self.violate("DENIED", self.denied[0], f"and {len(self.denied) - 1} others are ended though they are allowed")
 
+    def reached_cold(self, process, attempt):
+        """A request arrives at a process that is cold."""
+        now, request = self.timeline.now(), self.requests.get(attempt)
+        self.cold_arrivals[process].append((now, request.sent_at if request else now))
+        self.timeline("reaches cold", attempt, "at", process)
+
+    def check_cold(self, allowed):
+        """At the end of a run: in no second more than `allowed` requests may be sent to a cold process and arrive there. Requests
+        that wait on a silent link and arrive together were not all sent in that second."""
+        for process, arrivals in self.cold_arrivals.items():
+            most = max(sum(end - 1 < sent and at <= end for at, sent in arrivals) for end, _ in arrivals)
+            self.counts["most in a cold second"] = max(self.counts["most in a cold second"], most)
+            if most > allowed:
+                self.violate("COLD", "-", f"cold process {process} gets {most} requests in one second, allowed {allowed:g}")
+
     def check_replaced(self):
         """At the end of a run: a planned stop may not cut a sound run and put an answer of its own in its place."""
         for attempt, it in self.requests.items():
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -3,12 +3,14 @@
 import collections
 import json
 import random
+import time
 
 import http1
 from checker import body_of
 from link import Link, reset
 
-COLUMNS = ["Service", "Addr", "Zone", "Version", "Slots", "State", "ColdLeftMs", "Id"]
+COLUMNS = ["Service", "Addr", "Zone", "Version", "Slots", "State", "ColdLeftMs", "Id", "born"]
+LIST_LAG_S = 0.8  # Age of what the list shows of a start under the same id.
 LONG_BODY = 50_000
 EARLY_REFUSALS = 0.2  # Share of the requests with a long body.
 REASONS = [None, None, "", "Done: at once", "a/b 1.1 200"]
@@ -106,6 +108,7 @@
         try:
             while not self.writer.is_closing():
                 message = await http1.read_head(self.reader)
+                self.target.note_arrival(message)
                 if self.target.refuses_early(message):
                     await self.target.refuse_early(self, message)
                     continue
@@ -149,10 +152,11 @@
 
 
 class Target:
-    """A target at one address. `restart` gives it a new id or service at the same address. With `behind`, an address of its own,
-    a link stands between it and the entry VMs."""
+    """A target at one address. `restart` gives it a new id or service at the same address, `stop` and `start_again` keep the id.
+    A process that starts during traffic is cold for `cold_s`. With `behind`, an address of its own, a link stands between it and
+    the entry VMs."""
 
-    def __init__(self, address, service, zone, seed, checker, counts, behind=None, slots=8):
+    def __init__(self, address, service, zone, seed, checker, counts, behind=None, slots=8, cold_s=0.0):
         self.address, self.service, self.zone, self.slots = address, service, zone, slots
         self.listens_at = behind or address
         self.link = Link(address, behind) if behind else None
@@ -166,6 +170,8 @@
         self.connections = set()
         self.silent_until = 0.0
         self.server = None
+        self.cold_s = cold_s
+        self.starts = [(float("-inf"), int(time.time() * 1000))]  # (loop time, Unix ms) of the starts under this id.
 
     def next_id(self):
         self.serial += 1
@@ -188,12 +194,45 @@
         self.id = self.next_id()
         self.service = service or self.service
         self.state = "ready"
+        self.starts = []
+        self.begin()
         self.reset_connections()
 
     async def stop(self):
         self.server.close()
         self.reset_connections()
 
+    async def start_again(self):
+        """A new process under the id of the one before it."""
+        self.begin()
+        self.counts["starts under the same id"] += 1
+        self.checker.timeline("starts again", self.id, "born", self.born)
+        await self.start()
+
+    def begin(self):
+        self.starts.append((asyncio.get_running_loop().time(), int(time.time() * 1000)))
+        self.silent_until = 0.0
+
+    @property
+    def born(self):
+        return self.starts[-1][1]
+
+    def cold_ms(self):
+        """How much longer the process is cold."""
+        return int(max(0.0, self.starts[-1][0] + self.cold_s - asyncio.get_running_loop().time()) * 1000)
+
+    def listed_start(self):
+        """Returns (ColdLeftMs, born) as they were when the list was made."""
+        made_at = asyncio.get_running_loop().time() - LIST_LAG_S
+        began, born = next((it for it in reversed(self.starts) if it[0] <= made_at), self.starts[0])
+        return int(max(0.0, began + self.cold_s - max(made_at, began)) * 1000), born
+
+    def note_arrival(self, message):
+        """Tells the checker of a request that reaches a cold process, unless it is meant for another one and gets 421."""
+        attempt = message.headers.get("attempt-id")
+        if attempt and self.cold_ms() > 0 and message.headers.get("expect-instance", self.id) == self.id:
+            self.checker.reached_cold(f"{self.id} born {self.born}", attempt)
+
     def reset_connections(self):
         """Resets all connections; what runs on them may end without an answer."""
         self.excuse_runs()
@@ -215,9 +254,12 @@
         loop = asyncio.get_running_loop()
         if self.silent_until > loop.time():
             await asyncio.sleep(self.silent_until - loop.time())
+            if connection.writer.is_closing():  # The process has ended meanwhile.
+                return False
         path = message.first.split(" ")[1]
         if path == "/health":
-            connection.writer.write(http1.encode_response(200 if self.state == "ready" else 503, {"Instance-Id": self.id}))
+            fields = {"Instance-Id": self.id, "Cold-Ms": self.cold_ms()}
+            connection.writer.write(http1.encode_response(200 if self.state == "ready" else 503, fields))
             return True
         attempt = message.headers.get("attempt-id", "")
         fields = {"Attempt-Id": attempt, "Keep-Alive": "timeout=10"}
@@ -313,7 +355,8 @@
 
     @staticmethod
     def row(target):
-        return [target.service, target.address, target.zone, "v1", target.slots, target.state, 0, target.id]
+        cold_ms, born = target.listed_start()
+        return [target.service, target.address, target.zone, "v1", target.slots, target.state, cold_ms, target.id, born]
 
     def keep_old_row(self, row, seconds):
         self.old_rows.append((row, asyncio.get_running_loop().time() + seconds))
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -1,15 +1,18 @@
 """Feeds the checker records that break a rule, so that a check that can't fail is found without a fault in the system."""
+import asyncio
 import collections
 import random
 import subprocess
 import unittest
+import unittest.mock
 
 import http1
+import targets
 from checker import Checker, Request, body_of
 from configuration import differences
 from faults import plan
 from fleet import Vm
-from targets import Copier
+from targets import Copier, Target, TargetList
 
 ATTEMPT = "00010000002a"
 TARGET = "i-101-1"
@@ -18,11 +21,13 @@
 class NoTimeline:
     """Drops what is noted."""
 
+    time = 1.0
+
     def __call__(self, *words):
         pass
 
     def now(self):
-        return 1.0
+        return self.time
 
 
 class CheckerTest(unittest.TestCase):
@@ -211,6 +216,27 @@
         self.assertEqual(self.rules(), ["DENIED"])
 
 
+    def reach_cold(self, process, arrivals, waited=0.0):
+        """Requests that were sent one each `waited` seconds arrive at a cold process."""
+        for n, at in enumerate(arrivals):
+            attempt = f"{process}/{n}"
+            self.checker.sent(attempt, Request("read", "safe", "GET", "/", b"", "127.0.0.1", at - n * waited))
+            self.checker.timeline.time = at
+            self.checker.reached_cold(process, attempt)
+
+    def test_flood_of_a_cold_process_breaks_cold(self):
+        """Fails if a cold process may get more than allowed in a second, wherever that second begins, or if the checker adds up
+        what two processes get, what arrives in two seconds, or what was sent earlier."""
+        self.reach_cold("i-1 born 1", [0.05 * n for n in range(17)] + [1.05 + 0.05 * n for n in range(17)])
+        self.reach_cold("i-1 born 2", [0.05 * n for n in range(17)])
+        self.reach_cold("i-2 born 1", [5.0] * 30, waited=0.1)
+        self.checker.check_cold(17)
+        self.assertEqual(self.rules(), [])
+        self.reach_cold("i-3 born 1", [4.6 + 0.05 * n for n in range(18)])
+        self.checker.check_cold(17)
+        self.assertEqual(self.rules(), ["COLD"])
+
+
 class ConfigurationTest(unittest.TestCase):
     def test_lost_older_and_changed_items_are_found(self):
         """Fails if an acknowledged item may be missing, go back, or change under its version."""
@@ -251,6 +277,71 @@
         self.assertGreater(len(played(7)), 10)
 
 
+class TargetTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.checker = Checker(NoTimeline(), lambda _: {"alpha"})
+        self.target = Target("127.0.0.1:0", "alpha", "kozep-a", 1, self.checker, collections.Counter(), cold_s=600.0)
+        await self.target.start()
+
+    async def asyncTearDown(self):
+        await self.target.stop()
+
+    def address(self):
+        host, port = self.target.server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def send(self, **fields):
+        """Sends a request and waits until it has been answered or its connection has ended."""
+        reader, writer = await asyncio.open_connection(*self.address().split(":"))
+        writer.write(http1.encode("GET /read/1 HTTP/1.1", fields, framing="none"))
+        try:
+            await reader.read(1)
+        except ConnectionError:
+            pass
+        writer.close()
+
+    async def test_start_under_the_same_id_is_a_cold_process(self):
+        """Fails if the new process can't be told by `born`, doesn't say that it is cold, or if the list knows of it at once."""
+        self.enterContext(unittest.mock.patch.object(targets, "LIST_LAG_S", 60.0))
+        listed = TargetList("127.0.0.1:0")
+        listed.targets = [self.target]
+        address, before = self.address(), listed.rows()
+        reader, writer = await asyncio.open_connection(*address.split(":"))
+        await asyncio.sleep(0.02)
+        await self.target.stop()
+        with self.assertRaises(ConnectionError):
+            await reader.readexactly(1)
+        writer.close()
+        with self.assertRaises(ConnectionRefusedError):
+            await http1.call(address, "GET", "/health")
+        await self.target.start_again()
+        self.assertEqual(listed.rows(), before)
+        health = (await http1.call(self.address(), "GET", "/health")).headers
+        self.assertEqual(health["instance-id"], before[0][targets.COLUMNS.index("Id")])
+        self.assertGreater(int(health["cold-ms"]), 0)
+        self.target.starts[-1] = (self.target.starts[-1][0] - targets.LIST_LAG_S, self.target.born)
+        row = dict(zip(targets.COLUMNS, listed.rows()[0]))
+        self.assertGreater(row["born"], before[0][-1])
+        self.assertGreater(row["ColdLeftMs"], 0)
+
+    async def test_arrivals_at_a_cold_process_are_counted(self):
+        """Fails if a flood could pass uncounted, if health checks, misdirected requests or a warm process count, or if
+        the processes under one id are taken for one."""
+        await self.send(**{"Attempt-Id": "1"})
+        await self.target.stop()
+        await self.target.start_again()
+        await self.send(**{"Attempt-Id": "2", "Expect-Instance": "i-other"})
+        await http1.call(self.address(), "GET", "/health")
+        self.assertEqual(len(self.checker.cold_arrivals), 0)
+        for n in range(3):
+            await self.send(**{"Attempt-Id": f"3{n}", "Expect-Instance": self.target.id})
+        await asyncio.sleep(0.005)  # `born` has milliseconds.
+        await self.target.stop()
+        await self.target.start_again()
+        await self.send(**{"Attempt-Id": "4"})
+        self.assertEqual([len(it) for it in self.checker.cold_arrivals.values()], [3, 1])
+
+
 class CopierTest(unittest.TestCase):
     def test_every_kind_of_copy_is_sent(self):
         """Fails if a kind of copy is listed but never played."""
