Play targets that start again under their id in the soak

Change: the fault `fall_target` does so after 0.05 to 5 s, short falls more often; a plan lets two to four targets fall within 3 s, beside other faults. The new shape `restarts` mixes it with resets of connections without a start, new ids, cuts, kills and freezes. The other shapes stay without cold targets and popular object, but `any` draws other shapes.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,9 +12,10 @@
 class Call:
     """What one attempt sends."""
 
-    def __init__(self, attempt, route, kind, body, chunked, deadline, key):
+    def __init__(self, attempt, route, kind, body, chunked, deadline, key, thing):
         self.attempt, self.route, self.kind = attempt, route, kind
         self.body, self.chunked, self.deadline, self.key = body, chunked, deadline, key
+        self.thing = thing  # The object that it concerns.
 
     @property
     def method(self):
@@ -26,7 +27,7 @@
 
     def encode(self):
         fields = {"Host": HOST, "Attempt-Id": self.attempt, "Deadline-Ms": int(self.deadline * 1000),
-                  "Authorization": f"Bearer {self.key}", "Cookie": f"Affinity-Key={int(self.attempt, 16) % 50}"}
+                  "Authorization": f"Bearer {self.key}", "Cookie": f"Affinity-Key={self.thing}"}
         framing = "chunked" if self.chunked else "length" if self.method == "POST" else "none"
         return http1.encode(f"{self.method} {self.path} HTTP/1.1", fields, self.body, framing)
 
@@ -69,23 +70,27 @@
 class Caller:
     """Sends requests one after the other until it is told to stop."""
 
-    def __init__(self, number, seed, fleet, operator, checker, think):
+    def __init__(self, number, seed, fleet, operator, checker, think, popular=0.0):
         self.number, self.fleet, self.operator, self.checker, self.think = number, fleet, operator, checker, think
+        self.popular = popular  # Share of the requests that concern one object of a sticky route.
         self.rng = random.Random(f"{seed}/caller/{number}")
         self.connection = None
         self.serial = 0
         self.stopping = False
 
-    def new_call(self, route=None, deadline=None, body=None):
+    def new_call(self, route=None, deadline=None, body=None, thing=None):
         self.serial += 1
         kinds = {name: it["Kind"] for name, it in self.operator.routes.items()}
+        if route is None and self.rng.random() < self.popular:
+            route, thing = "read", 0
         route = route or self.rng.choice(list(kinds))
+        thing = 1 + self.serial % 50 if thing is None else thing
         if body is None:
             size = self.rng.choice([0, 0, 0, 100, 100, 5000]) if self.rng.random() < 0.98 else 150_000
             body = bytes([65 + self.serial % 26]) * size
         key = KEYS[0] if self.rng.random() < 0.9 else self.rng.choice(KEYS)
         return Call(f"{self.number:04x}{self.serial:08x}", route, kinds[route], body, bool(body) and self.rng.random() < 0.4,
-                    deadline or self.rng.uniform(0.8, 3.0), key)
+                    deadline or self.rng.uniform(0.8, 3.0), key, thing)
 
     async def run(self):
         while not self.stopping:
@@ -133,7 +138,7 @@
             if connection is None or left < 0.05:
                 return
             if n > 0:
-                call = self.new_call(call.route, left, call.body)
+                call = self.new_call(call.route, left, call.body, call.thing)
             answer = await self.exchange(connection, [call])
             status = answer[0].status if answer else None
             if status is not None and (status < 300 or status in FINAL):
--- a/tests/soak/configuration.py
+++ b/tests/soak/configuration.py
@@ -12,10 +12,11 @@
 class Operator:
     """Sends configurations until they get a clear answer, and reads them back."""
 
-    def __init__(self, fleet, timeline, rate):
+    def __init__(self, fleet, timeline, rate, cold_s=0.0, cold_per_s=1000.0):
         self.fleet, self.timeline = fleet, timeline
         self.version = 7
         self.rate = rate
+        self.cold_s, self.cold_per_s = cold_s, cold_per_s
         self.routes = {}
         self.keys = KEYS[:2]
         self.ever_allowed = {}
@@ -51,8 +52,8 @@
         version = f"{self.version:08x}"
         return {"Upsert": {
             "Tenants": [self.tenant()],
-            "Services": [{"Name": it, "HealthPath": "/health", "MaxConns": 390, "Protocol": "h1", "Tls": False, "ColdS": 0.0,
-                          "ColdPerS": 1000.0, "Version": version} for it in SERVICES],
+            "Services": [{"Name": it, "HealthPath": "/health", "MaxConns": 390, "Protocol": "h1", "Tls": False,
+                          "ColdS": self.cold_s, "ColdPerS": self.cold_per_s, "Version": version} for it in SERVICES],
             "Limits": {"HeaderBytes": 16384, "BodyBytes": 67108864, "HeaderMs": 3000, "IdleMs": 15000, "Version": version},
             "Hosts": [{"Host": HOST, "Paths": [dict(it) for it in self.routes.values()]}]}, "Remove": {"Routes": []}}
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -22,6 +22,8 @@
               "reuse_address": 2, "reset_target": 2, "silence_target": 1, "cut_link": 3, "silence_link": 2,
               "trickle_link": 1, "move_route": 2, "split_route": 1,
               "change_timeout": 1, "change_keys": 1},
+    "restarts": {"fall_target": 6, "reset_target": 3, "restart_target": 1, "crash_target": 1, "silence_target": 1, "cut_link": 1,
+                 "silence_link": 1, "kill_entry": 1, "freeze_entry": 1, "term_entry": 1, "kill_control": 1, "split_route": 1},
 }
 
 
@@ -41,8 +43,11 @@
     kinds = SHAPES[shape]
     faults, at = [], 0.5
     while (at := at + rng.expovariate(1 / gap)) < seconds - 2.0:
-        faults.append(Fault(at, rng.choices(list(kinds), list(kinds.values()))[0], rng.random()))
-    return faults
+        kind = rng.choices(list(kinds), list(kinds.values()))[0]
+        faults.append(Fault(at, kind, rng.random()))
+        if kind == "fall_target":  # Others fall while the first one is down or cold.
+            faults += [Fault(at + rng.uniform(0, 3), kind, rng.random()) for _ in range(rng.randrange(1, 4))]
+    return sorted(faults, key=lambda it: it.at)
 
 
 class Injector:
@@ -132,6 +137,14 @@
         self.fleet.list.keep_old_row(row, rng.uniform(0.5, 4))
         await target.start()
 
+    async def fall_target(self, target, rng):
+        """The process ends and starts again under its id, mostly before the list shows anything of it."""
+        seconds = 0.05 * 100 ** rng.random()
+        self.timeline("falls", target.id, f"for {seconds:.3f} s")
+        await target.stop()
+        await asyncio.sleep(seconds)
+        await target.start_again()
+
     async def drain_target(self, target, rng):
         target.state = "draining"
         await asyncio.sleep(DRAIN_S + rng.uniform(0.3, 1))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,7 +20,7 @@
 from checker import Checker
 from configuration import SERVICES, Operator
 from faults import SHAPES, Injector, plan
-from fleet import ZONES, CannotRun, Fleet
+from fleet import BOUNDS, ZONES, CannotRun, Fleet
 from targets import Target
 from timeline import Timeline
 
@@ -30,9 +30,10 @@
 class Shape:
     """Size and character of a run."""
 
-    def __init__(self, faults, controls, entries, targets, callers, think, gap):
+    def __init__(self, faults, controls, entries, targets, callers, think, gap, popular=0.0, cold_s=0.0, cold_per_s=1000.0):
         self.faults, self.controls, self.entries, self.targets = faults, controls, entries, targets
         self.callers, self.think, self.gap = callers, think, gap
+        self.popular, self.cold_s, self.cold_per_s = popular, cold_s, cold_per_s
 
 
 def shape_of(seed, name):
@@ -43,6 +44,8 @@
     faults = rng.choice(list(SHAPES)) if name == "any" else name
     if faults == "addresses":
         return Shape(faults, 3, 4, 9, 40, 0.08, 0.1)
+    if faults == "restarts":  # A warm target gets more than a cold one may, that of the popular object several times as much.
+        return Shape(faults, 3, rng.choice([4, 8]), 9, 40, 0.08, 0.5, popular=0.3, cold_s=3.0, cold_per_s=8.0)
     return Shape(faults, 5 if rng.random() < 0.5 else 3, rng.choice([2, 4]), 9, rng.choice([20, 40]),
                  rng.choice([0.08, 0.15]), rng.choice([0.25, 0.5, 1.0]))
 
@@ -57,14 +60,16 @@
         self.counts = collections.Counter()
         rng = random.Random(f"{seed}/run")
         self.fleet = Fleet(options.binary, folder, self.timeline, self.shape.controls, self.shape.entries, self.shape.targets)
-        self.operator = Operator(self.fleet, self.timeline, rng.choice([0, 0, 2000, 150]))
+        self.operator = Operator(self.fleet, self.timeline, rng.choice([0, 0, 2000, 150]),
+                                 self.shape.cold_s, self.shape.cold_per_s)
         self.checker = Checker(self.timeline, self.operator.allowed, self.fleet.planned_between, self.fleet.disturbed_between)
         zones = list(ZONES)[:3]  # One of each region, each with targets of every service.
         self.targets = [Target(self.fleet.target_address(n), SERVICES[n % 3], zones[n // 3 % 3], seed,
-                               self.checker, self.counts, self.fleet.hidden_address(n) if n % 3 == n // 3 % 3 else None)
+                               self.checker, self.counts, self.fleet.hidden_address(n) if n % 3 == n // 3 % 3 else None,
+                               cold_s=self.shape.cold_s)
                         for n in range(self.shape.targets)]
         self.fleet.list.targets = self.targets
-        self.callers = [Caller(n + 1, seed, self.fleet, self.operator, self.checker, self.shape.think)
+        self.callers = [Caller(n + 1, seed, self.fleet, self.operator, self.checker, self.shape.think, self.shape.popular)
                         for n in range(self.shape.callers)]
         self.faults = plan(seed, self.shape.faults, options.seconds, self.shape.gap)
         (folder / "plan.txt").write_text("".join(f"{it}\n" for it in self.faults))
@@ -102,6 +107,7 @@
             it.result()
         await asyncio.sleep(SETTLE_S)
         self.checker.check_denied()
+        self.checker.check_cold(BOUNDS["ColdExcess"] * self.shape.cold_per_s + BOUNDS["ColdSlack"])
         self.checker.check_replaced()
         for it in await self.operator.read_back():
             self.checker.violate("CONFIG", "-", it)
@@ -125,7 +131,8 @@
         return (f"seed {self.seed}: {self.shape.faults}, {self.shape.controls}+{self.shape.entries} VMs, "
                 f"{seen['requests']} requests, {seen['runs']} runs, {counts['faults']} faults; answers {answers}; "
                 f"none {seen['no answer']}, given up {seen['given up']}; refusals of targets {refusals}; "
-                f"copies {copies}; verdict: {verdict}")
+                f"copies {copies}; starts under the same id {counts['starts under the same id']}, "
+                f"most in a cold second {seen['most in a cold second']}; verdict: {verdict}")
 
 
 def play_seed(seed, options):
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -276,6 +276,13 @@
         self.assertNotEqual(played(7), played(8))
         self.assertGreater(len(played(7)), 10)
 
+    def test_targets_fall_in_series(self):
+        """Fails if a target always falls alone, or if faults are not in the order in which they are played."""
+        faults = plan(7, "restarts", 15, 0.5)
+        falls = [it.at for it in faults if it.kind == "fall_target"]
+        self.assertTrue(any(later - first < 1 for first, later in zip(falls, falls[1:])))
+        self.assertEqual([it.at for it in faults], sorted(it.at for it in faults))
+
 
 class TargetTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
