Settle doubts on processes before telling all VMs

Cause: each lost connection was announced to all VMs at once, and all of them limited the target until one had asked it. Change: the VM that lost the connection asks first and tells the others only if that doesn't settle it within 100 ms; a VM with a connection from before vouches for the process, unless it stopped responding.

--- a/src/control/ProcessNoticeRelay.cpp
+++ b/src/control/ProcessNoticeRelay.cpp
@@ -9,7 +9,7 @@
 void ProcessNoticeRelay::receive(absl::Span<const link::ProcessNotice> notices, core::Time now) {
   for (const link::ProcessNotice &it : notices) {
     Notice notice{it.Fact, now, now};
-    if (it.Fact == link::ProcessFact::MayHaveEnded)
+    if (isDoubt(it.Fact))
       notice.Ref = now - it.Span;
     if (it.Fact == link::ProcessFact::IsCold)
       notice.Ref = now + it.Span;
@@ -21,12 +21,20 @@
   }
 }
 
+bool ProcessNoticeRelay::isDoubt(link::ProcessFact fact) {
+  return fact == link::ProcessFact::MayHaveEnded || fact == link::ProcessFact::StoppedResponding;
+}
+
 bool ProcessNoticeRelay::isNew(const Notice &notice, uint32_t target) const {
   auto known = Latest.find(target);
   if (known == Latest.end())
     return true;
   const Notice &last = known->second;
   switch (notice.Fact) {
+  case link::ProcessFact::StoppedResponding:
+    if (last.Fact == link::ProcessFact::MayHaveEnded)
+      return true;
+    [[fallthrough]];
   case link::ProcessFact::MayHaveEnded:
     // Right after a cold answer, other VMs still report the end of the process before. They repeat
     // the notice if they have to.
@@ -69,7 +77,7 @@
 link::ProcessNotice ProcessNoticeRelay::encode(uint32_t target, const Notice &notice,
                                                core::Time now) {
   core::Duration span{0};
-  if (notice.Fact == link::ProcessFact::MayHaveEnded)
+  if (isDoubt(notice.Fact))
     span = now - notice.Ref;
   if (notice.Fact == link::ProcessFact::IsCold)
     span = {std::max<int64_t>(0, (notice.Ref - now).Ms)};
--- a/src/control/ProcessNoticeRelay.h
+++ b/src/control/ProcessNoticeRelay.h
@@ -49,6 +49,7 @@
     core::Time Ref; ///< When the process was last known to run, or when it ceases to be cold.
   };
 
+  static bool isDoubt(link::ProcessFact fact);
   bool isNew(const Notice &notice, uint32_t target) const;
   static link::ProcessNotice encode(uint32_t target, const Notice &notice, core::Time now);
 
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -43,7 +43,7 @@
   /// Interval of the checks for idle connections, due probes and events to emit.
   core::Duration SweepInterval{200};
   /// Interval of the checks of targets whose process may have ended.
-  core::Duration DoubtInterval{40};
+  core::Duration DoubtInterval{30};
   /// The leader counts as lost when it has not replied for this long.
   core::Duration ControlTimeout{1000};
   /// After a stop signal, new connections are still accepted for this long, because callers may
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -27,11 +27,19 @@
 /// whether it is.
 constexpr core::Duration AssumedColdSpan{2500};
 
-/// A process that may have ended is asked after this time, so that it has a chance to be back.
+/// The other connections of an ended process are found to be closed within this time. Then a VM
+/// that has lost its connections asks the process.
+constexpr core::Duration CloseSpread{30};
+
+/// The others are told of a loss that is not settled after this time.
+constexpr core::Duration AnnounceDelay{100};
+
+/// A VM that was told of a loss vouches for the process, or asks it, after this time.
 constexpr core::Duration FirstAskDelay{80};
 
 /// Added for each VM that comes before this one for the target, as its result is passed on.
 constexpr core::Duration AskDelayPerRank{80};
+constexpr core::Duration VouchDelayPerRank{30};
 constexpr size_t MaxAskRank = 12;
 
 /// Added on VMs of other regions than the target's.
@@ -40,9 +48,6 @@
 /// Time until a process that rejected the question is asked again.
 constexpr core::Duration AskInterval{500};
 
-/// The other connections of an ended process are found to be closed within this time.
-constexpr core::Duration CloseSpread{30};
-
 /// An unsettled doubt is passed on again after this time, up to AnnounceSpan, as messages may be
 /// lost.
 constexpr core::Duration AnnounceInterval{400};
@@ -196,7 +201,8 @@
   if (!state.Process.suspect(lastKnown, evidence, now))
     return;
   Doubted.insert(state.Info.Id);
-  state.AskAt = now + askDelay(state);
+  state.AskAt =
+      now + (evidence == ColdEvidence::Lost ? CloseSpread : askDelay(state, AskDelayPerRank));
   state.IsWanted = false;
   state.LostSilently = false;
   state.AnnouncedAt = {};
@@ -217,10 +223,10 @@
   Doubted.erase(state.Info.Id);
 }
 
-core::Duration TargetTable::askDelay(const State &state) const {
+core::Duration TargetTable::askDelay(const State &state, core::Duration perRank) const {
   const auto rank = static_cast<int64_t>(std::min(MaxAskRank, Cold.rank(state.Info.Id)));
   const core::Duration remote = state.Region == Own.Region ? core::Duration{0} : RemoteAskDelay;
-  return FirstAskDelay + AskDelayPerRank * rank + remote;
+  return FirstAskDelay + perRank * rank + remote;
 }
 
 void TargetTable::recordConnectionEnded(const core::TargetId &id, core::Time lastHeard,
@@ -255,7 +261,10 @@
     State &state = *known->second;
     switch (it.Fact) {
     case link::ProcessFact::MayHaveEnded:
+    case link::ProcessFact::StoppedResponding:
       doubt(state, now - it.Span - NoticeTransit, ColdEvidence::LostByPeer, now);
+      if (it.Fact == link::ProcessFact::StoppedResponding)
+        state.LostSilently = true;
       break;
     case link::ProcessFact::IsCold:
       settleCold(state, now + it.Span, ColdEvidence::Notice, now);
@@ -282,41 +291,48 @@
   return !NewNotices.empty() ||
          std::any_of(Doubted.begin(), Doubted.end(), [&](const core::TargetId &id) {
            const State &state = Targets.at(id);
-           const bool isOwn = state.Process.doubt(now) == ColdEvidence::Lost &&
-                              now - state.Process.doubtedSince() < AnnounceSpan;
-           return isOwn || state.IsWanted;
+           return state.IsWanted || now - state.Process.doubtedSince() < AnnounceSpan;
          });
 }
 
-std::vector<link::ProcessNotice> TargetTable::takeProcessNotices(
-    const std::function<bool(const std::string &host, uint16_t port, core::Time openedBy)> &isOpen,
-    core::Time now) {
-  std::vector<link::ProcessNotice> out = std::exchange(NewNotices, {});
+std::vector<link::ProcessNotice> TargetTable::takeProcessNotices(const IsOpen &isOpen,
+                                                                 core::Time now) {
   for (auto it = Doubted.begin(); it != Doubted.end();) {
     State &state = Targets.at(*it);
-    if (!isDoubted(state, now)) {
-      it = Doubted.erase(it);
-      continue;
-    }
-    const core::Duration age = now - state.Process.doubtedSince();
-    const bool isOwn = state.Process.doubt(now) == ColdEvidence::Lost;
-    if (!isOwn || age < CloseSpread || age > AnnounceSpan ||
-        now - state.AnnouncedAt < AnnounceInterval) {
-      ++it;
-      continue;
-    }
-    const core::Time lastKnown = state.Process.lastKnown();
-    if (state.AnnouncedAt.Ms == 0 && !state.LostSilently &&
-        isOpen(state.Info.Host, state.Info.Port, lastKnown)) {
-      state.Process.withdrawDoubt();
-      it = Doubted.erase(it);
-      continue;
-    }
-    state.AnnouncedAt = now;
-    out.push_back({link::targetKey(*it), link::ProcessFact::MayHaveEnded, now - lastKnown});
-    ++it;
+    if (isDoubted(state, now))
+      checkDoubt(state, isOpen, now);
+    it = isDoubted(state, now) ? std::next(it) : Doubted.erase(it);
   }
-  return out;
+  return std::exchange(NewNotices, {});
+}
+
+/// Settles a doubt if another connection of this VM shows that the process goes on, or adds the
+/// notice of it that is due.
+void TargetTable::checkDoubt(State &state, const IsOpen &isOpen, core::Time now) {
+  const ColdEvidence evidence = state.Process.doubt(now);
+  const core::Duration age = now - state.Process.doubtedSince();
+  const core::Time lastKnown = state.Process.lastKnown();
+  const bool hasOpen = !state.LostSilently && isOpen(state.Info.Host, state.Info.Port, lastKnown);
+  const uint32_t key = link::targetKey(state.Info.Id);
+  if (evidence == ColdEvidence::LostByPeer && hasOpen &&
+      age >= askDelay(state, VouchDelayPerRank)) {
+    NewNotices.push_back({key, link::ProcessFact::IsWarm, core::Duration{0}});
+    state.Process.learnWarm(now);
+  }
+  if (evidence != ColdEvidence::Lost || age < CloseSpread || age > AnnounceSpan)
+    return;
+  if (hasOpen && state.AnnouncedAt.Ms == 0) {
+    state.Process.withdrawDoubt();
+    return;
+  }
+  // A process that refuses connections has ended, so there is nothing to wait for.
+  if ((age < AnnounceDelay && !state.LostSilently) || now - state.AnnouncedAt < AnnounceInterval)
+    return;
+  state.AnnouncedAt = now;
+  NewNotices.push_back(
+      {key,
+       state.LostSilently ? link::ProcessFact::StoppedResponding : link::ProcessFact::MayHaveEnded,
+       now - lastKnown});
 }
 
 bool TargetTable::isFailingOver(const std::string &service, core::Time now) const {
@@ -398,8 +414,10 @@
   if (outcome == TargetOutcome::ConnectFailed || outcome == TargetOutcome::ConnectionLost) {
     // The process may have exited: its cache is lost, and it may return cold.
     state.Served.clear();
-    if (outcome == TargetOutcome::ConnectFailed)
+    if (outcome == TargetOutcome::ConnectFailed) {
       doubt(state, state.AnsweredAt, ColdEvidence::Lost, now);
+      state.LostSilently = true;
+    }
     bool wasEjected = state.Ejected;
     if (outcome == TargetOutcome::ConnectFailed ||
         ++state.FailuresInRow >= Settings.FailuresToEject)
@@ -538,9 +556,10 @@
   if (state.Ejected)
     return now >= state.EjectedUntil;
   const ColdEvidence doubt = state.Process.doubt(now);
-  const core::Time askAt = doubt == ColdEvidence::ColdOver
-                               ? std::max(state.AskAt, state.Process.coldUntil() + askDelay(state))
-                               : state.AskAt;
+  const core::Time askAt =
+      doubt == ColdEvidence::ColdOver
+          ? std::max(state.AskAt, state.Process.coldUntil() + askDelay(state, AskDelayPerRank))
+          : state.AskAt;
   return (doubt == ColdEvidence::Lost || state.IsWanted) && isDoubted(state, now) && now >= askAt;
 }
 
@@ -562,6 +581,8 @@
       state.EjectedUntil = now + Settings.BaseEjectionTime;
     else if (result == ProbeResult::Failed)
       eject(state, now);
+    if (result == ProbeResult::Failed)
+      state.LostSilently = true;
     return;
   }
   if (cold.Ms == 0) {
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -248,12 +248,12 @@
   /// Applies what other VMs found out about the processes of targets.
   void applyProcessNotices(absl::Span<const link::ProcessNotice> notices, core::Time now);
 
+  /// Returns whether a connection to an address is open that was opened no later than a given time.
+  using IsOpen = std::function<bool(const std::string &host, uint16_t port, core::Time openedBy)>;
+
   /// Returns what the other VMs are to be told of the processes of targets. A doubt is withdrawn if
   /// `isOpen` tells of another connection to the address that was opened by the given time.
-  std::vector<link::ProcessNotice> takeProcessNotices(
-      const std::function<bool(const std::string &host, uint16_t port, core::Time openedBy)>
-          &isOpen,
-      core::Time now);
+  std::vector<link::ProcessNotice> takeProcessNotices(const IsOpen &isOpen, core::Time now);
 
   /// Returns whether takeProcessNotices() or nextProbe() may have something to do soon.
   bool hasOpenDoubts(core::Time now) const;
@@ -372,7 +372,8 @@
   void doubt(State &state, core::Time lastKnown, ColdEvidence evidence, core::Time now);
   void settleCold(State &state, core::Time until, ColdEvidence evidence, core::Time now);
   void settleWarm(State &state, core::Time now);
-  core::Duration askDelay(const State &state) const;
+  core::Duration askDelay(const State &state, core::Duration perRank) const;
+  void checkDoubt(State &state, const IsOpen &isOpen, core::Time now);
   void markWanted(State &state, core::Time now);
   bool isDueForProbe(const State &state, core::Time now) const;
   double coldRate(const State &state) const;
--- a/src/link/Messages.cpp
+++ b/src/link/Messages.cpp
@@ -255,7 +255,7 @@
       packed |= uint64_t{bytes[at + i]} << (8 * i);
     const auto fact = static_cast<uint8_t>(packed >> (8 * KeyBytes));
     if (fact < static_cast<uint8_t>(ProcessFact::MayHaveEnded) ||
-        fact > static_cast<uint8_t>(ProcessFact::IsWarm))
+        fact > static_cast<uint8_t>(ProcessFact::StoppedResponding))
       continue; // Of a later release.
     it.Notices.push_back({static_cast<uint32_t>(packed), static_cast<ProcessFact>(fact),
                           core::Duration{static_cast<int64_t>(packed >> (8 * KeyBytes + 8))}});
--- a/src/link/Messages.h
+++ b/src/link/Messages.h
@@ -188,7 +188,9 @@
 enum class ProcessFact : uint8_t {
   MayHaveEnded = 1, ///< Its connections were lost, so another process may run under the id now.
   IsCold = 2,       ///< It says that it is cold.
-  IsWarm = 3,       ///< It says that it is not cold.
+  IsWarm = 3,       ///< It says that it is not cold, or has not ended.
+  /// As MayHaveEnded, but it did not end its connections: those that seem open show nothing.
+  StoppedResponding = 4,
 };
 
 /// Tells other entry VMs about the process of a target, before the target list shows it and also
@@ -196,7 +198,7 @@
 struct ProcessNotice {
   uint32_t Target = 0; ///< targetKey() of the target id.
   ProcessFact Fact = ProcessFact::MayHaveEnded;
-  /// MayHaveEnded: time since the process that ended was last known to run. IsCold: how much longer
+  /// MayHaveEnded, StoppedResponding: time since the process that ended was last known to run. IsCold: how much longer
   /// the process is cold.
   core::Duration Span;
 };
