Close gaps that the review of the restart fix found

Changed: the relay drops what waits at a new term (take() threw); a VM that joins gets the notices after the list; a new leader is told again; a request does not count against its own limit when its connection opens (it was always moved); streamed requests are moved too; a reset, unlike an orderly end, leaves no proof in the connections that seem open; a failed write no longer hides the end of its connection; a target that rejects probes is asked at doubled intervals, and a rejection that tells a cold time counts; without a leader the VMs ask in turn; drain flags of an earlier process don't apply to the next one. The test now plays 24 and 100 VMs, 1 and 4 targets, short-lived connections, requests while cold, and targets that only lose their connections.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -340,9 +340,6 @@
     Events.emit(
         {core::EventId::EntryJoined,
          {{"vm", message.From}, {"address", report->Address}, {"run", message.FromIncarnation}}});
-  if (isNewEntry && isLeading(now))
-    if (link::ProcessNotices notices{ProcessNotices.current(now)}; !notices.Notices.empty())
-      Peers.send(message.From, link::kind::ProcessNotices, encode(notices));
   Responses.recordSyncedVersions(message.From, message.FromIncarnation, *report, now);
   link::ControlResponse answer = makeResponse(message.From, now);
   answer.Sequence = report->Sequence;
@@ -364,6 +361,10 @@
   // A follower responds only to VMs that do not know the leader.
   if (answer.IsLeader || report->Sequence != 0)
     Peers.send(message.From, link::kind::Response, Responses.encodeFor(message.From, answer, now));
+  // After the target list, without which the VM can't tell what the notices are about.
+  if (isNewEntry && answer.IsLeader)
+    if (link::ProcessNotices notices{ProcessNotices.current(now)}; !notices.Notices.empty())
+      Peers.send(message.From, link::kind::ProcessNotices, encode(notices));
 }
 
 link::ControlResponse ControlNode::makeResponse(const core::VmId &vm, core::Time now) {
--- a/src/control/ProcessNoticeRelay.h
+++ b/src/control/ProcessNoticeRelay.h
@@ -29,7 +29,10 @@
       : Settings(settings) {}
 
   /// Forgets all notices, at the start of a term.
-  void clear() { Latest.clear(); }
+  void clear() {
+    Latest.clear();
+    Pending.clear();
+  }
 
   /// Records notices of one VM. Those that tell the other VMs something new are kept for take().
   void receive(absl::Span<const link::ProcessNotice> notices, core::Time now);
--- a/src/discovery/TargetList.cpp
+++ b/src/discovery/TargetList.cpp
@@ -89,7 +89,8 @@
   bool changed = false;
   for (const Target &it : page) {
     auto existing = Targets.find(it.Id);
-    if (!it.Draining || existing == Targets.end() || existing->second.Draining)
+    if (!it.Draining || existing == Targets.end() || existing->second.Draining ||
+        it.Process < existing->second.Process)
       continue;
     existing->second.Draining = true;
     ChangedAt[it.Id] = Version.Sequence + 1;
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -49,7 +49,7 @@
     Timeout.expires_after(chronoMs(ProbeTimeout));
     Timeout.async_wait([self = weak_from_this()](const asio::error_code &ec) {
       if (std::shared_ptr<Probe> probe = self.lock(); probe && !ec)
-        probe->end(ProbeResult::Failed, {0});
+        probe->end(ProbeResult::Failed, std::nullopt);
     });
     Connection->start(head, "", *this);
     Connection->finishRequest();
@@ -65,25 +65,27 @@
   void onResponseBody(std::string_view bytes) override {
     BodyBytes += bytes.size();
     if (BodyBytes > MaxProbeBodyBytes)
-      end(ProbeResult::Failed, {0});
+      end(ProbeResult::Failed, std::nullopt);
   }
 
   void onResponseEnd() override {
-    // Without this header the target is not cold.
-    std::optional<double> cold =
-        core::parseNumber<double>(Response.find(Node.Context.Names.ColdRemaining).value_or("0"));
     std::optional<std::string_view> id = Response.find(Node.Context.Names.TargetId);
-    const bool isOther = id && *id != Target.Id.Value;
-    end(isOther                  ? ProbeResult::Failed
-        : Response.Status == 200 ? ProbeResult::Passed
-                                 : ProbeResult::Rejected,
-        {static_cast<int64_t>(cold.value_or(0))});
+    std::optional<std::string_view> value = Response.find(Node.Context.Names.ColdRemaining);
+    std::optional<core::Duration> cold;
+    if (std::optional<double> ms = core::parseNumber<double>(value.value_or("")))
+      cold = core::Duration{static_cast<int64_t>(*ms)};
+    else if (!value && Response.Status == 200)
+      cold = core::Duration{0}; // A healthy target without this header is not cold.
+    end(id && *id != Target.Id.Value ? ProbeResult::Failed
+        : Response.Status == 200     ? ProbeResult::Passed
+                                     : ProbeResult::Rejected,
+        cold);
   }
 
-  void onConnectionLost(http::ConnectionLoss) override { end(ProbeResult::Failed, {0}); }
+  void onConnectionLost(http::ConnectionLoss) override { end(ProbeResult::Failed, std::nullopt); }
 
 private:
-  void end(ProbeResult result, core::Duration cold) {
+  void end(ProbeResult result, std::optional<core::Duration> cold) {
     auto self = shared_from_this();
     if (std::exchange(Ended, true))
       return;
@@ -93,7 +95,9 @@
     Node.checkDoubts();
     if (result == ProbeResult::Passed)
       Node.Events.emit({core::EventId::TargetReturned,
-                        {{"target", Target.Id}, {"cold_ms", cold}, {"service", Target.Service}}});
+                        {{"target", Target.Id},
+                         {"cold_ms", cold.value_or(core::Duration{0})},
+                         {"service", Target.Service}}});
     Node.Probes.erase(self);
   }
 
@@ -412,6 +416,9 @@
   LeaderLost = false;
   Context.RetryAfter.setLeaderKnown(true);
   Context.Targets.setControlLost(std::nullopt);
+  // The leader before may not have passed them on.
+  Context.Targets.repeatProcessNotices(Clock.now());
+  startDoubtTimer();
   Events.emit({core::EventId::LeaderChanged, {{"leader", leader}}});
 }
 
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -370,9 +370,7 @@
   if (!Target)
     return;
   Context.Targets.recordRoundTrip(Target->Id, time);
-  // A request whose body is still arriving cannot be moved to another target.
-  const bool canMove = BodyBuffered && BodyEnded;
-  if (State != AtTarget || !canMove || Context.Targets.confirmSend(*Target, now))
+  if (State != AtTarget || Context.Targets.confirmSend(*Target, now))
     return;
   Actions.cancelTargetRequest();
   Evidence = NotRunEvidence::NotSent;
--- a/src/entry/TargetPool.cpp
+++ b/src/entry/TargetPool.cpp
@@ -209,9 +209,9 @@
                  {"exchange", connection.exchanges()}}});
 }
 
-void TargetPool::onConnectionEnded(const http::ClientConnection &connection, bool isSilent) {
+void TargetPool::onConnectionEnded(const http::ClientConnection &connection, bool isOrderly) {
   if (HandleEnded)
-    HandleEnded(core::TargetId(connection.peer()), connection.lastHeard(), isSilent);
+    HandleEnded(core::TargetId(connection.peer()), connection.lastHeard(), isOrderly);
   if (Events != nullptr)
     Events->emit({core::EventId::TargetConnectionEnded,
                   {{"target", connection.peer()},
@@ -219,7 +219,7 @@
                    {"connection", connection.number()},
                    {"exchanges", connection.exchanges()},
                    {"idle", connection.isIdle()},
-                   {"silent", isSilent},
+                   {"orderly", isOrderly},
                    {"quiet_ms", Clock.now() - connection.lastHeard()}}});
 }
 
--- a/src/entry/TargetPool.h
+++ b/src/entry/TargetPool.h
@@ -26,9 +26,9 @@
   using OnHead = std::function<void(const core::TargetId &, const http::Head &, bool isDue)>;
 
   /// Called when a connection has ended that its target had not announced to close, with the time
-  /// at which it was last known to work. `isSilent` is as in http::ConnectionObserver. It must not
+  /// at which it was last known to work. `isOrderly` is as in http::ConnectionObserver. It must not
   /// use the pool.
-  using OnEnded = std::function<void(const core::TargetId &, core::Time lastHeard, bool isSilent)>;
+  using OnEnded = std::function<void(const core::TargetId &, core::Time lastHeard, bool isOrderly)>;
 
   /// `events` is told of unexpected responses; it may be null, and so may the functions.
   TargetPool(asio::io_context &io, const core::Clock &clock, std::string idHeader,
@@ -90,7 +90,7 @@
   ConnectionPtr takeIdle(Peer &peer, const Requirements &requirements) const;
   void onUnexpectedResponse(const http::ClientConnection &connection, http::UnexpectedResponse kind,
                             const http::Head *head, std::string_view reason) override;
-  void onConnectionEnded(const http::ClientConnection &connection, bool isSilent) override;
+  void onConnectionEnded(const http::ClientConnection &connection, bool isOrderly) override;
 
   asio::io_context &Io;
   const core::Clock &Clock;
--- a/src/entry/TargetSelection.cpp
+++ b/src/entry/TargetSelection.cpp
@@ -59,6 +59,7 @@
     return std::nullopt;
   State &state = *chosen->Target;
   ++state.OwnRequests;
+  const core::Time sentBefore = state.LastSentAt;
   if (!chosen->OpenedBy)
     state.LastSentAt = now;
   if (request.Object)
@@ -67,6 +68,8 @@
   Pick pick = toPick(*chosen, request.Service);
   pick.OpenedBy = chosen->OpenedBy;
   pick.IsLimited = chosen->IsLimited;
+  pick.SentAt = now;
+  pick.SentBeforeAt = sentBefore;
   pick.Cold = {
       std::max<int64_t>(0, (std::max(state.Process.coldUntil(), state.AssumedColdUntil) - now).Ms)};
   if (pick.Cold.Ms > 0)
--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -45,8 +45,10 @@
 /// Added on VMs of other regions than the target's.
 constexpr core::Duration RemoteAskDelay{400};
 
-/// Time until a process that rejected the question is asked again.
+/// Time until a process that gave no answer is asked again; doubled by each further rejection, as a
+/// target with a full queue rejects probes.
 constexpr core::Duration AskInterval{500};
+constexpr uint32_t MaxAskDoublings = 3;
 
 /// An unsettled doubt is passed on again after this time, up to AnnounceSpan, as messages may be
 /// lost.
@@ -206,6 +208,7 @@
   state.IsWanted = false;
   state.LostSilently = false;
   state.AnnouncedAt = {};
+  state.AskRejections = 0;
 }
 
 void TargetTable::settleCold(State &state, core::Time until, ColdEvidence evidence,
@@ -230,13 +233,13 @@
 }
 
 void TargetTable::recordConnectionEnded(const core::TargetId &id, core::Time lastHeard,
-                                        bool isSilent, core::Time now) {
+                                        bool isOrderly, core::Time now) {
   auto it = Targets.find(id);
   if (it == Targets.end())
     return;
   it->second.Served.clear();
   doubt(it->second, lastHeard, ColdEvidence::Lost, now);
-  it->second.LostSilently = it->second.LostSilently || isSilent;
+  it->second.LostSilently = it->second.LostSilently || !isOrderly;
 }
 
 bool TargetTable::confirmSend(const Pick &pick, core::Time now) {
@@ -244,8 +247,11 @@
   if (it == Targets.end() || pick.IsLimited)
     return true;
   State &state = it->second;
-  if (!isCold(state, now) && !state.Process.isDoubted(now))
+  if (!isCold(state, now) && !isDoubted(state, now))
     return true;
+  // The request itself doesn't count against its own limit.
+  if (state.LastSentAt == pick.SentAt)
+    state.LastSentAt = pick.SentBeforeAt;
   if (!mayUseColdTarget(state, now))
     return false;
   state.LastSentAt = now;
@@ -271,6 +277,8 @@
       break;
     case link::ProcessFact::IsWarm:
       // The process may have responded before this VM lost its connection.
+      if (state.Process.coldBy() == ColdEvidence::Probe && state.Process.isCold(now))
+        break; // Later knowledge.
       if (state.Process.doubt(now) != ColdEvidence::Lost ||
           now - state.Process.doubtedSince() > NoticeTransit / 2)
         settleWarm(state, now);
@@ -287,6 +295,16 @@
   Doubted.insert(state.Info.Id);
 }
 
+void TargetTable::repeatProcessNotices(core::Time now) {
+  for (auto &[id, state] : Targets) {
+    if (state.Process.doubt(now) == ColdEvidence::Lost)
+      state.AnnouncedAt = {};
+    else if (state.Process.isCold(now) && state.Process.coldBy() == ColdEvidence::Probe)
+      NewNotices.push_back(
+          {link::targetKey(id), link::ProcessFact::IsCold, state.Process.coldUntil() - now});
+  }
+}
+
 bool TargetTable::hasOpenDoubts(core::Time now) const {
   return !NewNotices.empty() ||
          std::any_of(Doubted.begin(), Doubted.end(), [&](const core::TargetId &id) {
@@ -556,25 +574,31 @@
   if (state.Ejected)
     return now >= state.EjectedUntil;
   const ColdEvidence doubt = state.Process.doubt(now);
-  const core::Time askAt =
-      doubt == ColdEvidence::ColdOver
-          ? std::max(state.AskAt, state.Process.coldUntil() + askDelay(state, AskDelayPerRank))
-          : state.AskAt;
+  core::Time askAt = state.AskAt;
+  if (doubt == ColdEvidence::ColdOver)
+    askAt = std::max(askAt, state.Process.coldUntil() + askDelay(state, AskDelayPerRank));
+  else if (doubt == ColdEvidence::None && ControlLostAt)
+    askAt = std::max(askAt, *ControlLostAt + askDelay(state, AskDelayPerRank));
   return (doubt == ColdEvidence::Lost || state.IsWanted) && isDoubted(state, now) && now >= askAt;
 }
 
-void TargetTable::recordProbe(const core::TargetId &id, ProbeResult result, core::Duration cold,
-                              core::Time now) {
+void TargetTable::recordProbe(const core::TargetId &id, ProbeResult result,
+                              std::optional<core::Duration> cold, core::Time now) {
   auto it = Targets.find(id);
   if (it == Targets.end())
     return;
   State &state = it->second;
   state.Probing = false;
-  state.AskAt = now + AskInterval;
+  state.AskRejections = result == ProbeResult::Rejected ? state.AskRejections + 1 : 0;
+  state.AskAt = now + AskInterval * (int64_t{1} << std::min(state.AskRejections, MaxAskDoublings));
   state.IsWanted = false;
-  if (result != ProbeResult::Failed && cold.Ms > 0) {
-    settleCold(state, now + cold, ColdEvidence::Probe, now);
-    NewNotices.push_back({link::targetKey(id), link::ProcessFact::IsCold, cold});
+  if (result != ProbeResult::Failed && cold && cold->Ms > 0) {
+    settleCold(state, now + *cold, ColdEvidence::Probe, now);
+    NewNotices.push_back({link::targetKey(id), link::ProcessFact::IsCold, *cold});
+  } else if (result != ProbeResult::Failed && cold) {
+    if (state.Process.isDoubted(now))
+      NewNotices.push_back({link::targetKey(id), link::ProcessFact::IsWarm, core::Duration{0}});
+    settleWarm(state, now);
   }
   if (result != ProbeResult::Passed) {
     if (state.Ejected)
@@ -585,11 +609,6 @@
       state.LostSilently = true;
     return;
   }
-  if (cold.Ms == 0) {
-    if (state.Process.isDoubted(now))
-      NewNotices.push_back({link::targetKey(id), link::ProcessFact::IsWarm, core::Duration{0}});
-    settleWarm(state, now);
-  }
   if (!state.Ejected)
     return;
   state.Ejected = false;
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -116,7 +116,9 @@
   /// Only a connection that was opened by then may be used: another one could lead to another
   /// process.
   std::optional<core::Time> OpenedBy;
-  bool IsLimited = false; ///< The request counts as one to a cold target.
+  bool IsLimited = false;  ///< The request counts as one to a cold target.
+  core::Time SentAt;       ///< Time of the choice.
+  core::Time SentBeforeAt; ///< Time of the choice before that for the same target.
 };
 
 /// Why no target was selected.
@@ -232,9 +234,9 @@
   void recordRoundTrip(const core::TargetId &id, core::Duration time);
 
   /// Records that a target, or the network, ended a connection to it, which was last known to work
-  /// at `lastHeard`. `isSilent` tells that the target stopped responding, so that its other
-  /// connections may have ended as well without a sign.
-  void recordConnectionEnded(const core::TargetId &id, core::Time lastHeard, bool isSilent,
+  /// at `lastHeard`. Unless it `isOrderly`, its other connections may have ended as well without a
+  /// sign.
+  void recordConnectionEnded(const core::TargetId &id, core::Time lastHeard, bool isOrderly,
                              core::Time now);
 
   /// Sets the time at which the leader was heard last, while it is silent, or nullopt. Meanwhile
@@ -255,6 +257,9 @@
   /// `isOpen` tells of another connection to the address that was opened by the given time.
   std::vector<link::ProcessNotice> takeProcessNotices(const IsOpen &isOpen, core::Time now);
 
+  /// Adds what takeProcessNotices() has returned lately again, for a new leader.
+  void repeatProcessNotices(core::Time now);
+
   /// Returns whether takeProcessNotices() or nextProbe() may have something to do soon.
   bool hasOpenDoubts(core::Time now) const;
 
@@ -284,9 +289,9 @@
   /// Returns the targets that have become cold since the last call.
   std::vector<ColdStart> takeColdStarts() { return std::exchange(NewColdStarts, {}); }
 
-  /// Records the result of a health probe. `cold` is how much longer the target stays cold
-  /// according to its response.
-  void recordProbe(const core::TargetId &id, ProbeResult result, core::Duration cold,
+  /// /// Records the result of a health probe. `cold` is how much longer the target stays cold;
+  /// nullopt if its response does not tell.
+  void recordProbe(const core::TargetId &id, ProbeResult result, std::optional<core::Duration> cold,
                    core::Time now);
 
   /// Returns the results by version of services with a running rollout, counted since its order.
@@ -321,6 +326,7 @@
     core::Time ProbedAt;
     bool Leaving = false;
     ProcessBelief Process;
+    uint32_t AskRejections = 0;  ///< While in doubt: consecutive probes that the target rejected.
     core::Time LastSentAt;       ///< Last request that may have reached the current process.
     core::Time AssumedColdUntil; ///< The target has returned, and the target list does not show yet
                                  ///< whether it is cold.
--- a/src/entry/testing/RestartFleet.h
+++ b/src/entry/testing/RestartFleet.h
@@ -25,11 +25,13 @@
 
 /// What may happen to a target in a RestartFleet.
 struct RestartPlan {
-  Duration Fall{300};        ///< Time from the end of a process to the start of the next one.
-  size_t Falls = 1;          ///< Number of ends, each two seconds after the start before it.
-  double RequestsPerS = 60;  ///< Over all VMs and targets.
-  size_t Objects = 4;        ///< Number of requested objects.
-  Duration ListLag{800};     ///< Age of what the platform's list shows.
+  Duration Fall{300};       ///< Time from the end of a process to the start of the next one.
+  size_t Falls = 1;         ///< Number of ends, each two seconds after the start before it.
+  double RequestsPerS = 60; ///< Over all VMs and targets.
+  Duration ListLag{800};    ///< Age of what the platform's list shows.
+  size_t Vms = 24;
+  size_t Targets = 4;
+  Duration KeepAlive{7000};  ///< Idle time after which a VM closes a connection.
   uint64_t LossPermille = 0; ///< Notices of the leader that do not arrive.
   bool Restarts = true;      ///< Otherwise connections end and the process goes on.
   uint64_t Seed = 1;
@@ -41,8 +43,6 @@
 /// target and forty to the leader.
 class RestartFleet {
 public:
-  static constexpr size_t VmCount = 24;
-  static constexpr size_t TargetCount = 4;
   static constexpr double ColdRatePerS = 3.4;
   static constexpr Duration ColdSpan{3000};
   static constexpr double AllowedRatePerS = ColdRatePerS * 1.5 + 8;
@@ -51,7 +51,7 @@
     TargetTableSettings settings;
     settings.Cold.ExtraRatePerS = AllowedRatePerS - ColdRatePerS * 1.5;
     std::vector<link::EntryLocation> entries;
-    for (size_t i = 0; i < VmCount; ++i) {
+    for (size_t i = 0; i < Plan.Vms; ++i) {
       VmLocation place{vmId(i),
                        core::RegionId("r"),
                        core::DomainId("z"),
@@ -71,12 +71,11 @@
       vm->Table.setCatalog(catalog, Now);
       vm->Table.setEntries(entries);
     }
-    Targets.resize(TargetCount);
+    Targets.resize(Plan.Targets);
     List.startEpoch(1);
     readList();
     Route.Name = "route";
     Route.Idempotent = true;
-    Route.Sticky = true;
     Route.Timeout = Duration{2000};
     Route.LatencyGoal = Duration{1000};
     Route.Services = {{"s", 1}};
@@ -166,8 +165,8 @@
 
   /// Takes a snapshot of the targets, which reaches the VMs after the lag of the list.
   void readList() {
-    std::vector<discovery::Target> snapshot(TargetCount);
-    for (size_t i = 0; i < TargetCount; ++i) {
+    std::vector<discovery::Target> snapshot(Plan.Targets);
+    for (size_t i = 0; i < Plan.Targets; ++i) {
       discovery::Target &it = snapshot[i];
       it.Id = targetId(i);
       it.Service = "s";
@@ -242,7 +241,7 @@
   }
 
   void request() {
-    send(*Vms[random(VmCount)]);
+    send(*Vms[random(Plan.Vms)]);
     const auto gap =
         static_cast<int64_t>(1 + random(static_cast<uint64_t>(2000 / Plan.RequestsPerS)));
     after(Duration{gap}, [this] { request(); });
@@ -252,8 +251,6 @@
     PickRequest request;
     request.Route = &Route;
     request.Service = "s";
-    // Half of the requests are for the first object.
-    request.Object = random(2) == 0 ? 1 : 1 + random(Plan.Objects);
     request.Priority = 2;
     request.Left = Duration{2000};
     request.MayReuse = [this, &vm](const std::string &host, uint16_t, Time openedBy) {
@@ -315,7 +312,7 @@
             bool isNew) {
     remove(vm, target, connection);
     if (!isNew)
-      vm.Table.recordConnectionEnded(targetId(target), connection->LastHeard, false, Now);
+      vm.Table.recordConnectionEnded(targetId(target), connection->LastHeard, true, Now);
     vm.Table.record(pick, Route,
                     isNew ? TargetOutcome::ConnectFailed : TargetOutcome::ConnectionLost,
                     Duration{2}, 0, Now);
@@ -324,9 +321,10 @@
 
   std::shared_ptr<Connection> idleConnection(Vm &vm, size_t target, Time openedBy) {
     std::vector<std::shared_ptr<Connection>> &open = vm.Connections[target];
-    open.erase(std::remove_if(
-                   open.begin(), open.end(),
-                   [this](const auto &c) { return !c->Busy && Now - c->IdleSince > KeepAlive; }),
+    open.erase(std::remove_if(open.begin(), open.end(),
+                              [this](const auto &c) {
+                                return !c->Busy && Now - c->IdleSince > Plan.KeepAlive;
+                              }),
                open.end());
     auto idle = std::find_if(open.begin(), open.end(), [openedBy](const auto &c) {
       return !c->Busy && c->OpenedAt <= openedBy;
@@ -350,7 +348,7 @@
       for (const std::shared_ptr<Connection> &connection :
            std::exchange(vm->Connections[Fallen], {})) {
         after(Duration{1}, [this, &vm = *vm, heard = connection->LastHeard] {
-          vm.Table.recordConnectionEnded(targetId(Fallen), heard, false, Now);
+          vm.Table.recordConnectionEnded(targetId(Fallen), heard, true, Now);
         });
         if (connection->Busy && connection->Process != 0) {
           connection->Busy = false;
@@ -371,7 +369,6 @@
       });
   }
 
-  static constexpr Duration KeepAlive{7000};
   static constexpr Duration LeaderDelay{40};
 
   const RestartPlan Plan;
--- a/src/entry/tests/RestartTest.cpp
+++ b/src/entry/tests/RestartTest.cpp
@@ -5,17 +5,29 @@
 using namespace briarspar::core;
 using namespace briarspar::entry::testing;
 
+namespace {
+
+RestartPlan anyPlan() {
+  RestartPlan plan;
+  plan.Fall = Duration{*rc::gen::inRange<int64_t>(50, 5000)};
+  plan.Falls = *rc::gen::inRange<size_t>(1, 4);
+  plan.RequestsPerS = 120;
+  plan.Vms = *rc::gen::element<size_t>(24, 100);
+  plan.Targets = *rc::gen::element<size_t>(1, 4);
+  plan.KeepAlive = *rc::gen::element(Duration{500}, Duration{7000});
+  plan.LossPermille = *rc::gen::inRange<uint64_t>(0, 200);
+  plan.ListLag = Duration{*rc::gen::inRange<int64_t>(300, 2000)};
+  plan.Seed = *rc::gen::arbitrary<uint32_t>();
+  return plan;
+}
+
+} // namespace
+
 /// Guards against a flood of a target that starts again under its id within less time than the
 /// target list takes to show it.
 Test(Restart, coldProcessIsNotFloodedAfterAShortFall) {
   testing::checkProperty("requests to a cold process", [] {
-    RestartPlan plan;
-    plan.Fall = Duration{*rc::gen::inRange<int64_t>(50, 5000)};
-    plan.Falls = *rc::gen::inRange<size_t>(1, 4);
-    plan.LossPermille = *rc::gen::inRange<uint64_t>(0, 200);
-    plan.ListLag = Duration{*rc::gen::inRange<int64_t>(300, 2000)};
-    plan.Seed = *rc::gen::arbitrary<uint32_t>();
-    RestartFleet fleet(plan);
+    RestartFleet fleet(anyPlan());
     fleet.play();
     const size_t worst = fleet.worstSecond();
     RC_LOG() << worst << " requests in one second, allowed " << RestartFleet::AllowedRatePerS
@@ -23,3 +35,15 @@
     RC_ASSERT(static_cast<double>(worst) <= RestartFleet::AllowedRatePerS);
   });
 }
+
+/// Guards against leaving a target idle because it ended its connections without starting again.
+Test(Restart, warmTargetIsUsedAfterItsConnectionsEnd) {
+  testing::checkProperty("requests to a warm process", [] {
+    RestartPlan plan = anyPlan();
+    plan.Restarts = false;
+    RestartFleet fleet(plan);
+    fleet.play();
+    RC_LOG() << "idle for " << fleet.longestIdle().Ms << " ms" << std::endl;
+    RC_ASSERT(fleet.longestIdle() <= Duration{1000});
+  });
+}
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -162,9 +162,8 @@
   if (Phase != Open)
     return;
   if (ec) {
-    if (Reusable && Observer != nullptr)
-      Observer->onConnectionEnded(*this, ec == asio::error::timed_out ||
-                                             ec == asio::error::host_unreachable);
+    if (!CloseAnnounced && Observer != nullptr)
+      Observer->onConnectionEnded(*this, /*isOrderly=*/ec == asio::error::eof);
     Reusable = false;
     if (ec == asio::error::eof && Listener != nullptr && !Skipping && Parser.finish().ok() &&
         Listener == nullptr) {
@@ -225,6 +224,7 @@
   }
   // A server that uses status lines within its heads gets a connection for each request.
   Reusable = head.KeepAlive && head.BodyFraming != Framing::UntilClose && !head.MayBeJoined;
+  CloseAnnounced = !head.KeepAlive || head.BodyFraming == Framing::UntilClose;
   KeepAlive = keepAliveTimeout(head, Settings.DefaultKeepAlive);
   if (Listener != nullptr)
     Listener->onResponseHead(std::move(head));
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -58,8 +58,9 @@
                                     const Head *head, std::string_view reason) = 0;
 
   /// Called when an open connection has ended that the server had not announced to close; must not
-  /// use the connection. `isSilent` tells that the server no longer acknowledged what was sent.
-  virtual void onConnectionEnded(const ClientConnection &connection, bool isSilent) = 0;
+  /// use the connection. `isOrderly` tells that the server closed it. Otherwise it was reset or no
+  /// longer acknowledged, and other connections may have ended without a sign.
+  virtual void onConnectionEnded(const ClientConnection &connection, bool isOrderly) = 0;
 };
 
 struct ClientConnectionSettings {
@@ -197,6 +198,7 @@
   bool SingleUse = false;        ///< The request in progress needs its own connection.
   bool RequestDone = false;
   bool Reusable = true;
+  bool CloseAnnounced = false; ///< The server ends the connection after the response being read.
   bool ReadingOn = true;
   bool ReadPending = false;
   bool WritePending = false;
