Know acknowledged crashes at all VMs after a change of the leader

Callers saw: a request that had crashed a target and was resent through another VM could end a third target. Cause: a new leader knew neither who still served nor what had crashed. Second, crashes were in the memory of the leader only, so a VM without a lease at the acknowledgement got its next lease from a new leader without the crash. Change: a crash is committed in the log before its notices are sent, and voters adopt committed crashes before they grant leases. While leases of the predecessor may be valid, no notice counts as known to all, unless the crash was committed a whole lease before. Reports go to all voters, since a VM may not know the new leader yet.

--- a/src/daemon/CrashNotices.cpp
+++ b/src/daemon/CrashNotices.cpp
@@ -34,11 +34,12 @@
 }
 
 std::vector<CrashNotices::Ack> CrashNotices::sent(const core::VmId &reporter, std::string notice,
-                                                  std::set<core::VmId> recipients) {
+                                                  std::set<core::VmId> recipients,
+                                                  bool unknownVms) {
   const uint64_t hash = hashOf(notice);
   if (Pending.size() >= MaxPending)
     Pending.pop_front();
-  Pending.push_back({reporter, std::move(notice), hash, std::move(recipients)});
+  Pending.push_back({reporter, std::move(notice), hash, std::move(recipients), unknownVms});
   return takeComplete();
 }
 
@@ -56,10 +57,16 @@
   return takeComplete();
 }
 
+std::vector<CrashNotices::Ack> CrashNotices::predecessorLeasesExpired() {
+  for (Entry &entry : Pending)
+    entry.UnknownVms = false;
+  return takeComplete();
+}
+
 std::vector<CrashNotices::Ack> CrashNotices::takeComplete() {
   std::vector<Ack> acks;
   for (auto it = Pending.begin(); it != Pending.end();) {
-    if (!it->Missing.empty()) {
+    if (!it->Missing.empty() || it->UnknownVms) {
       ++it;
       continue;
     }
--- a/src/daemon/CrashNotices.h
+++ b/src/daemon/CrashNotices.h
@@ -30,10 +30,11 @@
     std::string Notice; ///< Encoded balance::CrashReport that all serving VMs know.
   };
 
-  /// Starts tracking a notice sent to the recipients because of a report. Returns the
-  /// acknowledgements to send now: one if there are no recipients.
+  /// Starts tracking a notice sent to the recipients because of a report. `unknownVms` is true if
+  /// VMs that are unknown to the leader may hold leases of its predecessor. Returns the
+  /// acknowledgements to send now: one if there is nobody to wait for.
   std::vector<Ack> sent(const core::VmId &reporter, std::string notice,
-                        std::set<core::VmId> recipients);
+                        std::set<core::VmId> recipients, bool unknownVms);
 
   /// Handles a recipient's acknowledgement of the notice with this hash.
   std::vector<Ack> acknowledged(const core::VmId &recipient, uint64_t notice);
@@ -41,6 +42,9 @@
   /// Handles a recipient whose serving lease has expired.
   std::vector<Ack> expired(const core::VmId &recipient);
 
+  /// Handles the end of the last lease that the leader's predecessor may have granted.
+  std::vector<Ack> predecessorLeasesExpired();
+
   void clear() { Pending.clear(); }
 
 private:
@@ -49,6 +53,7 @@
     std::string Notice;
     uint64_t Hash = 0;
     std::set<core::VmId> Missing;
+    bool UnknownVms = false;
   };
 
   std::vector<Ack> takeComplete();
--- a/src/daemon/GroupLeader.cpp
+++ b/src/daemon/GroupLeader.cpp
@@ -25,6 +25,9 @@
 /// Service time assumed for a region that has finished no requests.
 constexpr uint64_t DefaultServiceMs = 50;
 
+/// Interval at which the log time of committed crashes advances.
+constexpr core::Duration CrashTimeInterval{30'000};
+
 constexpr char DeltaTag = 'D';
 constexpr char FullStateTag = 'F';
 
@@ -64,6 +67,7 @@
 }
 
 void GroupLeader::refresh(core::Time now) {
+  adoptCrashes(now);
   bool leads = Voter.isLeader(now);
   if (leads && !Leading)
     startTerm(now);
@@ -91,6 +95,7 @@
     handleExpiredVms(now);
     updateExcludedVms(now);
   }
+  advanceCrashTime(now);
   if (now >= NextLoads) {
     NextLoads = now + LoadInterval;
     observeLoads(now);
@@ -250,16 +255,64 @@
   if (!report.ok() || !Leading)
     return;
   Crashes.merge(*report, now);
-  std::string merged = balance::encode(Crashes.report(now));
-  // All other VMs must know a crash before the reporter responds to its caller, because the caller
-  // may retry the request through any of them. Crashes are rare, so a broadcast is cheap.
+  bool committed = true;
+  bool knownEverywhere = true;
+  for (const balance::CrashReport::Entry &entry : report->Entries)
+    for (const balance::CrashReport::Crash &crash : entry.Crashes) {
+      auto it = KnownEverywhere.find(crash.Id);
+      committed = committed && it != KnownEverywhere.end();
+      knownEverywhere = knownEverywhere && it != KnownEverywhere.end() && it->second <= now;
+    }
+  if (knownEverywhere) {
+    Send(from, kind::CrashAck, std::string(bytes));
+    return;
+  }
+  std::string notice = balance::encode(Crashes.report(now));
+  if (committed) {
+    announceCrashes(from, std::move(notice), now);
+    return;
+  }
+  // The next leader must know every acknowledged crash before it grants a lease.
+  Voter.propose(*std::move(report), now,
+                [this, from, notice, now](const absl::StatusOr<std::string> &result) {
+                  if (result.ok() && Leading)
+                    announceCrashes(from, notice, now);
+                });
+}
+
+/// All other VMs must know a crash before the reporter responds to its caller, because the caller
+/// may retry the request through any of them. Crashes are rare, so a broadcast is cheap.
+void GroupLeader::announceCrashes(const core::VmId &reporter, std::string notice, core::Time now) {
   std::set<core::VmId> recipients;
   for (const auto &[vm, run] : Serving)
-    if (vm != from)
+    if (vm != reporter)
       recipients.insert(vm);
   for (const core::VmId &vm : recipients)
-    Send(vm, kind::CrashNotice, merged);
-  sendCrashAcks(Notices.sent(from, std::move(merged), std::move(recipients)));
+    Send(vm, kind::CrashNotice, notice);
+  sendCrashAcks(Notices.sent(reporter, std::move(notice), std::move(recipients),
+                             !Leases.predecessorLeasesExpired(now)));
+}
+
+void GroupLeader::adoptCrashes(core::Time now) {
+  const GroupStateMachine &machine = Voter.stateMachine();
+  if (AdoptedCrashChanges == machine.crashChanges())
+    return;
+  AdoptedCrashChanges = machine.crashChanges();
+  balance::CrashReport committed = machine.crashes();
+  Crashes.merge(committed, now);
+  std::map<uint64_t, core::Time> known = std::exchange(KnownEverywhere, {});
+  for (const balance::CrashReport::Entry &entry : committed.Entries)
+    for (const balance::CrashReport::Crash &crash : entry.Crashes) {
+      auto it = known.find(crash.Id);
+      KnownEverywhere[crash.Id] = it != known.end() ? it->second : now + Leases.longestLease();
+    }
+}
+
+void GroupLeader::advanceCrashTime(core::Time now) {
+  if (KnownEverywhere.empty() || now < NextCrashTime)
+    return;
+  NextCrashTime = now + CrashTimeInterval;
+  Voter.propose(balance::CrashReport(), now, [](const absl::StatusOr<std::string> &) {});
 }
 
 void GroupLeader::onCrashNoticeAck(const core::VmId &from, std::string_view bytes, core::Time now) {
@@ -325,6 +378,8 @@
     sendCrashAcks(Notices.expired(vm));
     it = Serving.erase(it);
   }
+  if (Leases.predecessorLeasesExpired(now))
+    sendCrashAcks(Notices.predecessorLeasesExpired());
   for (const membership::StateChange &change : Members.takeEvents())
     Events.emit({core::EventId::VmStateChanged,
                  {{"vm", change.Vm.Value},
--- a/src/daemon/GroupLeader.h
+++ b/src/daemon/GroupLeader.h
@@ -84,6 +84,12 @@
   std::optional<uint64_t> observeReport(const lease::Renewal &renewal, core::Time now);
   void observeLoads(core::Time now);
   void handleExpiredVms(core::Time now);
+  /// Adopts the crashes that the group has committed.
+  void adoptCrashes(core::Time now);
+  void announceCrashes(const core::VmId &reporter, std::string notice, core::Time now);
+  /// Keeps the time of committed crashes going, so that a restarted voter does not take old ones
+  /// for new ones.
+  void advanceCrashTime(core::Time now);
   void sendCrashAcks(const std::vector<CrashNotices::Ack> &acks);
   void advanceMoves(core::Time now);
   void proposeRegion(const config::SetRegionFailure &change, core::ConfigVersion expected,
@@ -102,6 +108,10 @@
   balance::SlotLedger Slots;
   balance::CrashGuard Crashes;
   CrashNotices Notices;
+  /// Committed crashes by id, with the time from which on no lease granted before the commit is
+  /// valid. Later leases are granted by leaders that know the crash.
+  std::map<uint64_t, core::Time> KnownEverywhere;
+  uint64_t AdoptedCrashChanges = 0;
   moves::MoveController Moves;
   RegionMonitor Regions;
 
@@ -119,6 +129,7 @@
   core::Time NextMaintenance;
   core::Time NextMoves;
   core::Time NextLoads;
+  core::Time NextCrashTime;
   uint64_t LastRegionProposal = 0; ///< Makes command ids unique within a term.
 };
 
--- a/src/daemon/GroupStateMachine.cpp
+++ b/src/daemon/GroupStateMachine.cpp
@@ -34,6 +34,12 @@
     if (!claim.ok())
       return claim.status();
     command.Payload = *std::move(claim);
+  } else if (j.contains("crashes")) {
+    absl::StatusOr<balance::CrashReport> crashes =
+        balance::decodeCrashReport(bytesOf(j["crashes"]));
+    if (!crashes.ok())
+      return crashes.status();
+    command.Payload = *std::move(crashes);
   } else {
     command.Payload = j.at("step").get<moves::MoveStep>();
   }
@@ -86,6 +92,8 @@
     j["config"] = binary(config::encode(*change));
   else if (const auto *claim = std::get_if<idempotency::ClaimCommand>(&command.Payload))
     j["claim"] = binary(idempotency::encode(*claim));
+  else if (const auto *crashes = std::get_if<balance::CrashReport>(&command.Payload))
+    j["crashes"] = binary(balance::encode(*crashes));
   else
     j["step"] = std::get<moves::MoveStep>(command.Payload);
   return core::encodeCbor(j);
@@ -107,6 +115,12 @@
   // Decoding is deterministic: the same bytes are rejected on every replica.
   if (!command.ok())
     return "";
+  if (const auto *crashes = std::get_if<balance::CrashReport>(&command->Payload)) {
+    CrashTime = std::max(CrashTime, command->Time);
+    Crashes.merge(*crashes, CrashTime);
+    ++CrashChanges;
+    return "";
+  }
   LogTime = std::max(LogTime, command->Time);
   if (auto *change = std::get_if<config::Command>(&command->Payload)) {
     change->ProposedAt = LogTime;
@@ -205,6 +219,8 @@
   Json j = {{"log_time", LogTime.Ms}, {"mirror_count", MirrorCount}, {"moves", moves}};
   j["config"] = binary(Config.snapshot());
   j["claims"] = binary(Claims.snapshot());
+  j["crash_time"] = CrashTime.Ms;
+  j["crashes"] = binary(balance::encode(Crashes.report(CrashTime)));
   return core::encodeCbor(j);
 }
 
@@ -229,6 +245,16 @@
     Moves = std::move(moves);
     LogTime.Ms = j->at("log_time").get<int64_t>();
     MirrorCount = j->at("mirror_count").get<uint64_t>();
+    // Snapshots of earlier versions contain no crashes.
+    if (j->contains("crashes")) {
+      absl::StatusOr<balance::CrashReport> crashes =
+          balance::decodeCrashReport(bytesOf(j->at("crashes")));
+      if (!crashes.ok())
+        return crashes.status();
+      CrashTime.Ms = j->at("crash_time").get<int64_t>();
+      Crashes.merge(*crashes, CrashTime);
+      ++CrashChanges;
+    }
   } catch (const nlohmann::json::exception &e) {
     return absl::DataLossError(e.what());
   }
--- a/src/daemon/GroupStateMachine.h
+++ b/src/daemon/GroupStateMachine.h
@@ -2,10 +2,12 @@
 
 #include "absl/status/status.h"
 #include "agreement/StateMachine.h"
+#include "balance/CrashGuard.h"
 #include "config/ConfigStore.h"
 #include "idempotency/ClaimTable.h"
 #include "moves/MoveRecord.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <string_view>
@@ -20,14 +22,15 @@
   /// the last applied log time by its own monotonic clock, so wall clock errors cannot make claims
   /// expire early.
   core::Time Time;
-  std::variant<config::Command, idempotency::ClaimCommand, moves::MoveStep> Payload;
+  std::variant<config::Command, idempotency::ClaimCommand, moves::MoveStep, balance::CrashReport>
+      Payload;
 };
 
 std::string encode(const LogCommand &command);
 absl::StatusOr<LogCommand> decodeLogCommand(std::string_view bytes);
 
-/// The replicated state of the group: configuration, claims and moves. Deterministic: all voters
-/// have the same state after the same commands. Not thread-safe; used on the control thread.
+/// The replicated state of the group: configuration, claims, moves and crashes. Deterministic: all
+/// voters have the same state after the same commands. Not thread-safe; used on the control thread.
 class GroupStateMachine final : public agreement::StateMachine {
 public:
   std::string apply(core::LogIndex index, std::string_view command) override;
@@ -39,7 +42,13 @@
   const std::map<core::MoveId, moves::MoveRecord> &moves() const { return Moves; }
 
   /// Latest applied log time.
-  core::Time logTime() const { return LogTime; }
+  core::Time logTime() const { return std::max(LogTime, CrashTime); }
+
+  /// Returns the crashes committed so far, with their ages at logTime().
+  balance::CrashReport crashes() const { return Crashes.report(logTime()); }
+
+  /// Changes whenever crashes are committed or restored.
+  uint64_t crashChanges() const { return CrashChanges; }
 
   /// Returns the steps committed since the last call, rejected ones included, for the move
   /// controller of the leader.
@@ -55,7 +64,12 @@
   idempotency::ClaimTable Claims;
   std::map<core::MoveId, moves::MoveRecord> Moves;
   std::vector<moves::MoveStep> Committed;
+  balance::CrashGuard Crashes{0};
+  uint64_t CrashChanges = 0;
   core::Time LogTime;
+  /// Log time of the last crash report. Apart from LogTime, by which claims expire, because voters
+  /// of the version before skip crash reports.
+  core::Time CrashTime;
   uint64_t MirrorCount = 0; ///< Makes the ids of the mirroring commands unique.
 };
 
--- a/src/daemon/VmAgent.cpp
+++ b/src/daemon/VmAgent.cpp
@@ -4,6 +4,7 @@
 #include "daemon/CrashNotices.h"
 
 #include <array>
+#include <set>
 
 namespace briarspar::daemon {
 
@@ -318,7 +319,13 @@
 }
 
 void VmAgent::sendCrashReport(core::Time now) {
-  sendToLeader(kind::Crash, balance::encode(Crashes.report(now)));
+  // After a leader change the VM may not know the new leader yet. Other voters ignore the report.
+  std::set<core::VmId> voters(Identity.Voters.begin(), Identity.Voters.end());
+  if (Leader)
+    voters.insert(*Leader);
+  const std::string report = balance::encode(Crashes.report(now));
+  for (const core::VmId &voter : voters)
+    Send(voter, kind::Crash, report);
 }
 
 void VmAgent::submit(const config::Command &command, core::Time deadline, core::Time now,
--- a/src/daemon/VmAgent.h
+++ b/src/daemon/VmAgent.h
@@ -63,7 +63,7 @@
   void dispatchFinished(uint64_t attempt, const idempotency::DispatchResult &result,
                         core::Time now);
 
-  /// Reports the recorded crashes to the leader, which acknowledges with onCrashAck() once all
+  /// Reports the recorded crashes to all voters. The leader acknowledges with onCrashAck() once all
   /// serving VMs know them.
   void sendCrashReport(core::Time now);
 
--- a/src/daemon/tests/open/CrashAfterLeaderChangeTest.cpp
+++ b/src/daemon/tests/CrashAfterLeaderChangeTest.cpp
@@ -1,3 +1,4 @@
+#include "core/Codec.h"
 #include "core/testing/Property.h"
 #include "daemon/testing/InMemoryFleet.h"
 
@@ -63,3 +64,50 @@
     }
   });
 }
+
+/// Guards against a VM that was cut off while a crash was acknowledged, gets its next lease from a
+/// new leader and does not know the crash.
+Test(CrashNotices, newLeaderKnowsAcknowledgedCrash) {
+  Fixture f(1);
+  constexpr uint32_t Reporter = 3;
+  constexpr uint32_t CutOff = 5;
+  constexpr uint64_t Fingerprint = 42;
+  InMemoryFleet &fleet = f.Fleet;
+  fleet.network().isolate(CutOff, fleet.size());
+  auto mayServe = [&] { return fleet.node(CutOff).vm().mayServe(fleet.clock().now()); };
+  cr_assert(fleet.advanceUntil([&] { return !mayServe(); }, {10'000}));
+  VmAgent &vm = fleet.node(Reporter).vm();
+  vm.crashes().recordCrash(Fingerprint, core::TargetId("t1"), core::VersionId("v1"),
+                           fleet.clock().now());
+  vm.sendCrashReport(fleet.clock().now());
+  cr_assert(fleet.advanceUntil([&] { return fleet.acknowledgedCrash(Reporter) == 1; }, {10'000}));
+  fleet.crash(*fleet.leader());
+  cr_assert(fleet.advanceUntil([&] { return fleet.leader().has_value(); }, {10'000}));
+  fleet.network().healAll();
+  cr_assert(fleet.advanceUntil(mayServe, {30'000}));
+  cr_assert_eq(fleet.node(CutOff).vm().crashes().count(Fingerprint), 1);
+}
+
+/// Guards against committed crashes that a snapshot loses, against a snapshot of an earlier version
+/// that is refused, and against claims that expire at different log times on voters that do not
+/// know crash reports.
+Test(GroupStateMachine, snapshotContainsCrashes) {
+  GroupStateMachine machine;
+  const std::string before = machine.snapshot();
+  balance::CrashReport report;
+  report.Entries.push_back({42, {{7, core::TargetId("t1"), core::Duration{100}, false}}});
+  machine.apply(core::LogIndex(1), encode(LogCommand{core::Time{1000}, report}));
+  machine.apply(core::LogIndex(2), encode(LogCommand{core::Time{6000}, balance::CrashReport()}));
+  GroupStateMachine restored;
+  cr_assert(restored.restore(machine.snapshot()).ok());
+  balance::CrashReport crashes = restored.crashes();
+  cr_assert_eq(crashes.Entries.size(), 1);
+  cr_assert_eq(crashes.Entries[0].Crashes[0].Id, 7);
+  cr_assert_eq(crashes.Entries[0].Crashes[0].Age.Ms, 5100);
+  core::Json older = *core::decodeCbor(before);
+  older.erase("crashes");
+  older.erase("crash_time");
+  cr_assert(restored.restore(core::encodeCbor(older)).ok());
+  core::Json state = *core::decodeCbor(machine.snapshot());
+  cr_assert_eq(state["log_time"].get<int64_t>(), 0);
+}
--- a/src/lease/LeaseGrantor.cpp
+++ b/src/lease/LeaseGrantor.cpp
@@ -64,8 +64,7 @@
     answer.Attachment = Listener->onRenewal(renewal, now);
   answer.Result = RenewalResult::Granted;
   answer.Length = Settings.Length;
-  addGrant(record,
-           {renewal.Inc, answer.Version, now + core::lengthenForClockDrift(Settings.Length)}, now);
+  addGrant(record, {renewal.Inc, answer.Version, now + longestLease()}, now);
   return answer;
 }
 
@@ -117,7 +116,7 @@
 }
 
 void LeaseGrantor::becomeLeader(Time now) {
-  PredecessorExpiry = now + core::lengthenForClockDrift(Settings.Length);
+  PredecessorExpiry = now + longestLease();
   // Leases that this process granted in an earlier term expire before PredecessorExpiry too.
   for (auto &[vm, record] : Vms) {
     record.Grants.clear();
@@ -140,7 +139,7 @@
 }
 
 bool LeaseGrantor::inForceEverywhere(ConfigVersion version, Time now) const {
-  if (now < PredecessorExpiry || version > Source.version())
+  if (!predecessorLeasesExpired(now) || version > Source.version())
     return false;
   return std::none_of(Vms.begin(), Vms.end(),
                       [&](const auto &entry) { return isPending(entry.second, version, now); });
@@ -148,7 +147,7 @@
 
 std::vector<VmId> LeaseGrantor::pendingVms(ConfigVersion version, Time now) const {
   std::vector<VmId> pending;
-  bool predecessorMayCount = now < PredecessorExpiry;
+  bool predecessorMayCount = !predecessorLeasesExpired(now);
   for (const auto &[vm, record] : Vms) {
     if ((predecessorMayCount && record.Applied < version) || isPending(record, version, now))
       pending.push_back(vm);
--- a/src/lease/LeaseGrantor.h
+++ b/src/lease/LeaseGrantor.h
@@ -69,6 +69,13 @@
   /// lease it is in the past.
   core::Time latestExpiry(const core::VmId &vm) const;
 
+  /// Longest time for which a lease is valid after its grant, by this process's clock.
+  core::Duration longestLease() const { return core::lengthenForClockDrift(Settings.Length); }
+
+  /// True once no lease of an earlier leader may still be in use. Such leases may be held by VMs
+  /// that this leader does not know.
+  bool predecessorLeasesExpired(core::Time now) const { return now >= PredecessorExpiry; }
+
   /// True if every VM has applied the version or can no longer serve. False for one lease period
   /// after becomeLeader(), because unknown VMs may hold leases granted by the predecessor.
   bool inForceEverywhere(core::ConfigVersion version, core::Time now) const;
