Count a crash whose probe meets the listener of the ending process

Cause: a reused connection ended, a VM with few requests had no retry budget for a second exchange, and the probe reached the listener of the ending process, which closes shortly after the connection. The crash was taken for an idle connection that the target had closed. Reproduced without real processes; in the fleet test each VM has sent one request before, so its budget allows none. No failing run of real processes was traced. Change: the probe's connection must also stay open for 100 ms; if it closes, the target must accept another. A live target that closed an idle connection costs a failing caller these 100 ms.

--- a/src/daemon/RequestDispatch.cpp
+++ b/src/daemon/RequestDispatch.cpp
@@ -25,8 +25,8 @@
 /// Time after which an unacknowledged crash report is resent: several round trips between regions.
 constexpr core::Duration CrashReportInterval{200};
 
-/// Time limit of the connection attempt that tests whether a target's process still runs.
-constexpr core::Duration CrashProbeTimeout{100};
+/// Time for which a probe tests whether a target's process is ending.
+constexpr core::Duration CrashProbeWindow{100};
 
 constexpr int ServiceUnavailable = 503;
 
@@ -198,9 +198,8 @@
 }
 
 /// If a reused connection ends without an answer, either the target had closed it while idle or the
-/// target's process ended. A probe cannot distinguish the two, because an ending process still
-/// accepts connections. A second exchange with the same target can, without putting another target
-/// at risk.
+/// target's process ended. A second exchange with the same target distinguishes the two without
+/// putting another target at risk, and may answer the request.
 void RequestPipeline::resendOnFreshConnection(const Exchange &exchange,
                                               const forwarding::TargetRequest &request,
                                               AttemptResult &result,
@@ -267,7 +266,7 @@
     return std::nullopt;
   // The retry budget did not allow a second exchange, so use a probe.
   if (mayBeStaleConnection(result.Answer) &&
-      forwarding::acceptsConnections(result.Address, CrashProbeTimeout))
+      forwarding::keepsAccepting(result.Address, CrashProbeWindow))
     return std::nullopt;
   uint32_t errors =
       Agent.crashes().recordCrash(exchange.Fingerprint, choice.Target, choice.Version, Clock.now());
--- a/src/daemon/tests/RequestPipelineTest.cpp
+++ b/src/daemon/tests/RequestPipelineTest.cpp
@@ -3,9 +3,15 @@
 #include "daemon/testing/InMemoryFleet.h"
 #include "forwarding/HttpServer.h"
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
 #include <atomic>
 #include <future>
 #include <string>
+#include <string_view>
 #include <thread>
 
 using namespace briarspar;
@@ -60,10 +66,55 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(Server.port()); }
 };
 
+/// A target whose process ends during the second request. The connection of that request closes
+/// first; the listener accepts one more connection and then closes, as at the end of a process.
+class EndingTarget {
+public:
+  EndingTarget() {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t n = sizeof address;
+    auto *any = reinterpret_cast<sockaddr *>(&address);
+    cr_assert(::bind(Listener, any, n) == 0 && ::listen(Listener, 16) == 0);
+    ::getsockname(Listener, any, &n);
+    Port = ntohs(address.sin_port);
+    Worker = std::thread([this] { run(); });
+  }
+
+  ~EndingTarget() {
+    ::shutdown(Listener, SHUT_RDWR);
+    Worker.join();
+    ::close(Listener);
+  }
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(Port); }
+
+private:
+  void run() {
+    constexpr std::string_view Reply = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwarm";
+    std::array<char, 4096> buf{};
+    const int first = ::accept(Listener, nullptr, nullptr);
+    (void)::recv(first, buf.data(), buf.size(), 0);
+    (void)::send(first, Reply.data(), Reply.size(), MSG_NOSIGNAL);
+    (void)::recv(first, buf.data(), buf.size(), 0);
+    ::close(first);
+    const int probe = ::accept(Listener, nullptr, nullptr);
+    ::shutdown(Listener, SHUT_RDWR);
+    if (probe >= 0)
+      ::close(probe);
+  }
+
+  int Listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  int Port = 0;
+  std::thread Worker;
+};
+
 /// The pipeline of one VM of a simulated fleet whose clock is stopped, with a near and a far
 /// target. The near target is preferred.
 struct Fixture {
-  explicit Fixture(const std::string &farAddress = "", uint32_t farNode = 3) {
+  explicit Fixture(const std::string &farAddress = "", uint32_t farNode = 3,
+                   const std::string &nearAddress = "") {
     cr_assert(Fleet.advanceUntil([&] { return Fleet.leader().has_value(); }, {10'000}));
     for (uint32_t n = 0; n < Fleet.size(); ++n)
       Fleet.propose(config::PutVm{InMemoryFleet::idOf(n), "127.0.0.1:1", "127.0.0.1:2",
@@ -71,7 +122,7 @@
     Fleet.propose(config::CreateRoute{
         Route, "/read", config::RouteAccess::Open, config::RouteSemantics::Idempotent, {20'000}});
     Fleet.advance({100});
-    add("near", Near.address(), 0);
+    add("near", nearAddress.empty() ? Near.address() : nearAddress, 0);
     add("far", farAddress.empty() ? Far.address() : farAddress, farNode);
     Agent.slots().setWaiting(Pool, Demand);
     cr_assert(Fleet.advanceUntil(
@@ -233,6 +284,26 @@
   cr_assert_eq(f.Agent.crashes().size(), 1);
 }
 
+/// Guards against a request that crashes one target after another undetected, because the retry
+/// budget allows no second exchange and the listener of the ending process outlives the connection.
+Test(RequestPipeline, crashWithoutRetryBudgetIsRecorded) {
+  EndingTarget near;
+  Fixture f("", 3, near.address());
+  cr_assert_eq(f.send().status, 200);
+  cr_assert_neq(f.send().status, 200);
+  cr_assert_eq(f.Agent.crashes().size(), 1);
+}
+
+/// Guards against an idle connection closed by a target that runs on and that is counted as a crash
+/// when the retry budget allows no second exchange.
+Test(RequestPipeline, closedIdleConnectionWithoutRetryBudgetIsNotCountedAsCrash) {
+  Fixture f;
+  cr_assert_eq(f.send().status, 200);
+  f.Near.Handler = [](const auto &, auto &res) { abortAnswer(res); };
+  cr_assert_neq(f.send().status, 200);
+  cr_assert_eq(f.Agent.crashes().size(), 0);
+}
+
 /// Guards against an idle connection closed by the target that is counted as a crash.
 Test(RequestPipeline, closedIdleConnectionIsNotCountedAsCrash) {
   Fixture f;
--- a/src/forwarding/TargetClient.cpp
+++ b/src/forwarding/TargetClient.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <thread>
 
 namespace briarspar::forwarding {
 
@@ -24,31 +25,19 @@
          request.Method == "HEAD" || response.status == NoContent || response.status == NotModified;
 }
 
-} // namespace
-
-TargetAddress parseTargetAddress(std::string_view text) {
-  TargetAddress address;
-  size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos)
-    return address;
-  int port = 0;
-  std::string digits(text.substr(colon + 1));
-  if (!absl::SimpleAtoi(digits, &port) || port <= 0 || port > 65535)
-    return address;
-  address.Host = std::string(text.substr(0, colon));
-  address.Port = port;
-  return address;
-}
+/// Delay before the next connection to a target that has closed one.
+constexpr std::chrono::milliseconds ReconnectDelay(5);
 
-bool acceptsConnections(const TargetAddress &address, core::Duration timeout) {
+/// Returns a connected socket, or -1 if the target accepts none within `timeout`.
+int connectTo(const TargetAddress &address, core::Duration timeout) {
   sockaddr_in to{};
   to.sin_family = AF_INET;
   to.sin_port = htons(static_cast<uint16_t>(address.Port));
   if (::inet_pton(AF_INET, address.Host.c_str(), &to.sin_addr) != 1)
-    return false;
+    return -1;
   int sock = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (sock < 0)
-    return false;
+    return -1;
   int rc = ::connect(sock, reinterpret_cast<sockaddr *>(&to), sizeof to);
   if (rc != 0 && errno == EINPROGRESS) {
     pollfd wait{sock, POLLOUT, 0};
@@ -58,8 +47,44 @@
       ::getsockopt(sock, SOL_SOCKET, SO_ERROR, &error, &n);
     rc = error;
   }
+  if (rc == 0)
+    return sock;
   ::close(sock);
-  return rc == 0;
+  return -1;
+}
+
+} // namespace
+
+TargetAddress parseTargetAddress(std::string_view text) {
+  TargetAddress address;
+  size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos)
+    return address;
+  int port = 0;
+  std::string digits(text.substr(colon + 1));
+  if (!absl::SimpleAtoi(digits, &port) || port <= 0 || port > 65535)
+    return address;
+  address.Host = std::string(text.substr(0, colon));
+  address.Port = port;
+  return address;
+}
+
+bool keepsAccepting(const TargetAddress &address, core::Duration window) {
+  using SteadyClock = std::chrono::steady_clock;
+  const auto end = SteadyClock::now() + std::chrono::milliseconds(window.Ms);
+  for (;;) {
+    const int sock = connectTo(address, window);
+    if (sock < 0)
+      return false;
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(end - SteadyClock::now()).count();
+    pollfd wait{sock, POLLRDHUP, 0};
+    const bool closed = left > 0 && ::poll(&wait, 1, static_cast<int>(left)) == 1;
+    ::close(sock);
+    if (!closed)
+      return true;
+    std::this_thread::sleep_for(ReconnectDelay);
+  }
 }
 
 void Cancellation::cancel() {
--- a/src/forwarding/TargetClient.h
+++ b/src/forwarding/TargetClient.h
@@ -56,9 +56,10 @@
   std::string Body;
 };
 
-/// Returns whether the address accepts a new connection within `timeout`. It is refused if the
-/// target process has ended.
-bool acceptsConnections(const TargetAddress &address, core::Duration timeout);
+/// Returns whether the target's process runs and does not end within `window`. The listener of an
+/// ending process may accept a connection shortly before it closes, so the connection must also
+/// stay open. Blocks for the window unless the process has ended.
+bool keepsAccepting(const TargetAddress &address, core::Duration window);
 
 /// Cancels an exchange from another thread.
 class Cancellation {
--- a/src/forwarding/tests/TargetClientTest.cpp
+++ b/src/forwarding/tests/TargetClientTest.cpp
@@ -132,9 +132,9 @@
   {
     RawTarget target("");
     address = target.address();
-    cr_assert(acceptsConnections(address, {1000}));
+    cr_assert(keepsAccepting(address, {100}));
   }
-  cr_assert_not(acceptsConnections(address, {1000}));
+  cr_assert_not(keepsAccepting(address, {1000}));
 }
 
 /// A late response must not be taken for that of the next request on a reused connection.
