Grant a new holder of a rate an even part until it has measured its demand

Cause: traced, 53 of 68 refusals came from a holder with a share below an even part. A VM that takes over has counted no arrivals, so that the leader granted it its portion of the evenly divided quarter, 27 of 111 per mille, while the predecessor's part stayed unallocated. Change: for 3 s from a take-over, the leader grants at least an even part of the rate, as far as it is free. Shares still add up to the rate at most. After a change of leaders no VM counts as new.

--- a/src/control/RateAllocator.cpp
+++ b/src/control/RateAllocator.cpp
@@ -41,7 +41,8 @@
   const bool isListed = holders.entries() == 0 || holders.contains(vm);
   for (const link::CustomerUsage &use : uses) {
     Customer &customer = Customers[use.Customer];
-    Allocation &own = customer[vm];
+    auto [known, isNew] = customer.try_emplace(vm);
+    Allocation &own = known->second;
     uint32_t others = 0;
     for (auto it = customer.begin(); it != customer.end();) {
       if (it->first == vm) {
@@ -63,14 +64,20 @@
     uint32_t usable = confirmed || now >= own.Until
                           ? use.SharePermille
                           : std::max({use.SharePermille, own.Outstanding});
-    own.Run = run;
     own.Demand = use.ArrivalsPerS;
     auto limit = Limits.find(use.Customer);
     const bool isShared = limit != Limits.end() && holders.count(limit->second) < holders.entries();
-    own.HoldsShare = use.HoldsShare && (isListed || !isShared);
+    const bool holds = use.HoldsShare && (isListed || !isShared);
+    // After a change of leaders all VMs are unknown, though they hold shares.
+    const bool wasHolding = isNew ? now < SettledAt : own.HoldsShare && own.Run == run;
+    if (isShared && holds && !wasHolding)
+      own.NewUntil = now + Settings.TakeOverPeriod;
+    own.HoldsShare = holds;
+    own.Run = run;
     uint32_t free = others >= FullPermille ? 0 : FullPermille - others;
-    uint32_t share = settled ? std::min(free, desiredShare(use.Customer, customer, own, holders))
-                             : use.SharePermille;
+    uint32_t share = settled
+                         ? std::min(free, desiredShare(use.Customer, customer, own, holders, now))
+                         : use.SharePermille;
     own.Granted = share;
     own.Outstanding = std::max(usable, share);
     own.Until = now + Settings.Validity + Settings.Margin;
@@ -97,8 +104,8 @@
 }
 
 uint32_t RateAllocator::desiredShare(const std::string &name, const Customer &customer,
-                                     const Allocation &allocation,
-                                     const link::RateHolders &holders) const {
+                                     const Allocation &allocation, const link::RateHolders &holders,
+                                     core::Time now) const {
   auto limit = Limits.find(name);
   if (limit == Limits.end())
     return 0;
@@ -116,7 +123,9 @@
                                  : 0;
   double sharePerDemand = std::min(Settings.DemandHeadroom / limit->second.RatePerS * FullPermille,
                                    (FullPermille - Settings.EqualPermille) / demand);
-  return static_cast<uint32_t>(evenShare + sharePerDemand * allocation.Demand);
+  const double share = evenShare + sharePerDemand * allocation.Demand;
+  const bool isTakingOver = allocation.HoldsShare && now < allocation.NewUntil;
+  return static_cast<uint32_t>(isTakingOver ? std::max(share, FullPermille / count) : share);
 }
 
 } // namespace briarspar::control
--- a/src/control/RateAllocator.h
+++ b/src/control/RateAllocator.h
@@ -20,6 +20,8 @@
   core::Duration Margin{100}; ///< Allowance for clock drift between two VMs.
   /// Part of each rate that is divided evenly; the rest follows demand.
   uint32_t EqualPermille = 250;
+  /// A VM that takes over as holder gets at least an even part of the rate for this long.
+  core::Duration TakeOverPeriod{3000};
   /// A VM that no longer reports may still use its part of the reserve; it counts for this long.
   core::Duration ReserveRetention{600'000};
   /// Ratio of the allocated share to the measured demand. Rate without demand stays unallocated at
@@ -59,6 +61,7 @@
     core::Incarnation Run;
     double Demand = 0;
     bool HoldsShare = true;   ///< Receives a portion of the evenly divided part.
+    core::Time NewUntil;      ///< Until then the VM has not yet measured the demand of its scope.
     uint32_t Granted = 0;     ///< Last share sent to the VM.
     uint32_t Outstanding = 0; ///< Largest share that the VM may currently use.
     core::Time Until;         ///< Expiry of Outstanding.
@@ -67,7 +70,8 @@
   using Customer = std::map<core::VmId, Allocation>;
 
   uint32_t desiredShare(const std::string &name, const Customer &customer,
-                        const Allocation &allocation, const link::RateHolders &holders) const;
+                        const Allocation &allocation, const link::RateHolders &holders,
+                        core::Time now) const;
 
   /// Returns the number of VMs that may use a part of the reserve.
   uint32_t countReserveVms(const core::VmId &vm, core::Time now);
