Test the start of a process on the list and in notices

Cause: came without tests of the list's format, of its deltas, of the message, and of the relay. Change: tests of each.

--- /dev/null
+++ b/src/control/tests/open/ProcessNoticeTermTest.cpp
@@ -0,0 +1,21 @@
+#include "control/ProcessNoticeRelay.h"
+
+#include <criterion/criterion.h>
+
+#include <vector>
+
+using namespace briarspar::core;
+using namespace briarspar::control;
+using namespace briarspar::link;
+
+/// Guards against a control process that ends, or passes on a notice of an earlier term, because a
+/// notice waits while the next term starts.
+Test(ProcessNoticeRelay, newTermStartsWithoutWaitingNotices) {
+  ProcessNoticeRelay relay;
+  const std::vector<ProcessNotice> notices{{77, ProcessFact::IsCold, Duration{3000}}};
+  relay.receive(notices, Time{1000});
+  cr_assert(relay.hasPending());
+  relay.clear();
+  cr_assert(relay.take(Time{1010}).empty());
+  cr_assert_not(relay.hasPending());
+}
--- a/src/discovery/tests/DiscoveryTest.cpp
+++ b/src/discovery/tests/DiscoveryTest.cpp
@@ -104,6 +104,61 @@
   cr_assert(list.update({target("t", false, Time{9000})}, Time{6000}));
 }
 
+namespace {
+
+Target process(const std::string &id, uint64_t start, bool draining = false) {
+  Target it = target(id, draining);
+  it.Process = Incarnation(start);
+  return it;
+}
+
+} // namespace
+
+/// Guards against a new process that entry VMs take for the one before it, as nothing else differs.
+Test(TargetList, otherProcessIsAChange) {
+  TargetList list;
+  list.startEpoch(1);
+  cr_assert(list.update({process("a", 100), process("b", 100)}, Time{}));
+  TargetList copy;
+  cr_assert(copy.applyDelta(list.deltaSince(copy.version(), Time{}), Time{}).ok());
+  cr_assert_not(list.update({process("a", 100), process("b", 100)}, Time{}));
+  cr_assert(list.update({process("a", 200), process("b", 100)}, Time{}));
+  const Json delta = list.deltaSince(copy.version(), Time{});
+  cr_assert_eq(delta.at("set").size(), 1);
+  cr_assert(copy.applyDelta(delta, Time{}).ok());
+  cr_assert_eq(copy.targets().at(TargetId("a")).Process.Value, 200);
+  cr_assert_eq(copy.targets().at(TargetId("b")).Process.Value, 100);
+}
+
+/// Guards against a process that has ended and is still listed beside the next one with its id.
+Test(TargetList, latestProcessOfAnIdCounts) {
+  for (bool isFirst : {true, false}) {
+    std::vector<Target> rows{process("a", 100, /*draining=*/true), process("a", 200)};
+    if (isFirst)
+      std::swap(rows[0], rows[1]);
+    TargetList list;
+    list.startEpoch(1);
+    list.update(rows, Time{});
+    cr_assert_eq(list.targets().size(), 1);
+    cr_assert_eq(list.targets().at(TargetId("a")).Process.Value, 200);
+    cr_assert_not(list.targets().at(TargetId("a")).Draining);
+  }
+}
+
+/// Guards against an entry VM that cannot read the list of a leader of an earlier build.
+Test(TargetList, deltaWithoutProcessIsRead) {
+  TargetList list;
+  list.startEpoch(1);
+  list.update({process("a", 100, /*draining=*/true)}, Time{});
+  Json delta = list.deltaSince({}, Time{});
+  cr_assert_eq(delta["set"][0].size(), 10);
+  delta["set"][0].erase(9);
+  TargetList copy;
+  cr_assert(copy.applyDelta(delta, Time{}).ok());
+  cr_assert_eq(copy.targets().at(TargetId("a")).Process.Value, 0);
+  cr_assert(copy.targets().at(TargetId("a")).Draining);
+}
+
 /// Guards against a snapshot that mixes pages of two listings after a failure.
 Test(ListReader, failedPageRestartsSnapshot) {
   FakeFormat format;
--- a/src/link/tests/MessagesTest.cpp
+++ b/src/link/tests/MessagesTest.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace briarspar;
@@ -103,6 +104,64 @@
   cr_assert_eq(retired->Newest.Value, 9);
 }
 
+/// Guards against a notice about another target or of another kind at its receiver.
+Test(Messages, processNoticesRoundTrip) {
+  const ProcessNotices sent{{{0xffff'fffe, ProcessFact::MayHaveEnded, Duration{0}},
+                             {0x0102'0304, ProcessFact::IsCold, Duration{3'001}},
+                             {0, ProcessFact::IsWarm, Duration{65'535}}}};
+  absl::StatusOr<ProcessNotices> got = decodeProcessNotices(encode(sent));
+  cr_assert(got.ok());
+  cr_assert_eq(got->Notices.size(), 3);
+  for (size_t i = 0; i < 3; ++i) {
+    cr_assert_eq(got->Notices[i].Target, sent.Notices[i].Target);
+    cr_assert(got->Notices[i].Fact == sent.Notices[i].Fact);
+    cr_assert_eq(got->Notices[i].Span.Ms, sent.Notices[i].Span.Ms);
+  }
+  cr_assert(decodeProcessNotices(encode(ProcessNotices{}))->Notices.empty());
+}
+
+/// Guards against a span that wraps around, so that a target that stays cold for long seems warm.
+Test(Messages, spansOfProcessNoticesAreClamped) {
+  for (auto [span, expected] : {std::pair<int64_t, int64_t>{65'536, 65'535},
+                                {1'000'000'000'000, 65'535},
+                                {-1, 0},
+                                {-1'000'000, 0}}) {
+    absl::StatusOr<ProcessNotices> got =
+        decodeProcessNotices(encode(ProcessNotices{{{7, ProcessFact::IsCold, Duration{span}}}}));
+    cr_assert(got.ok());
+    cr_assert_eq(got->Notices.at(0).Span.Ms, expected);
+    cr_assert_eq(got->Notices.at(0).Target, 7);
+  }
+}
+
+/// Guards against a message of a later release that is refused or misread, and against bytes that
+/// end in the middle of a notice.
+Test(Messages, unknownAndPartialProcessNoticesAreSkipped) {
+  const auto message = [](std::vector<uint8_t> bytes) {
+    return encodeCbor(Json::array({Json::binary(std::move(bytes))}));
+  };
+  const std::vector<uint8_t> known{1, 0, 0, 0, 2, 5, 0};
+  for (uint8_t fact : {uint8_t{0}, uint8_t{4}, uint8_t{255}}) {
+    std::vector<uint8_t> bytes{9, 0, 0, 0, fact, 5, 0};
+    bytes.insert(bytes.end(), known.begin(), known.end());
+    absl::StatusOr<ProcessNotices> got = decodeProcessNotices(message(bytes));
+    cr_assert(got.ok());
+    cr_assert_eq(got->Notices.size(), 1);
+    cr_assert_eq(got->Notices[0].Target, 1);
+  }
+  for (size_t n = 1; n < known.size(); ++n) {
+    std::vector<uint8_t> bytes = known;
+    bytes.insert(bytes.end(), known.begin(), known.begin() + static_cast<std::ptrdiff_t>(n));
+    absl::StatusOr<ProcessNotices> got = decodeProcessNotices(message(bytes));
+    cr_assert(got.ok());
+    cr_assert_eq(got->Notices.size(), 1, "%zu further bytes", n);
+  }
+  const std::string whole = message(known);
+  for (size_t n = 0; n < whole.size(); ++n)
+    cr_assert_not(decodeProcessNotices(whole.substr(0, n)).ok(), "%zu of %zu bytes", n,
+                  whole.size());
+}
+
 /// Guards against a crash on bytes from another program.
 Test(Messages, malformedBytesAreRefused) {
   for (const std::string &bytes : {std::string(), std::string("no cbor"), encodeCbor(Json::array()),
@@ -111,6 +170,7 @@
     cr_assert_not(decodeControlResponse(bytes).ok());
     cr_assert_not(decodeEntryUnreachable(bytes).ok());
     cr_assert_not(decodeRetiredNotice(bytes).ok());
+    cr_assert_not(decodeProcessNotices(bytes).ok());
   }
 }
 
