--- a/src/control/tests/open/ProcessNoticeTermTest.cpp
+++ b/src/control/tests/open/ProcessNoticeTermTest.cpp
@@ -8,8 +8,8 @@
 using namespace briarspar::control;
 using namespace briarspar::link;
 
-/// Guards against a control process that ends, or passes on a notice of an earlier term, because a
-/// notice waits while the next term starts.
+/// Guards against notices that are lost with an exception, or are of an earlier term, because one
+/// waits while the next term starts.
 Test(ProcessNoticeRelay, newTermStartsWithoutWaitingNotices) {
   ProcessNoticeRelay relay;
   const std::vector<ProcessNotice> notices{{77, ProcessFact::IsCold, Duration{3000}}};
