Test which connections a doubted target may be reached over

Cause: came without tests of OpenedBy, canReuse(), isOpen() and the call on an unannounced end. Change: tests of each on real sockets. The end after a silent host (ETIMEDOUT) has no test.

--- a/src/entry/tests/TargetPoolTest.cpp
+++ b/src/entry/tests/TargetPoolTest.cpp
@@ -1,25 +1,23 @@
 #include "entry/TargetPool.h"
+#include "entry/testing/PoolFixture.h"
 
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
 #include <criterion/criterion.h>
 
 #include <chrono>
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 using namespace briarspar;
 using namespace briarspar::entry;
+using entry::testing::NullListener;
+using OpenFixture = entry::testing::PoolFixture;
 
 namespace {
 
-struct NullListener final : http::ResponseListener {
-  void onResponseHead(http::Head) override {}
-  void onResponseBody(std::string_view) override {}
-  void onResponseEnd() override {}
-  void onConnectionLost(http::ConnectionLoss) override {}
-};
-
 /// A pool with one connection, whose response nobody waits for.
 struct Fixture {
   Fixture()
@@ -182,3 +180,96 @@
   cr_assert_eq(sink.Events[0].Details["status"].get<int>(), 503);
   cr_assert_eq(sink.Events[1].Details["kind"].get<std::string>(), std::string("no request"));
 }
+
+/// Guards against a request to a doubted target on a connection that may lead to its next process.
+Test(TargetPool, onlyConnectionOpenedInTimeIsReused) {
+  OpenFixture f;
+  auto early = f.open("a");
+  f.Clock.advance({1000});
+  auto late = f.open("b");
+  f.answer(early, "a");
+  f.answer(late, "b");
+  cr_assert_not(f.Pool.canReuse(f.Host, f.Port, f.needs("c", core::Time{999})));
+  cr_assert_null(f.Pool.acquire(f.Host, f.Port, f.needs("c", core::Time{999})).get());
+  cr_assert_eq(f.Pool.connectionsOpened(), 2);
+  cr_assert(f.Pool.canReuse(f.Host, f.Port, f.needs("c", core::Time{1000})));
+  cr_assert_eq(f.Pool.acquire(f.Host, f.Port, f.needs("c", core::Time{1999})), early.Own);
+  cr_assert_not(f.Pool.canReuse(f.Host, f.Port, f.needs("c", core::Time{1999})));
+  cr_assert_eq(f.Pool.acquire(f.Host, f.Port, f.needs("c", core::Time{2000})), late.Own);
+}
+
+/// Guards against choosing a doubted target for a request that then finds no connection.
+Test(TargetPool, canReuseAgreesWithAcquire) {
+  OpenFixture f;
+  auto it = f.open("a");
+  const core::Time now = f.Clock.now();
+  cr_assert_not(f.Pool.canReuse(f.Host, f.Port, f.needs("b", now))); // In use.
+  f.answer(it, "a");
+  cr_assert(f.Pool.canReuse(f.Host, f.Port, f.needs("b", now)));
+  cr_assert_not(f.Pool.canReuse(f.Host, f.Port, f.needs("a", now)));
+  cr_assert_null(f.Pool.acquire(f.Host, f.Port, f.needs("a", now)).get());
+  TargetPool::Requirements own = f.needs("b", now);
+  own.MustBeNew = true;
+  cr_assert_not(f.Pool.canReuse(f.Host, f.Port, own));
+  cr_assert_null(f.Pool.acquire(f.Host, f.Port, own).get());
+  cr_assert_not(f.Pool.canReuse("127.0.0.2", f.Port, f.needs("b", now)));
+  f.reset(it);
+  f.runUntilEnded(it);
+  cr_assert_not(f.Pool.canReuse(f.Host, f.Port, f.needs("b", now)));
+  cr_assert_null(f.Pool.acquire(f.Host, f.Port, f.needs("b", now)).get());
+}
+
+/// Guards against a doubt that is withdrawn for a connection that is closed, not yet open, or
+/// opened after the end of the process.
+Test(TargetPool, isOpenTellsOfConnectionsOpenedInTime) {
+  OpenFixture f;
+  cr_assert_not(f.Pool.isOpen(f.Host, f.Port, f.Clock.now()));
+  auto connecting = f.Pool.acquire(f.Host, f.Port, f.needs("x", std::nullopt));
+  f.start(*connecting, "x");
+  cr_assert_not(f.Pool.isOpen(f.Host, f.Port, f.Clock.now()));
+  connecting->close();
+  (void)f.Acceptor.accept();
+  auto it = f.open("a");
+  cr_assert(f.Pool.isOpen(f.Host, f.Port, core::Time{1000})); // In use.
+  cr_assert_not(f.Pool.isOpen(f.Host, f.Port, core::Time{999}));
+  cr_assert_not(f.Pool.isOpen("127.0.0.2", f.Port, core::Time{1000}));
+  f.answer(it, "a");
+  cr_assert(f.Pool.isOpen(f.Host, f.Port, core::Time{1000}));
+  f.reset(it);
+  f.runUntilEnded(it);
+  cr_assert_not(f.Pool.isOpen(f.Host, f.Port, core::Time{1000}));
+}
+
+/// Guards against an end of a process that its idle or busy connections show, and nobody notices.
+Test(TargetPool, unannouncedEndIsTold) {
+  for (bool isIdle : {true, false}) {
+    OpenFixture f;
+    auto it = f.open("a");
+    f.Clock.advance({500});
+    if (isIdle)
+      f.answer(it, "a");
+    f.Clock.advance({700});
+    f.reset(it);
+    f.runUntilEnded(it);
+    cr_assert_eq(f.Ends.size(), 1);
+    cr_assert_eq(f.Ends[0].Target, core::TargetId("t"));
+    cr_assert_eq(f.Ends[0].LastHeard.Ms, isIdle ? 1500 : 1000);
+    cr_assert_not(f.Ends[0].IsSilent);
+  }
+}
+
+/// Guards against a doubt about a target whose connection ended as announced, or was closed here.
+Test(TargetPool, expectedEndIsNotTold) {
+  OpenFixture f;
+  auto announced = f.open("a");
+  f.answer(announced, "a", "Connection: close\r\n");
+  f.reset(announced);
+  auto own = f.open("b");
+  f.answer(own, "b", "Keep-Alive: timeout=1\r\n");
+  f.Clock.advance({60'000});
+  f.Pool.sweep();
+  f.runUntilEnded(own);
+  f.step();
+  cr_assert(announced.Own->isEnded());
+  cr_assert(f.Ends.empty());
+}
