Test that a request leaves a doubted target and that a reset does not leave a target idle

A second property: connections that are reset without a start leave a warm target without requests for 1,000 ms at most. RestartFleet::longestIdle() also counts the time since the last arrival, so that a target without any is seen.

--- a/src/entry/testing/RestartFleet.h
+++ b/src/entry/testing/RestartFleet.h
@@ -123,7 +123,12 @@
 
   /// Returns the longest time without an arrival at the target that lost its connections, while its
   /// process was running and warm.
-  Duration longestIdle() const { return LongestIdle; }
+  Duration longestIdle() const {
+    const Target &it = Targets[Fallen];
+    if (!Ended || it.Process == 0)
+      return LongestIdle;
+    return std::max(LongestIdle, Now - std::max(it.LastArrival, it.ColdUntil));
+  }
 
 private:
   struct Connection {
--- a/src/entry/tests/ExchangeTest.cpp
+++ b/src/entry/tests/ExchangeTest.cpp
@@ -409,3 +409,84 @@
     RC_ASSERT(fixture.Out.Sent.size() <= 3);
   });
 }
+
+namespace {
+
+/// Puts a target in doubt, as its connections would.
+void endConnections(Fixture &f, const TargetId &id, Time now) {
+  f.Context.Targets.recordConnectionEnded(id, now, /*isSilent=*/false, now);
+}
+
+} // namespace
+
+/// Guards against requests that were chosen before a target ended and reach its next process, which
+/// is cold, over connections that open after it.
+Test(Exchange, requestChosenBeforeADoubtGoesElsewhere) {
+  for (const char *path : {"/read/x", "/write/x"}) {
+    Fixture f;
+    auto exchange = f.open(path);
+    const TargetId first = f.Out.Sent.at(0);
+    endConnections(f, first, Time{5});
+    exchange->onTargetConnected(Duration{10}, Time{10});
+    cr_assert_eq(f.Out.Cancelled, 1);
+    cr_assert_eq(f.Out.Sent.size(), 2);
+    cr_assert_neq(f.Out.Sent[1], first);
+    cr_assert(f.Out.Responses.empty());
+    exchange->onTargetConnected(Duration{10}, Time{20});
+    exchange->onResponseHead(f.answer(200), Time{100});
+    exchange->onResponseEnd(Time{100});
+    cr_assert_eq(f.Out.Responses.at(0).Status, 200);
+    cr_assert_eq(f.Out.Ended, 1);
+  }
+}
+
+/// Guards against a request that is moved although nothing is known against its target.
+Test(Exchange, requestWithoutADoubtIsSentWhereItWasChosen) {
+  Fixture f;
+  auto exchange = f.open("/read/x");
+  endConnections(f, TargetId(f.Out.Sent.at(0).Value == "t0" ? "t1" : "t0"), Time{5});
+  exchange->onTargetConnected(Duration{10}, Time{10});
+  cr_assert_eq(f.Out.Cancelled, 0);
+  cr_assert_eq(f.Out.Sent.size(), 1);
+}
+
+/// Guards against a refusal that promises too little, or too much: a 503 tells that the request has
+/// not run, which does not hold after an earlier send of it was lost.
+Test(Exchange, requestWithoutAnotherTargetIsRefusedTruthfully) {
+  for (bool mayHaveRun : {false, true}) {
+    Fixture f;
+    auto exchange = f.open("/read/x");
+    if (mayHaveRun) {
+      exchange->onTargetConnected(Duration{5}, Time{5});
+      exchange->onTargetLost(http::ConnectionLoss::Closed, Time{6});
+      cr_assert_eq(f.Out.Sent.size(), 2);
+    }
+    for (int i = 0; i < 4 && !exchange->isDone(); ++i) {
+      const size_t sends = f.Out.Sent.size();
+      endConnections(f, f.Out.Sent.back(), Time{10 + i});
+      exchange->onTargetConnected(Duration{2}, Time{12 + i});
+      cr_assert(exchange->isDone() || f.Out.Sent.size() == sends + 1);
+    }
+    cr_assert(exchange->isDone());
+    cr_assert_leq(f.Out.Sent.size(), 3);
+    cr_assert_eq(f.Out.Responses.size(), 1);
+    cr_assert_eq(f.Out.Responses[0].Status, mayHaveRun ? 502 : 503);
+    cr_assert_eq(f.Out.Responses[0].find("Retry-After").has_value(), !mayHaveRun);
+    cr_assert_eq(f.Out.Cancelled, mayHaveRun ? 2 : 3);
+    cr_assert_eq(f.Out.Ended, 1);
+    cr_assert_not(f.Out.Open);
+  }
+}
+
+/// Guards against a request of which a part is lost when it moves to another target while its body
+/// arrives.
+Test(Exchange, requestWithABodyInTransitIsNotMoved) {
+  Fixture f;
+  auto exchange = f.open("/write/x", true, "POST", http::Framing::Chunked);
+  exchange->onCallerBody(std::string(f.Context.Settings.MaxBufferedRequest + 1, 'x'), Time{0});
+  cr_assert_eq(f.Out.Sent.size(), 1);
+  endConnections(f, f.Out.Sent[0], Time{5});
+  exchange->onTargetConnected(Duration{10}, Time{10});
+  cr_assert_eq(f.Out.Cancelled, 0);
+  cr_assert_eq(f.Out.Sent.size(), 1);
+}
--- a/src/entry/tests/RestartTest.cpp
+++ b/src/entry/tests/RestartTest.cpp
@@ -23,3 +23,22 @@
     RC_ASSERT(static_cast<double>(worst) <= RestartFleet::AllowedRatePerS);
   });
 }
+
+/// Guards against a warm target that gets no requests because its connections were reset: a doubt
+/// must end as soon as its process has answered.
+Test(Restart, resetConnectionsDoNotLeaveAWarmTargetIdle) {
+  testing::checkProperty("time without requests", [] {
+    constexpr Duration allowed{1000};
+    RestartPlan plan;
+    plan.Restarts = false;
+    plan.Falls = *rc::gen::inRange<size_t>(1, 4);
+    plan.LossPermille = *rc::gen::inRange<uint64_t>(0, 200);
+    plan.ListLag = Duration{*rc::gen::inRange<int64_t>(300, 2000)};
+    plan.Seed = *rc::gen::arbitrary<uint32_t>();
+    RestartFleet fleet(plan);
+    fleet.play();
+    RC_LOG() << "idle for " << fleet.longestIdle().Ms << " ms, allowed " << allowed.Ms << std::endl;
+    RC_ASSERT(fleet.longestIdle().Ms > 0);
+    RC_ASSERT(fleet.longestIdle() <= allowed);
+  });
+}
