--- a/src/entry/TargetTable.cpp
+++ b/src/entry/TargetTable.cpp
@@ -27,6 +27,43 @@
 /// whether it is.
 constexpr core::Duration AssumedColdSpan{2500};
 
+/// The other connections of an ended process are found to be closed within this time. Then a VM
+/// that has lost its connections asks the process.
+constexpr core::Duration CloseSpread{30};
+
+/// The others are told of a loss that is not settled after this time.
+constexpr core::Duration AnnounceDelay{100};
+
+/// A VM that was told of a loss vouches for the process, or asks it, after this time.
+constexpr core::Duration FirstAskDelay{80};
+
+/// Added for each VM that comes before this one for the target, as its result is passed on.
+constexpr core::Duration AskDelayPerRank{80};
+constexpr core::Duration VouchDelayPerRank{30};
+constexpr size_t MaxAskRank = 12;
+
+/// Added on VMs of other regions than the target's.
+constexpr core::Duration RemoteAskDelay{400};
+
+/// Time until a process that gave no answer is asked again; doubled by each further rejection, as a
+/// target with a full queue rejects probes.
+constexpr core::Duration AskInterval{500};
+constexpr uint32_t MaxAskDoublings = 3;
+
+/// An unsettled doubt is passed on again after this time, up to AnnounceSpan, as messages may be
+/// lost.
+constexpr core::Duration AnnounceInterval{400};
+constexpr core::Duration AnnounceSpan{2000};
+
+/// What was believed of a target is kept for this long after the list has lost it.
+constexpr core::Duration UnlistedRetention{10'000};
+
+/// Upper bound of the time that a notice is in transit between two VMs.
+constexpr core::Duration NoticeTransit{300};
+
+/// Without contact to the leader, a response of a process that is not cold counts for this long.
+constexpr core::Duration WarmValidity{500};
+
 /// Fraction of the connection limit of a target that all entry VMs together use.
 constexpr double ConnectionLimitShare = 0.7;
 
@@ -42,8 +79,13 @@
       Cold(Own.Vm, Own.Region, settings.Cold), Spillover(settings.Spillover) {}
 
 void TargetTable::setTargets(const discovery::TargetList &list, core::Time now) {
+  for (auto it = UnlistedTargets.begin(); it != UnlistedTargets.end();)
+    it = now - it->second.Since > UnlistedRetention ? UnlistedTargets.erase(it) : std::next(it);
   for (const auto &[id, state] : Targets) {
-    if (list.targets().count(id) == 0 && !state.Info.Draining)
+    if (list.targets().count(id) != 0)
+      continue;
+    UnlistedTargets[id] = {state.Process, now};
+    if (!state.Info.Draining)
       FailedAt[state.Info.Service] = now;
   }
   std::map<core::TargetId, State> old;
@@ -55,19 +97,31 @@
     auto known = old.find(id);
     if (known != old.end())
       state = std::move(known->second);
-    bool moved = state.Info.Host != info.Host || state.Info.Port != info.Port;
-    if (known != old.end() && moved) {
-      state = {};
+    if (auto unlisted = UnlistedTargets.find(id); unlisted != UnlistedTargets.end()) {
+      state.Process = unlisted->second.Process;
+      UnlistedTargets.erase(unlisted);
+      if (state.Process.isDoubted(now))
+        Doubted.insert(id);
+    }
+    if (known != old.end() && isOtherProcess(state, info, now)) {
+      state.beginProcess();
+      UnsentLoads.erase(link::targetKey(id));
       Notices.discard(id);
     }
     state.Info = info;
+    Notices.keepProcess(id, info.Process);
     auto region = Own.Regions.find(info.Domain);
     state.Region = region == Own.Regions.end() ? core::RegionId() : region->second;
-    if (info.ColdUntil > now)
-      state.ColdUntil = info.ColdUntil;
+    if (info.ColdUntil > now) {
+      if (!state.Process.isCold(now))
+        NewColdStarts.push_back({id, info.ColdUntil - now, ColdEvidence::List});
+      state.Process.listCold(info.ColdUntil, now);
+    }
     ByService[info.Service].push_back(&state);
     ByKey[link::targetKey(id)] = &state;
   }
+  for (auto it = Doubted.begin(); it != Doubted.end();)
+    it = Targets.count(*it) != 0 ? std::next(it) : Doubted.erase(it);
   Notices.onList([this](const core::TargetId &id) { return Targets.count(id) != 0; }, now);
   for (const auto &[service, states] : ByService) {
     if (Baseline.count(service) != 0)
@@ -104,13 +158,232 @@
       FailedAt[service] = now;
 }
 
+bool TargetTable::recordLeaving(const core::TargetId &id, core::Time now) {
+  const bool isNew = Notices.recordLeaving(id, now);
+  noteProcess(id);
+  return isNew;
+}
+
+bool TargetTable::recordPause(const core::TargetId &id, core::Duration span, core::Time now) {
+  const bool isNew = Notices.recordPause(id, span, now);
+  noteProcess(id);
+  return isNew;
+}
+
+/// Records which process has given the notices of a target.
+void TargetTable::noteProcess(const core::TargetId &id) {
+  if (auto it = Targets.find(id); it != Targets.end())
+    Notices.keepProcess(id, it->second.Info.Process);
+}
+
 void TargetTable::setEntries(absl::Span<const link::EntryLocation> entries) {
   EntryCount = std::max<size_t>(1, entries.size());
   Cold.setEntries(entries);
 }
 
 bool TargetTable::isCold(const State &state, core::Time now) const {
-  return now < state.ColdUntil || now < state.AssumedColdUntil;
+  return state.Process.isCold(now) || now < state.AssumedColdUntil;
+}
+
+/// Returns whether a new connection to the target may lead to another process than the known one.
+bool TargetTable::isDoubted(const State &state, core::Time now) const {
+  if (state.Process.isDoubted(now))
+    return true;
+  const std::optional<core::Time> warmAt = state.Process.warmAt();
+  return ControlLostAt && !(warmAt && now - *warmAt < WarmValidity);
+}
+
+/// Returns up to when a connection that is still open was opened to the known process of a doubted
+/// target.
+core::Time TargetTable::knownUntil(const State &state, core::Time now) const {
+  if (state.Process.isDoubted(now) || !ControlLostAt)
+    return state.Process.lastKnown();
+  return std::max(*ControlLostAt, state.Process.warmAt().value_or(core::Time()));
+}
+
+/// Returns whether a list entry shows another process than the one before it.
+bool TargetTable::isOtherProcess(const State &state, const discovery::Target &info,
+                                 core::Time now) const {
+  const bool isMoved = state.Info.Host != info.Host || state.Info.Port != info.Port;
+  const bool isLater = state.Info.Process != info.Process && info.Process.Value != 0;
+  // Where the list does not tell processes apart: no process takes back that it is leaving.
+  const bool isBack =
+      info.Process.Value == 0 && state.Info.Draining && !info.Draining && info.ColdUntil > now;
+  return isMoved || isLater || isBack;
+}
+
+void TargetTable::State::beginProcess() {
+  State fresh;
+  fresh.Info = std::move(Info);
+  fresh.OwnRequests = OwnRequests;
+  // What VMs found out is newer than the list, which shows this process late.
+  fresh.Process = Process;
+  fresh.LastSentAt = LastSentAt;
+  fresh.AssumedColdUntil = AssumedColdUntil;
+  fresh.AskAt = AskAt;
+  fresh.IsWanted = IsWanted;
+  fresh.LostSilently = LostSilently;
+  fresh.AnnouncedAt = AnnouncedAt;
+  fresh.Ejected = Ejected;
+  fresh.EjectedUntil = EjectedUntil;
+  fresh.Ejections = Ejections;
+  fresh.Probing = Probing;
+  fresh.ProbedAt = ProbedAt;
+  *this = std::move(fresh);
+}
+
+void TargetTable::doubt(State &state, core::Time lastKnown, ColdEvidence evidence, core::Time now) {
+  if (!state.Process.suspect(lastKnown, evidence, now))
+    return;
+  Doubted.insert(state.Info.Id);
+  state.AskAt =
+      now + (evidence == ColdEvidence::Lost ? CloseSpread : askDelay(state, AskDelayPerRank));
+  state.IsWanted = false;
+  state.LostSilently = false;
+  state.AnnouncedAt = {};
+  state.AskRejections = 0;
+}
+
+void TargetTable::settleCold(State &state, core::Time until, ColdEvidence evidence,
+                             core::Time now) {
+  if (!state.Process.isCold(now)) {
+    NewColdStarts.push_back({state.Info.Id, until - now, evidence});
+    state.Served.clear();
+  }
+  state.Process.learnCold(until, evidence, now);
+  Doubted.erase(state.Info.Id);
+}
+
+void TargetTable::settleWarm(State &state, core::Time now) {
+  state.Process.learnWarm(now);
+  Doubted.erase(state.Info.Id);
+}
+
+core::Duration TargetTable::askDelay(const State &state, core::Duration perRank) const {
+  const auto rank = static_cast<int64_t>(std::min(MaxAskRank, Cold.rank(state.Info.Id)));
+  const core::Duration remote = state.Region == Own.Region ? core::Duration{0} : RemoteAskDelay;
+  return FirstAskDelay + perRank * rank + remote;
+}
+
+void TargetTable::recordConnectionEnded(const core::TargetId &id, core::Time lastHeard,
+                                        bool isOrderly, core::Time now) {
+  auto it = Targets.find(id);
+  if (it == Targets.end())
+    return;
+  it->second.Served.clear();
+  doubt(it->second, lastHeard, ColdEvidence::Lost, now);
+  it->second.LostSilently = it->second.LostSilently || !isOrderly;
+}
+
+bool TargetTable::confirmSend(const Pick &pick, core::Time now) {
+  auto it = Targets.find(pick.Id);
+  if (it == Targets.end() || pick.IsLimited)
+    return true;
+  State &state = it->second;
+  if (!isCold(state, now) && !isDoubted(state, now))
+    return true;
+  // The request itself doesn't count against its own limit.
+  if (state.LastSentAt == pick.SentAt)
+    state.LastSentAt = pick.SentBeforeAt;
+  if (!mayUseColdTarget(state, now))
+    return false;
+  state.LastSentAt = now;
+  return true;
+}
+
+void TargetTable::applyProcessNotices(absl::Span<const link::ProcessNotice> notices,
+                                      core::Time now) {
+  for (const link::ProcessNotice &it : notices) {
+    auto known = ByKey.find(it.Target);
+    if (known == ByKey.end())
+      continue;
+    State &state = *known->second;
+    switch (it.Fact) {
+    case link::ProcessFact::MayHaveEnded:
+    case link::ProcessFact::StoppedResponding:
+      doubt(state, now - it.Span - NoticeTransit, ColdEvidence::LostByPeer, now);
+      if (it.Fact == link::ProcessFact::StoppedResponding)
+        state.LostSilently = true;
+      break;
+    case link::ProcessFact::IsCold:
+      settleCold(state, now + it.Span, ColdEvidence::Notice, now);
+      break;
+    case link::ProcessFact::IsWarm:
+      // The process may have responded before this VM lost its connection.
+      if (state.Process.coldBy() == ColdEvidence::Probe && state.Process.isCold(now))
+        break; // Later knowledge.
+      if (state.Process.doubt(now) != ColdEvidence::Lost ||
+          now - state.Process.doubtedSince() > NoticeTransit / 2)
+        settleWarm(state, now);
+      break;
+    }
+  }
+}
+
+/// Records that requests would have been sent to a target if its process were known.
+void TargetTable::markWanted(State &state, core::Time now) {
+  if (!isDoubted(state, now))
+    return;
+  state.IsWanted = true;
+  Doubted.insert(state.Info.Id);
+}
+
+void TargetTable::repeatProcessNotices(core::Time now) {
+  for (auto &[id, state] : Targets) {
+    if (state.Process.doubt(now) == ColdEvidence::Lost)
+      state.AnnouncedAt = {};
+    else if (state.Process.isCold(now) && state.Process.coldBy() == ColdEvidence::Probe)
+      NewNotices.push_back(
+          {link::targetKey(id), link::ProcessFact::IsCold, state.Process.coldUntil() - now});
+  }
+}
+
+bool TargetTable::hasOpenDoubts(core::Time now) const {
+  return !NewNotices.empty() ||
+         std::any_of(Doubted.begin(), Doubted.end(), [&](const core::TargetId &id) {
+           const State &state = Targets.at(id);
+           return state.IsWanted || now - state.Process.doubtedSince() < AnnounceSpan;
+         });
+}
+
+std::vector<link::ProcessNotice> TargetTable::takeProcessNotices(const IsOpen &isOpen,
+                                                                 core::Time now) {
+  for (auto it = Doubted.begin(); it != Doubted.end();) {
+    State &state = Targets.at(*it);
+    if (isDoubted(state, now))
+      checkDoubt(state, isOpen, now);
+    it = isDoubted(state, now) ? std::next(it) : Doubted.erase(it);
+  }
+  return std::exchange(NewNotices, {});
+}
+
+/// Settles a doubt if another connection of this VM shows that the process goes on, or adds the
+/// notice of it that is due.
+void TargetTable::checkDoubt(State &state, const IsOpen &isOpen, core::Time now) {
+  const ColdEvidence evidence = state.Process.doubt(now);
+  const core::Duration age = now - state.Process.doubtedSince();
+  const core::Time lastKnown = state.Process.lastKnown();
+  const bool hasOpen = !state.LostSilently && isOpen(state.Info.Host, state.Info.Port, lastKnown);
+  const uint32_t key = link::targetKey(state.Info.Id);
+  if (evidence == ColdEvidence::LostByPeer && hasOpen &&
+      age >= askDelay(state, VouchDelayPerRank)) {
+    NewNotices.push_back({key, link::ProcessFact::IsWarm, core::Duration{0}});
+    state.Process.learnWarm(now);
+  }
+  if (evidence != ColdEvidence::Lost || age < CloseSpread || age > AnnounceSpan)
+    return;
+  if (hasOpen && state.AnnouncedAt.Ms == 0) {
+    state.Process.withdrawDoubt();
+    return;
+  }
+  // A process that refuses connections has ended, so there is nothing to wait for.
+  if ((age < AnnounceDelay && !state.LostSilently) || now - state.AnnouncedAt < AnnounceInterval)
+    return;
+  state.AnnouncedAt = now;
+  NewNotices.push_back(
+      {key,
+       state.LostSilently ? link::ProcessFact::StoppedResponding : link::ProcessFact::MayHaveEnded,
+       now - lastKnown});
 }
 
 bool TargetTable::isFailingOver(const std::string &service, core::Time now) const {
@@ -192,6 +465,10 @@
   if (outcome == TargetOutcome::ConnectFailed || outcome == TargetOutcome::ConnectionLost) {
     // The process may have exited: its cache is lost, and it may return cold.
     state.Served.clear();
+    if (outcome == TargetOutcome::ConnectFailed) {
+      doubt(state, state.AnsweredAt, ColdEvidence::Lost, now);
+      state.LostSilently = true;
+    }
     bool wasEjected = state.Ejected;
     if (outcome == TargetOutcome::ConnectFailed ||
         ++state.FailuresInRow >= Settings.FailuresToEject)
@@ -310,10 +587,7 @@
 
 std::optional<Pick> TargetTable::nextProbe(core::Time now) {
   for (auto &[id, state] : Targets) {
-    if (!state.Ejected || state.Info.Draining || now < state.EjectedUntil ||
-        !Notices.mayUse(id, now))
-      continue;
-    if (state.Probing && now - state.ProbedAt < ProbeTimeout)
+    if (state.Info.Draining || !isDueForProbe(state, now) || !Notices.mayUse(id, now))
       continue;
     state.Probing = true;
     state.ProbedAt = now;
@@ -327,22 +601,52 @@
   return std::nullopt;
 }
 
-void TargetTable::recordProbe(const core::TargetId &id, bool healthy, core::Duration cold,
-                              core::Time now) {
+bool TargetTable::isDueForProbe(const State &state, core::Time now) const {
+  if (state.Probing && now - state.ProbedAt < ProbeTimeout)
+    return false;
+  if (state.Ejected)
+    return now >= state.EjectedUntil;
+  const ColdEvidence doubt = state.Process.doubt(now);
+  core::Time askAt = state.AskAt;
+  if (doubt == ColdEvidence::ColdOver)
+    askAt = std::max(askAt, state.Process.coldUntil() + askDelay(state, AskDelayPerRank));
+  else if (doubt == ColdEvidence::None && ControlLostAt)
+    askAt = std::max(askAt, *ControlLostAt + askDelay(state, AskDelayPerRank));
+  return (doubt == ColdEvidence::Lost || state.IsWanted) && isDoubted(state, now) && now >= askAt;
+}
+
+void TargetTable::recordProbe(const core::TargetId &id, ProbeResult result,
+                              std::optional<core::Duration> cold, core::Time now) {
   auto it = Targets.find(id);
   if (it == Targets.end())
     return;
   State &state = it->second;
   state.Probing = false;
-  if (!healthy) {
-    state.EjectedUntil = now + Settings.BaseEjectionTime;
+  state.AskRejections = result == ProbeResult::Rejected ? state.AskRejections + 1 : 0;
+  state.AskAt = now + AskInterval * (int64_t{1} << std::min(state.AskRejections, MaxAskDoublings));
+  state.IsWanted = false;
+  if (result != ProbeResult::Failed && cold && cold->Ms > 0) {
+    settleCold(state, now + *cold, ColdEvidence::Probe, now);
+    NewNotices.push_back({link::targetKey(id), link::ProcessFact::IsCold, *cold});
+  } else if (result != ProbeResult::Failed && cold) {
+    if (state.Process.isDoubted(now))
+      NewNotices.push_back({link::targetKey(id), link::ProcessFact::IsWarm, core::Duration{0}});
+    settleWarm(state, now);
+  }
+  if (result != ProbeResult::Passed) {
+    if (state.Ejected)
+      state.EjectedUntil = now + Settings.BaseEjectionTime;
+    else if (result == ProbeResult::Failed)
+      eject(state, now);
+    if (result == ProbeResult::Failed)
+      state.LostSilently = true;
     return;
   }
+  if (!state.Ejected)
+    return;
   state.Ejected = false;
   state.FailureShare = 0;
   state.Slowness = 1;
-  if (cold.Ms > 0)
-    state.ColdUntil = now + cold;
   state.AssumedColdUntil = now + AssumedColdSpan;
 }
 
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -5,17 +5,21 @@
 #include "discovery/TargetList.h"
 #include "entry/ColdTargetLimiter.h"
 #include "entry/ObjectAffinity.h"
+#include "entry/ProcessBelief.h"
 #include "entry/ProcessingTimes.h"
 #include "entry/RegionShiftLimiter.h"
 #include "entry/TargetNotices.h"
 #include "link/Messages.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace briarspar::entry {
@@ -89,6 +93,9 @@
   absl::Span<const core::TargetId> Tried;
   core::Duration Waited; ///< Time since the request arrived.
   core::Duration Left;   ///< Time until the deadline of the request.
+  /// Returns whether the request can be sent on an open connection to the address that was opened
+  /// no later than a given time. Without a function it cannot.
+  std::function<bool(const std::string &host, uint16_t port, core::Time openedBy)> MayReuse;
 };
 
 struct Pick {
@@ -104,6 +111,14 @@
   double Slowness = 1;       ///< Factor applied to the remaining part for this target.
   double Load = 0;           ///< Estimated number of requests at the target before this one.
   double Value = 0;
+  core::Duration Cold; ///< Remaining time for which the target is known to be cold.
+  ColdEvidence ColdBy = ColdEvidence::None;
+  /// Only a connection that was opened by then may be used: another one could lead to another
+  /// process.
+  std::optional<core::Time> OpenedBy;
+  bool IsLimited = false;  ///< The request counts as one to a cold target.
+  core::Time SentAt;       ///< Time of the choice.
+  core::Time SentBeforeAt; ///< Time of the choice before that for the same target.
 };
 
 /// Why no target was selected.
@@ -136,6 +151,13 @@
   Cancelled,
 };
 
+/// Result of a health probe.
+enum class ProbeResult : uint8_t {
+  Passed,   ///< The process of this id considers itself healthy.
+  Rejected, ///< It responded, but does not.
+  Failed,   ///< No response, or one of another process.
+};
+
 /// Load that a target reports about itself.
 struct LoadReport {
   uint32_t Running = 0;
@@ -198,21 +220,47 @@
   void recordLoad(const core::TargetId &id, const LoadReport &load, core::Time now);
 
   /// Records that a target is leaving. Returns whether that is new.
-  bool recordLeaving(const core::TargetId &id, core::Time now) {
-    return Notices.recordLeaving(id, now);
-  }
+  bool recordLeaving(const core::TargetId &id, core::Time now);
 
   /// Records that a target wants no request for `span`. Returns whether the pause is new or longer
   /// than known.
-  bool recordPause(const core::TargetId &id, core::Duration span, core::Time now) {
-    return Notices.recordPause(id, span, now);
-  }
+  bool recordPause(const core::TargetId &id, core::Duration span, core::Time now);
 
   /// Records the measured time to open a connection to a target.
   void recordRoundTrip(const core::TargetId &id, core::Duration time);
 
-  /// Returns an ejected target that is due for a health probe. At most one probe per target is
-  /// outstanding.
+  /// Records that a target, or the network, ended a connection to it, which was last known to work
+  /// at `lastHeard`. Unless it `isOrderly`, its other connections may have ended as well without a
+  /// sign.
+  void recordConnectionEnded(const core::TargetId &id, core::Time lastHeard, bool isOrderly,
+                             core::Time now);
+
+  /// Sets the time at which the leader was heard last, while it is silent, or nullopt. Meanwhile
+  /// nobody tells this VM which processes have ended.
+  void setControlLost(std::optional<core::Time> lastHeard) { ControlLostAt = lastHeard; }
+
+  /// Returns whether a request that was chosen for `pick` may be sent over a connection that has
+  /// just been opened: the process may have become a cold one since.
+  bool confirmSend(const Pick &pick, core::Time now);
+
+  /// Applies what other VMs found out about the processes of targets.
+  void applyProcessNotices(absl::Span<const link::ProcessNotice> notices, core::Time now);
+
+  /// Returns whether a connection to an address is open that was opened no later than a given time.
+  using IsOpen = std::function<bool(const std::string &host, uint16_t port, core::Time openedBy)>;
+
+  /// Returns what the other VMs are to be told of the processes of targets. A doubt is withdrawn if
+  /// `isOpen` tells of another connection to the address that was opened by the given time.
+  std::vector<link::ProcessNotice> takeProcessNotices(const IsOpen &isOpen, core::Time now);
+
+  /// Adds what takeProcessNotices() has returned lately again, for a new leader.
+  void repeatProcessNotices(core::Time now);
+
+  /// Returns whether takeProcessNotices() or nextProbe() may have something to do soon.
+  bool hasOpenDoubts(core::Time now) const;
+
+  /// Returns a target that is due for a health probe, because it is ejected or its process may be
+  /// another one. At most one probe per target is outstanding.
   std::optional<Pick> nextProbe(core::Time now);
 
   /// A temporary exclusion of a target, with the state that caused it.
@@ -227,8 +275,20 @@
   /// Returns the ejections since the last call.
   std::vector<Ejection> takeEjections();
 
-  /// Records the result of a health probe.
-  void recordProbe(const core::TargetId &id, bool healthy, core::Duration cold, core::Time now);
+  /// A target that has become cold, as far as this VM knows.
+  struct ColdStart {
+    core::TargetId Target;
+    core::Duration Remaining;
+    ColdEvidence Evidence = ColdEvidence::None;
+  };
+
+  /// Returns the targets that have become cold since the last call.
+  std::vector<ColdStart> takeColdStarts() { return std::exchange(NewColdStarts, {}); }
+
+  /// /// Records the result of a health probe. `cold` is how much longer the target stays cold;
+  /// nullopt if its response does not tell.
+  void recordProbe(const core::TargetId &id, ProbeResult result, std::optional<core::Duration> cold,
+                   core::Time now);
 
   /// Returns the results by version of services with a running rollout, counted since its order.
   std::vector<link::VersionCounts> versionCounts() const;
@@ -261,12 +321,25 @@
     bool Probing = false;
     core::Time ProbedAt;
     bool Leaving = false;
-    core::Time ColdUntil;
-    core::Time ColdNext;         ///< Earliest time of the next request while it is cold.
+    ProcessBelief Process;
+    uint32_t AskRejections = 0;  ///< While in doubt: consecutive probes that the target rejected.
+    core::Time LastSentAt;       ///< Last request that may have reached the current process.
     core::Time AssumedColdUntil; ///< The target has returned, and the target list does not show yet
                                  ///< whether it is cold.
+    core::Time AskAt;            ///< While in doubt: earliest time of the next probe.
+    bool IsWanted = false;       ///< While in doubt: requests would have been sent to it.
+    bool LostSilently = false;   ///< While in doubt: see recordConnectionEnded().
+    core::Time AnnouncedAt;      ///< While in doubt: the other VMs were last told then.
     /// Objects that this VM has requested from it, with the time of the last request.
     std::unordered_map<uint64_t, core::Time> Served;
+
+    /// Discards all that was observed of an earlier process under the same id.
+    void beginProcess();
+  };
+
+  struct Unlisted {
+    ProcessBelief Process;
+    core::Time Since;
   };
 
   /// A target with its estimates for a request. Contains no strings, because one is created for
@@ -279,6 +352,8 @@
     double Slowness = 1;
     double Load = 0;
     double Value = 0;
+    std::optional<core::Time> OpenedBy; ///< As in Pick.
+    bool IsLimited = false;             ///< As in Pick.
   };
 
   /// Which versions of a service are being selected from.
@@ -298,6 +373,17 @@
   }
   bool mayUseColdTarget(const State &state, core::Time now) const;
   bool isCold(const State &state, core::Time now) const;
+  bool isDoubted(const State &state, core::Time now) const;
+  core::Time knownUntil(const State &state, core::Time now) const;
+  bool isOtherProcess(const State &state, const discovery::Target &info, core::Time now) const;
+  void doubt(State &state, core::Time lastKnown, ColdEvidence evidence, core::Time now);
+  void settleCold(State &state, core::Time until, ColdEvidence evidence, core::Time now);
+  void settleWarm(State &state, core::Time now);
+  void noteProcess(const core::TargetId &id);
+  core::Duration askDelay(const State &state, core::Duration perRank) const;
+  void checkDoubt(State &state, const IsOpen &isOpen, core::Time now);
+  void markWanted(State &state, core::Time now);
+  bool isDueForProbe(const State &state, core::Time now) const;
   double coldRate(const State &state) const;
   std::optional<Candidate> selectBest(absl::Span<State *const> targets, const PickRequest &request,
                                       Versions versions, core::Time now);
@@ -343,6 +429,12 @@
   core::RegionId PrimaryRegion; ///< Region of the primary target of the request being placed;
                                 ///< without an object, the region of this VM.
   std::vector<Ejection> NewEjections;
+  std::vector<ColdStart> NewColdStarts;
+  std::vector<link::ProcessNotice> NewNotices;
+  /// What was believed of targets that the list lacks, which may be for a moment only.
+  std::map<core::TargetId, Unlisted> UnlistedTargets;
+  std::set<core::TargetId> Doubted; ///< Targets whose process may have ended.
+  std::optional<core::Time> ControlLostAt;
   std::map<core::DomainId, double> RoundTrip; ///< Measured, in ms.
   std::map<std::string, double> RolloutCredit;
   std::map<std::string, std::map<std::string, double>> SplitCredit; ///< By route and service.
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -133,6 +133,8 @@
     return;
   }
   Phase = Open;
+  OpenedAt = Clock.now();
+  LastHeard = OpenedAt;
   asio::error_code ignored;
   Socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   auto timeout = static_cast<unsigned int>(Settings.UserTimeout.Ms);
@@ -160,6 +162,8 @@
   if (Phase != Open)
     return;
   if (ec) {
+    if (!CloseAnnounced && Observer != nullptr)
+      Observer->onConnectionEnded(*this, /*isOrderly=*/ec == asio::error::eof);
     Reusable = false;
     if (ec == asio::error::eof && Listener != nullptr && !Skipping && Parser.finish().ok() &&
         Listener == nullptr) {
@@ -171,6 +175,7 @@
     failExchange(Skipping ? ConnectionLoss::Malformed : ConnectionLoss::Closed);
     return;
   }
+  LastHeard = Clock.now();
   std::string bytes = Buffer.substr(0, n);
   parse(bytes);
   read();
@@ -219,6 +224,7 @@
   }
   // A server that uses status lines within its heads gets a connection for each request.
   Reusable = head.KeepAlive && head.BodyFraming != Framing::UntilClose && !head.MayBeJoined;
+  CloseAnnounced = !head.KeepAlive || head.BodyFraming == Framing::UntilClose;
   KeepAlive = keepAliveTimeout(head, Settings.DefaultKeepAlive);
   if (Listener != nullptr)
     Listener->onResponseHead(std::move(head));
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -47,15 +47,20 @@
 
 class ClientConnection;
 
-/// Is told of responses that are not delivered to the listener of an exchange.
-class UnexpectedResponseObserver {
+/// Is told of what happens on connections outside of their exchanges.
+class ConnectionObserver {
 public:
-  virtual ~UnexpectedResponseObserver() = default;
+  virtual ~ConnectionObserver() = default;
 
   /// Called while received bytes are processed; must not use the connection. `head` is null if the
   /// bytes were not parsed; `reason` tells what is wrong with malformed ones.
   virtual void onUnexpectedResponse(const ClientConnection &connection, UnexpectedResponse kind,
                                     const Head *head, std::string_view reason) = 0;
+
+  /// Called when an open connection has ended that the server had not announced to close; must not
+  /// use the connection. `isOrderly` tells that the server closed it. Otherwise it was reset or no
+  /// longer acknowledged, and other connections may have ended without a sign.
+  virtual void onConnectionEnded(const ClientConnection &connection, bool isOrderly) = 0;
 };
 
 struct ClientConnectionSettings {
@@ -92,7 +97,7 @@
 
   /// Sets a number that identifies the connection in log events, and the observer, which must
   /// outlive the connection.
-  void observe(uint64_t number, UnexpectedResponseObserver &observer) {
+  void observe(uint64_t number, ConnectionObserver &observer) {
     Number = number;
     Observer = &observer;
   }
@@ -144,6 +149,12 @@
   /// Returns the number of exchanges started, which is the number of the one in progress.
   uint64_t exchanges() const { return Exchanges; }
 
+  /// Returns when the connection was established.
+  core::Time openedAt() const { return OpenedAt; }
+
+  /// Returns when bytes arrived last, or when the connection was established.
+  core::Time lastHeard() const { return LastHeard; }
+
   const std::string &host() const { return Host; }
   uint16_t port() const { return Port; }
 
@@ -172,7 +183,7 @@
   std::string IdHeader;
   std::string Peer;
   uint64_t Number = 0;
-  UnexpectedResponseObserver *Observer = nullptr;
+  ConnectionObserver *Observer = nullptr;
   asio::ip::tcp::socket Socket;
   asio::steady_timer ConnectTimer;
   MessageParser Parser;
@@ -187,10 +198,13 @@
   bool SingleUse = false;        ///< The request in progress needs its own connection.
   bool RequestDone = false;
   bool Reusable = true;
+  bool CloseAnnounced = false; ///< The server ends the connection after the response being read.
   bool ReadingOn = true;
   bool ReadPending = false;
   bool WritePending = false;
   core::Time ConnectStart;
+  core::Time OpenedAt;
+  core::Time LastHeard;
   core::Time LastUse;
   core::Duration KeepAlive;
   std::deque<std::string> Queue;
