Do not eject a target that lets a probe wait

Cause: a target with a full queue answers probes late. The probe of a doubt that timed out counted as failed, and ejected the target for want of a slot. Change: a probe without a response in time counts as rejected; the doubt stays and the target is asked again later.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -48,8 +48,9 @@
     head.add("Host", absl::StrCat(Target.Host, ":", Target.Port));
     Timeout.expires_after(chronoMs(ProbeTimeout));
     Timeout.async_wait([self = weak_from_this()](const asio::error_code &ec) {
+      // A target with a full queue lets probes wait.
       if (std::shared_ptr<Probe> probe = self.lock(); probe && !ec)
-        probe->end(ProbeResult::Failed, std::nullopt);
+        probe->end(ProbeResult::Rejected, std::nullopt);
     });
     Connection->start(head, "", *this);
     Connection->finishRequest();
--- a/src/entry/TargetTable.h
+++ b/src/entry/TargetTable.h
@@ -154,8 +154,8 @@
 /// Result of a health probe.
 enum class ProbeResult : uint8_t {
   Passed,   ///< The process of this id considers itself healthy.
-  Rejected, ///< It responded, but does not.
-  Failed,   ///< No response, or one of another process.
+  Rejected, ///< It does not, or has not responded in time.
+  Failed,   ///< The connection failed or was lost, or another process responded.
 };
 
 /// Load that a target reports about itself.
